feat(fleet): serve a request through entry, agent and control as separate processes

Cause: the repository was empty; the whole path has to stand before its parts are filled out. Change: core messages and ids, exchange with one control node in memory, an agent that forwards, an entry that chooses by rendezvous hashing, a fake engine, linter rules for one export a file and for function verbs. Before: nothing. Conclusion: the path works end to end; replication, limits and at-most-once are still missing.

--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,1 @@
+export { createAgent } from './create-agent.js';
--- /dev/null
+++ b/packages/cli/bin/vanillarelay.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runCli } from '../dist/index.js';
+
+await runCli();
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export { runCli } from './run-cli.js';
--- /dev/null
+++ b/packages/control/src/state-store.ts
@@ -0,0 +1,13 @@
+import type { Command, CommandResult } from '@vanillarelay/core';
+import type { FleetState } from './state/fleet-state.js';
+
+/** The replicated state as the hub and the operators' handlers use it. */
+export interface StateStore {
+  /** Resolves once a quorum has synced the command and it was applied here. */
+  propose(command: Command): Promise<CommandResult>;
+  readState(): FleetState;
+  /** Milliseconds since this node last knew of a live quorum. */
+  readQuorumAgeMs(): number;
+  /** Calls the listener after each applied command; returns a function that removes it. */
+  observe(listener: (state: FleetState) => void): () => void;
+}
--- /dev/null
+++ b/packages/control/src/state/create-fleet-state.ts
@@ -0,0 +1,17 @@
+import type { FleetState } from './fleet-state.js';
+
+/** Makes the state before the first command. */
+export function createFleetState(): FleetState {
+  return {
+    daemon: {
+      version: 0,
+      configVersion: 0,
+      config: { dataCentres: {}, services: {}, accounts: {}, concurrentLoads: 1 },
+      dataCentresOut: [],
+      draining: [],
+      marks: [],
+      orders: [],
+    },
+    changes: new Map(),
+  };
+}
--- /dev/null
+++ b/packages/control/src/state/fleet-state.ts
@@ -0,0 +1,9 @@
+import type { CommandResult, DaemonState } from '@vanillarelay/core';
+
+/** The state built from the replicated log. */
+export interface FleetState {
+  /** What every daemon follows. */
+  daemon: DaemonState;
+  /** Answers to operators' changes by change id, for resends. */
+  changes: Map<string, CommandResult>;
+}
--- /dev/null
+++ b/packages/core/src/clients/agent-client.ts
@@ -0,0 +1,19 @@
+import type { StreamId } from '../ids/stream-id.js';
+import type { ContactReport } from '../messages/contact-report.js';
+import type { DispatchReply } from '../messages/dispatch-reply.js';
+import type { DispatchRequest } from '../messages/dispatch-request.js';
+import type { PlacementNote } from '../messages/placement-note.js';
+
+/** One agent as entries and other agents see it. */
+export interface AgentClient {
+  /**
+   * Rejects with `connectionFailed` and `notRun: true` when no byte can have reached the agent;
+   * any other rejection leaves the outcome unknown.
+   */
+  dispatch(request: DispatchRequest, signal: AbortSignal): Promise<DispatchReply>;
+  /** The rest of a resumable answer after event number `after`. */
+  resume(streamId: StreamId, after: number, signal: AbortSignal): Promise<DispatchReply>;
+  cancel(streamId: StreamId): Promise<void>;
+  notePlacement(note: PlacementNote): Promise<void>;
+  readContact(stateVersion: number, signal: AbortSignal): Promise<ContactReport>;
+}
--- /dev/null
+++ b/packages/core/src/errors/to-refusal.ts
@@ -0,0 +1,18 @@
+import type { Refusal } from './refusal.js';
+import { RelayError } from './relay-error.js';
+import { ResultCode } from './result-code.js';
+
+/** The refusal that an error stands for; an unforeseen error leaves the outcome unknown. */
+export function toRefusal(error: unknown): Refusal {
+  if (error instanceof RelayError) {
+    return {
+      code: error.code,
+      message: error.message,
+      notRun: error.notRun,
+      ...(error.retryAfterMs === undefined ? {} : { retryAfterMs: error.retryAfterMs }),
+      ...(error.holder === undefined ? {} : { holder: error.holder }),
+    };
+  }
+  const message = error instanceof Error ? error.message : String(error);
+  return { code: ResultCode.internal, message, notRun: false };
+}
--- /dev/null
+++ b/packages/core/src/events/create-timeline.ts
@@ -0,0 +1,42 @@
+import type { RequestId } from '../ids/request-id.js';
+import type { Hlc } from '../time/hlc.js';
+import { createSource } from './create-source.js';
+import type { TimelineFilter } from './timeline-filter.js';
+import type { TimelineEvent } from './timeline-event.js';
+
+interface TimelineOptions extends Pick<TimelineEvent, 'process' | 'vm' | 'dataCentre'> {
+  hlc: Hlc;
+  /** Events kept in memory; older ones are dropped. */
+  capacity?: number;
+}
+
+const defaultCapacity = 5_000;
+
+/** Makes the process's ring buffer of events. */
+export function createTimeline({ hlc, capacity = defaultCapacity, ...origin }: TimelineOptions) {
+  const ring: TimelineEvent[] = [];
+  let next = 0;
+  const { stream, push } = createSource<TimelineEvent>();
+
+  const record = (
+    name: string,
+    details?: TimelineEvent['details'],
+    requestId?: RequestId,
+  ): void => {
+    const event: TimelineEvent = { at: hlc.read(), ...origin, name };
+    if (details) event.details = details;
+    if (requestId) event.requestId = requestId;
+    ring[next] = event;
+    next = (next + 1) % capacity;
+    push(event);
+  };
+
+  /** Events in time order, oldest first; `limit` keeps the newest. */
+  const list = ({ requestId, limit = capacity }: TimelineFilter = {}): TimelineEvent[] => {
+    const ordered = ring.length < capacity ? ring : [...ring.slice(next), ...ring.slice(0, next)];
+    const selected = requestId ? ordered.filter((event) => event.requestId === requestId) : ordered;
+    return selected.slice(-limit);
+  };
+
+  return { record, list, events: stream };
+}
--- /dev/null
+++ b/packages/core/src/hash/create-hash.ts
@@ -0,0 +1,8 @@
+import xxhash from 'xxhash-wasm';
+import type { Hash } from './hash.js';
+
+/** Loads the hash function (xxHash, 32 bits). */
+export async function createHash(): Promise<Hash> {
+  const { h32 } = await xxhash();
+  return (text) => h32(text);
+}
--- /dev/null
+++ b/packages/core/src/time/random.ts
@@ -0,0 +1,2 @@
+/** Source of numbers in [0, 1). */
+export type Random = () => number;
--- /dev/null
+++ b/packages/daemon/src/agent/run-agent.ts
@@ -0,0 +1,74 @@
+import { createAgent } from '@vanillarelay/agent';
+import type { AgentSettings } from '@vanillarelay/config';
+import {
+  toId,
+  type DaemonId,
+  type DataCentreId,
+  type EndpointId,
+  type ServiceId,
+  type VmId,
+} from '@vanillarelay/core';
+import { createLink, type Link } from '@vanillarelay/link';
+import { openControl } from '../control/open-control.js';
+import { serveOn } from '../http/serve-on.js';
+import { createProcessContext } from '../platform/create-process-context.js';
+import { waitForSignal } from '../platform/wait-for-signal.js';
+import { createAgentServer } from './create-agent-server.js';
+import { openEndpoint } from './open-endpoint.js';
+
+/** Runs an agent process until a signal ends it. */
+export async function runAgent(settings: AgentSettings): Promise<void> {
+  const context = await createProcessContext(settings);
+  const { clock, timeline } = context;
+  const key = settings.peerKeys[0] ?? '';
+  const controls = settings.control.map(({ id, address }) => ({
+    id: toId<DaemonId>(id),
+    client: openControl(address, key),
+  }));
+  const incarnation = Math.floor(clock.now());
+  const identity = {
+    vm: toId<VmId>(settings.vm),
+    dataCentre: toId<DataCentreId>(settings.dataCentre),
+  };
+  const service = toId<ServiceId>(settings.service);
+  let link: Link;
+  const agent = createAgent({
+    ...context,
+    ...identity,
+    id: toId<EndpointId>(settings.id),
+    service,
+    address: settings.address,
+    slots: settings.slots,
+    incarnation,
+    endpoint: openEndpoint(settings.endpointAddress),
+    control: { propose: (command, signal) => controls[0]!.client.propose(command, signal) },
+    findLink: () => link,
+  });
+  link = createLink({
+    ...context,
+    controls,
+    buildReport: () => ({
+      ...identity,
+      daemon: toId<DaemonId>(settings.id),
+      role: 'agent',
+      address: settings.address,
+      incarnation,
+      services: [service],
+      announcement: agent.buildAnnouncement(),
+    }),
+  });
+  const server = createAgentServer({
+    handlers: agent.handlers,
+    peerKeys: settings.peerKeys,
+    listTimeline: () => timeline.list(),
+    reportStranger: (path) => timeline.record('stranger.refused', { path }),
+  });
+  await serveOn(server, settings.address);
+  link.start();
+  timeline.record('process.started', { role: 'agent', address: settings.address });
+  await waitForSignal();
+  link.stop();
+  server.close();
+  server.closeIdleConnections();
+  controls.forEach(({ client }) => client.close());
+}
--- /dev/null
+++ b/packages/daemon/src/control/control-context.ts
@@ -0,0 +1,4 @@
+/** Who is calling a control node. */
+export interface ControlContext {
+  role: 'peer' | 'operator';
+}
--- /dev/null
+++ b/packages/daemon/src/control/control-router.ts
@@ -0,0 +1,4 @@
+import type { createControlRouter } from './create-control-router.js';
+
+/** Type of a control node's tRPC router. */
+export type ControlRouter = ReturnType<typeof createControlRouter>;
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,16 @@
+export { createAgentServer } from './agent/create-agent-server.js';
+export type { DispatchHead } from './agent/dispatch-head.js';
+export { dispatchHeaders } from './agent/dispatch-headers.js';
+export { openAgent } from './agent/open-agent.js';
+export { openEndpoint } from './agent/open-endpoint.js';
+export { runAgent } from './agent/run-agent.js';
+export type { ControlContext } from './control/control-context.js';
+export type { ControlRouter } from './control/control-router.js';
+export { createControlRouter } from './control/create-control-router.js';
+export { openControl } from './control/open-control.js';
+export { runControl } from './control/run-control.js';
+export { createEntryServer } from './entry/create-entry-server.js';
+export { runEntry } from './entry/run-entry.js';
+export { createEndpointServer } from './stand-ins/create-endpoint-server.js';
+export { runFakeEngine } from './stand-ins/run-fake-engine.js';
+export { hasKey } from './trust/has-key.js';
--- /dev/null
+++ b/packages/daemon/src/platform/create-process-context.ts
@@ -0,0 +1,55 @@
+import { randomInt } from 'node:crypto';
+import {
+  createHash,
+  createHistograms,
+  createHlc,
+  createIdSource,
+  createTimeline,
+  toId,
+  type DaemonId,
+  type DataCentreId,
+  type Random,
+  type VmId,
+} from '@vanillarelay/core';
+import { pino } from 'pino';
+import { createSystemClock } from './create-system-clock.js';
+
+interface ProcessIdentity {
+  id: string;
+  vm: string;
+  dataCentre: string;
+  logLevel: string;
+}
+
+const randomRange = 2 ** 47;
+
+/** Makes what every process needs: clock, chance, log, time line and histograms. */
+export async function createProcessContext({ id, vm, dataCentre, logLevel }: ProcessIdentity) {
+  const clock = createSystemClock();
+  const random = createRandom();
+  const hlc = createHlc(clock);
+  const log = pino({ level: logLevel, base: { process: id, vm, dataCentre } });
+  const timeline = createTimeline({
+    hlc,
+    process: toId<DaemonId>(id),
+    vm: toId<VmId>(vm),
+    dataCentre: toId<DataCentreId>(dataCentre),
+  });
+  void timeline.events.observe(({ name, requestId, details, at }) =>
+    log.info({ at, requestId, ...details }, name),
+  );
+  return {
+    clock,
+    random,
+    hlc,
+    log,
+    timeline,
+    histograms: createHistograms(),
+    createId: createIdSource(random),
+    hash: await createHash(),
+  };
+}
+
+function createRandom(): Random {
+  return () => randomInt(randomRange) / randomRange;
+}
--- /dev/null
+++ b/packages/entry/src/caller-reply.ts
@@ -0,0 +1,6 @@
+/** The answer to a caller; when the body throws, the connection is broken off. */
+export interface CallerReply {
+  status: number;
+  headers: Record<string, string>;
+  body: AsyncIterable<Uint8Array>;
+}
--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,15 @@
+// Runs install, build, format check, lint and tests; the one command of CI.
+import { spawnSync } from 'node:child_process';
+
+const run = (command, args) => {
+  console.log(`> ${command} ${args.join(' ')}`);
+  const { status } = spawnSync(command, args, { stdio: 'inherit' });
+  if (status !== 0) process.exit(status ?? 1);
+};
+
+run('npm', ['ci', '--no-audit', '--no-fund']);
+run('node_modules/.bin/tsc', ['-b', 'packages']);
+run('node_modules/.bin/tsc', ['-p', 'tsconfig.json']);
+run('node_modules/.bin/prettier', ['--check', '.']);
+run('npm', ['run', '--silent', 'lint']);
+run('node_modules/.bin/vitest', ['run']);
