--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -54,6 +54,7 @@
 export type { FleetConfig } from './state/fleet-config.js';
 export type { RequestKind } from './state/request-kind.js';
 export type { ServiceConfig } from './state/service-config.js';
+export type { Disk } from './storage/disk.js';
 export type { Clock } from './time/clock.js';
 export { createHlc } from './time/create-hlc.js';
 export { createIdSource } from './time/create-id-source.js';
