--- a/packages/agent/src/create-agent.ts
+++ b/packages/agent/src/create-agent.ts
@@ -130,10 +130,9 @@
     }
   };
 
-  const readContact = async (): Promise<ContactReport> => ({
-    contact: findLink().readContact(),
+  const readContact = async (stateVersion: number): Promise<ContactReport> => ({
+    ...findLink().buildContactReport(stateVersion),
     dataCentre,
-    quorumAgeMs: 0,
   });
 
   const refuseResume = async (): Promise<DispatchReply> => {
--- a/packages/control/src/hub/create-hub.ts
+++ b/packages/control/src/hub/create-hub.ts
@@ -1,6 +1,25 @@
-import type { Clock, DaemonId, Frame, Hlc, Report, Timeline } from '@vanillarelay/core';
+import {
+  RelayError,
+  ResultCode,
+  type Announcement,
+  type Clock,
+  type DaemonId,
+  type Frame,
+  type Hlc,
+  type QuorumReport,
+  type Random,
+  type Report,
+  type ServiceId,
+  type Timeline,
+} from '@vanillarelay/core';
 import type { StateStore } from '../state-store.js';
+import { computePeriod } from './compute-period.js';
+import { createDaemonTable } from './create-daemon-table.js';
+import { createGossip } from './create-gossip.js';
 import { createMemberTable } from './create-member-table.js';
+import { createStateHistory } from './create-state-history.js';
+import { createUsageTable } from './create-usage-table.js';
+import type { HubPeer } from './hub-peer.js';
 
 interface HubOptions {
   id: DaemonId;
@@ -8,56 +27,98 @@
   hlc: Hlc;
   timeline: Timeline;
   store: StateStore;
-  /** Longest time that an exchange is held, in milliseconds. */
-  periodMs?: number;
+  /** Spreads the gossip of the hubs; without it all intervals are equal. */
+  random?: Random;
+  /** The other hubs of the control group. */
+  peers?: readonly { id: DaemonId; peer: HubPeer }[];
 }
 
-const defaultPeriodMs = 500;
+/** A hub that has just started sends no membership before it has heard most daemons. */
+const warmUpMs = 1_200;
+const refreshIntervalMs = 500;
 
 /** Makes the hub: it collects the daemons' reports and answers with frames. */
-export function createHub({ id, clock, hlc, store, periodMs = defaultPeriodMs }: HubOptions) {
-  const table = createMemberTable();
+export function createHub(options: HubOptions) {
+  const { id, clock, hlc, timeline, store, random = () => 0.5, peers = [] } = options;
+  const isServing = ({ id: endpoint, dataCentre }: Announcement): boolean => {
+    const { dataCentresOut, draining } = store.readState().daemon;
+    return !dataCentresOut.includes(dataCentre) && !draining.includes(endpoint);
+  };
+  const members = createMemberTable({ isServing });
+  const daemons = createDaemonTable();
+  const usage = createUsageTable({ id, findOrigin: daemons.findOrigin });
+  const history = createStateHistory();
   const waiters = new Set<() => void>();
-  const versions = new Map<DaemonId, { version: number; seenAt: number; address: string }>();
+  const stopping = new AbortController();
+  const startedAt = clock.monotonic();
   /** Cursors are valid for this run of the hub only. */
   const epoch = `${id}/${hlc.read()}`;
+  const gossip = createGossip({
+    ...{ id, epoch, clock, random, hlc, peers, members, daemons, usage },
+  });
+  let isWarm = false;
 
-  store.observe(() => {
+  history.record(store.readState().daemon);
+  const removeObserver = store.observe(({ daemon }) => {
+    if (!history.record(daemon)) return;
     waiters.forEach((wake) => wake());
     waiters.clear();
   });
 
-  const buildFrame = (report: Report): Frame => {
-    table.removeSilent(clock.monotonic());
-    const [reportEpoch, since = '0'] = splitCursor(report.cursor);
+  const buildFrame = (report: Report, heldMs: number): Frame => {
+    members.update(clock.monotonic());
     const state = store.readState().daemon;
     return {
       hub: id,
+      heldMs,
       quorumAgeMs: store.readQuorumAgeMs(),
       stateVersion: state.version,
-      ...(state.version > report.stateVersion ? { state } : {}),
-      cursor: `${epoch}#${table.readGeneration()}`,
-      ...table.buildDelta(reportEpoch === epoch ? Number(since) : 0),
-      shares: {},
+      ...history.findPart(report.stateVersion),
+      cursor: `${epoch}#${members.readGeneration()}`,
+      ...members.buildDelta(readCursor(report.cursor), report.services),
+      shares:
+        report.role === 'entry'
+          ? usage.buildShares(report.daemon, state.config.accounts, usage.readAll())
+          : {},
       at: hlc.read(),
     };
   };
 
-  const exchange = async (report: Report, signal: AbortSignal): Promise<Frame> => {
-    hlc.receive(report.at);
+  const readCursor = (cursor: string): number => {
+    const [cursorEpoch, generation] = cursor.split('#');
+    return cursorEpoch === epoch ? Number(generation) : 0;
+  };
+
+  const receiveReport = (report: Report): void => {
     const now = clock.monotonic();
-    versions.set(report.daemon, {
-      version: report.stateVersion,
-      seenAt: now,
-      address: report.address,
-    });
-    if (report.announcement) table.receive(report.announcement, now);
+    hlc.receive(report.at);
+    const { daemon, role, vm, dataCentre, address, incarnation, stateVersion, contact, at } =
+      report;
+    const row = { daemon, role, vm, dataCentre, address, incarnation, stateVersion, contact, at };
+    if (!daemons.receive(row, now, id)) return;
+    if (report.announcement) members.receive(report.announcement, now, id);
+    if (report.usage) usage.receive(daemon, report.usage, now);
+  };
+
+  const exchange = async (report: Report, signal: AbortSignal): Promise<Frame> => {
+    const receivedAt = clock.monotonic();
+    isWarm ||= receivedAt - startedAt >= warmUpMs;
+    receiveReport(isWarm ? report : { ...report, usage: undefined });
+    if (!isWarm) {
+      throw new RelayError(ResultCode.notReady, 'the hub has just started', { notRun: true });
+    }
     const isBehind = store.readState().daemon.version > report.stateVersion;
-    if (!isBehind && report.cursor !== '') await waitForChange(signal);
-    return buildFrame(report);
+    if (!isBehind && report.cursor !== '') await waitForChange(findPeriod(report), signal);
+    return buildFrame(report, clock.monotonic() - receivedAt);
+  };
+
+  const findPeriod = (report: Report): number => {
+    members.update(clock.monotonic());
+    const { loads, means } = members.buildDelta(members.readGeneration(), report.services);
+    return computePeriod(countBytes(loads) + countBytes(means));
   };
 
-  const waitForChange = async (signal: AbortSignal): Promise<void> => {
+  const waitForChange = async (periodMs: number, signal: AbortSignal): Promise<void> => {
     const controller = new AbortController();
     const wake = () => controller.abort();
     waiters.add(wake);
@@ -67,12 +128,42 @@
     signal.removeEventListener('abort', wake);
   };
 
+  const runUpdates = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      const now = clock.monotonic();
+      members.update(now);
+      daemons.removeSilent(now);
+      usage.removeSilent(now);
+      await clock.wait(refreshIntervalMs, stopping.signal);
+    }
+  };
+
   return {
     exchange,
-    listDaemons: () => [...versions].map(([daemon, seen]) => ({ daemon, ...seen })),
+    gossip: gossip.receive,
+    /** Answers a daemon that asks all control nodes for a quorum. */
+    readQuorum: (stateVersion: number): QuorumReport => ({
+      hub: id,
+      quorumAgeMs: store.readQuorumAgeMs(),
+      stateVersion: store.readState().daemon.version,
+      ...history.findPart(stateVersion),
+      at: hlc.read(),
+    }),
+    listDaemons: () => daemons.list(clock.monotonic()),
+    /** Accepted and in force, apart. */
+    readRollout: () => daemons.readRollout(store.readState().daemon.version, clock.monotonic()),
+    start: (): void => {
+      gossip.start(stopping.signal);
+      void runUpdates();
+      timeline.record('hub.started', { peers: peers.length });
+    },
+    stop: (): void => {
+      stopping.abort();
+      removeObserver();
+    },
   };
 }
 
-function splitCursor(cursor: string): string[] {
-  return cursor.split('#');
+function countBytes(values: Record<ServiceId, string | number>): number {
+  return JSON.stringify(values).length;
 }
--- a/packages/control/src/hub/create-member-table.ts
+++ b/packages/control/src/hub/create-member-table.ts
@@ -1,80 +1,223 @@
-import type { Announcement, EndpointId, Frame, Member, ServiceId } from '@vanillarelay/core';
+import type {
+  Announcement,
+  DaemonId,
+  DataCentreId,
+  EndpointId,
+  Frame,
+  Member,
+  ServiceId,
+} from '@vanillarelay/core';
+import { createDamping } from './create-damping.js';
+import { createSlotTable } from './create-slot-table.js';
+import type { Damping } from './damping.js';
 import type { MemberRecord } from './member-record.js';
 
-/** A silent endpoint is dropped after this long. */
+interface MemberTableOptions {
+  /** Whether the state lets the member take work; others do not count in the mean. */
+  isServing?: (member: Announcement) => boolean;
+}
+
+interface Tombstone {
+  incarnation: number;
+  sequence: number;
+  removedIn: number;
+  removedAt: number;
+  damping: Damping;
+}
+
+type MemberDelta = Pick<Frame, 'whole' | 'members' | 'removed' | 'loads' | 'means'>;
+
+/** An endpoint that no hub has heard for this long is dropped. */
 const silenceLimitMs = 3_000;
+/** Times between two refreshes above this mean that the hub itself did not run. */
+const pauseLimitMs = 1_500;
+const refreshIntervalMs = 100;
+/** Longer than the penalty of a flapping endpoint lasts. */
+const tombstoneKeepMs = 120_000;
+const contactPeersPerDataCentre = 3;
 const highestLoad = 255;
 
-/** Makes the hub's table of endpoints: soft state from the agents' reports. */
-export function createMemberTable() {
+/** Makes the hub's table of endpoints: soft state from the agents' reports to all hubs. */
+export function createMemberTable({ isServing = () => true }: MemberTableOptions = {}) {
   const records = new Map<EndpointId, MemberRecord>();
-  const removed = new Map<EndpointId, number>();
+  const tombstones = new Map<EndpointId, Tombstone>();
+  const slots = createSlotTable();
   let generation = 1;
-  let nextSlot = 0;
+  /** Cursors below this miss removals that the table has forgotten. */
+  let oldestCursor = 0;
+  let refreshedAt = Number.NEGATIVE_INFINITY;
+  let isDirty = false;
+  let loads: Record<ServiceId, string> = {};
+  let means: Record<ServiceId, number> = {};
 
-  const receive = (announcement: Announcement, monotonic: number): void => {
-    const record = records.get(announcement.id);
-    if (record && !isNewer(announcement, record.announcement)) return;
+  const receive = (
+    announcement: Announcement,
+    seenAt: number,
+    origin: DaemonId,
+    now: number = seenAt,
+  ): void => {
+    const { id } = announcement;
+    const record = records.get(id);
+    const last = record?.announcement ?? tombstones.get(id);
+    if (now - seenAt > silenceLimitMs || (last && !isNewer(announcement, last))) return;
+    const damping = record?.damping ?? tombstones.get(id)?.damping ?? createDamping();
+    if (last && (!record || last.incarnation !== announcement.incarnation)) damping.add(now);
     const isChanged = !record || hasChanged(record.announcement, announcement);
     if (isChanged) generation += 1;
-    if (!record) nextSlot += 1;
-    removed.delete(announcement.id);
-    records.set(announcement.id, {
+    tombstones.delete(id);
+    records.set(id, {
       announcement,
-      slot: record?.slot ?? nextSlot - 1,
+      slot: resolveSlot(record, announcement),
       changedIn: isChanged ? generation : record.changedIn,
-      seenAt: monotonic,
+      seenAt: Math.max(seenAt, record?.seenAt ?? seenAt),
+      origin,
+      damping,
+      damped: damping.isDamped(now),
+      isContactPeer: record?.isContactPeer ?? false,
     });
+    isDirty ||= isChanged;
+  };
+
+  const resolveSlot = (record: MemberRecord | undefined, { id, service }: Announcement): number => {
+    if (record?.announcement.service === service) return record.slot;
+    if (record) slots.remove(record.announcement.service, record.slot);
+    return slots.add(service, id);
+  };
+
+  /** Takes over the load of a member whose announcement is known. */
+  const receiveLoad = (
+    id: EndpointId,
+    load: Pick<Announcement, 'incarnation' | 'sequence' | 'running'>,
+    seenAt: number,
+    origin: DaemonId,
+  ): void => {
+    const record = records.get(id);
+    if (!record || record.announcement.incarnation !== load.incarnation) return;
+    if (load.sequence <= record.announcement.sequence) return;
+    const { sequence, running } = load;
+    record.announcement = { ...record.announcement, sequence, running };
+    record.seenAt = Math.max(record.seenAt, seenAt);
+    record.origin = origin;
   };
 
-  const removeSilent = (monotonic: number): void => {
+  const removeSilent = (now: number): void => {
     records.forEach((record, id) => {
-      if (monotonic - record.seenAt <= silenceLimitMs) return;
+      if (now - record.seenAt <= silenceLimitMs) return;
+      const { incarnation, sequence, service } = record.announcement;
+      generation += 1;
       records.delete(id);
+      slots.remove(service, record.slot);
+      const { damping } = record;
+      tombstones.set(id, { incarnation, sequence, removedIn: generation, removedAt: now, damping });
+    });
+    tombstones.forEach((tombstone, id) => {
+      if (now - tombstone.removedAt <= tombstoneKeepMs) return;
+      tombstones.delete(id);
+      oldestCursor = Math.max(oldestCursor, tombstone.removedIn);
+    });
+  };
+
+  /** Marks the first agents of each data centre; a changed mark is a change of the member. */
+  const markContactPeers = (): void => {
+    const counts = new Map<DataCentreId, number>();
+    [...records.keys()].sort().forEach((id) => {
+      const record = records.get(id) as MemberRecord;
+      const { dataCentre } = record.announcement;
+      const count = counts.get(dataCentre) ?? 0;
+      counts.set(dataCentre, count + 1);
+      const isContactPeer = count < contactPeersPerDataCentre;
+      if (isContactPeer === record.isContactPeer) return;
+      generation += 1;
+      record.isContactPeer = isContactPeer;
+      record.changedIn = generation;
+    });
+  };
+
+  const updateDamped = (now: number): void => {
+    records.forEach((record) => {
+      const damped = record.damping.isDamped(now);
+      if (record.damped === damped) return;
       generation += 1;
-      removed.set(id, generation);
+      record.damped = damped;
+      record.changedIn = generation;
     });
   };
 
   const computeMeans = (): Record<ServiceId, number> => {
     const sums = new Map<ServiceId, { running: number; count: number }>();
     records.forEach(({ announcement }) => {
-      if (announcement.status === 'leaving') return;
+      if (announcement.status !== 'ready' || !isServing(announcement)) return;
       const sum = sums.get(announcement.service) ?? { running: 0, count: 0 };
       sum.running += announcement.running;
       sum.count += 1;
       sums.set(announcement.service, sum);
     });
-    const means: Record<ServiceId, number> = {};
+    const values: Record<ServiceId, number> = {};
     sums.forEach(({ running, count }, service) => {
-      means[service] = Math.round((running / count) * 100) / 100;
+      values[service] = Math.round((running / count) * 100) / 100;
     });
-    return means;
+    return values;
   };
 
-  const buildDelta = (
-    since: number,
-  ): Pick<Frame, 'whole' | 'members' | 'removed' | 'loads' | 'means'> => {
-    const whole = since <= 0 || since > generation;
-    const loads = new Uint8Array(nextSlot);
+  /** Drops silent members and computes loads and means anew, at most every 100 ms. */
+  const update = (now: number): void => {
+    const pauseMs = now - refreshedAt;
+    if (pauseMs < refreshIntervalMs && !isDirty) return;
+    isDirty = false;
+    // Silence counts only while this hub was able to hear.
+    if (pauseMs > pauseLimitMs && Number.isFinite(pauseMs)) {
+      records.forEach((record) => {
+        record.seenAt = Math.min(now, record.seenAt + pauseMs);
+      });
+    }
+    refreshedAt = now;
+    removeSilent(now);
+    markContactPeers();
+    updateDamped(now);
+    means = computeMeans();
+    loads = {};
+    const readLoad = (id: EndpointId) =>
+      Math.min(highestLoad, records.get(id)?.announcement.running ?? 0);
+    slots.buildVectors(readLoad).forEach((vector, service) => {
+      loads[service] = Buffer.from(vector).toString('base64');
+    });
+  };
+
+  /** Changes since a cursor, for a daemon that follows `services`, or all when absent. */
+  const buildDelta = (since: number, services?: readonly ServiceId[]): MemberDelta => {
+    const whole = since <= 0 || since > generation || since < oldestCursor;
+    const wanted = services && new Set(services);
     const members: Frame['members'] = [];
-    records.forEach(({ announcement, slot, changedIn }) => {
-      loads[slot] = Math.min(highestLoad, announcement.running);
-      if (whole || changedIn > since) members.push({ member: toMember(announcement), slot });
+    records.forEach((record) => {
+      if (!whole && record.changedIn <= since) return;
+      const isWanted = !wanted || wanted.has(record.announcement.service);
+      if (!isWanted && !record.isContactPeer) return;
+      members.push({ member: toMember(record), slot: record.slot });
     });
+    const removed = [...tombstones].filter(([, { removedIn }]) => removedIn > since);
     return {
       whole,
       members,
-      removed: whole ? [] : [...removed].filter(([, at]) => at > since).map(([id]) => id),
-      loads: Buffer.from(loads).toString('base64'),
-      means: computeMeans(),
+      removed: whole ? [] : removed.map(([id]) => id),
+      loads: selectServices(loads, services),
+      means: selectServices(means, services),
     };
   };
 
-  return { receive, removeSilent, buildDelta, readGeneration: () => generation };
+  return {
+    receive,
+    receiveLoad,
+    update,
+    buildDelta,
+    readGeneration: () => generation,
+    listRecords: () => records.values(),
+  };
 }
 
-function isNewer(next: Announcement, last: Announcement): boolean {
+function isNewer(
+  next: Pick<Announcement, 'incarnation' | 'sequence'>,
+  last: Pick<Announcement, 'incarnation' | 'sequence'>,
+): boolean {
   if (next.incarnation !== last.incarnation) return next.incarnation > last.incarnation;
   return next.sequence > last.sequence;
 }
@@ -83,11 +226,26 @@
   return (
     last.incarnation !== next.incarnation ||
     last.status !== next.status ||
+    last.service !== next.service ||
     last.address !== next.address ||
     last.slots !== next.slots
   );
 }
 
-function toMember({ sequence, running, ...member }: Announcement): Member {
-  return { ...member, damped: false };
+function selectServices<T>(
+  values: Record<ServiceId, T>,
+  services: readonly ServiceId[] | undefined,
+): Record<ServiceId, T> {
+  if (!services) return values;
+  const selected: Record<ServiceId, T> = {};
+  services.forEach((service) => {
+    const value = values[service];
+    if (value !== undefined) selected[service] = value;
+  });
+  return selected;
+}
+
+function toMember({ announcement, damped }: MemberRecord): Member {
+  const { sequence, running, ...member } = announcement;
+  return { ...member, damped };
 }
--- /dev/null
+++ b/packages/control/src/hub/gossip-reply.ts
@@ -0,0 +1,9 @@
+import type { DaemonId, HlcTime } from '@vanillarelay/core';
+
+/** A hub's answer to gossip. */
+export interface GossipReply {
+  /** Changes with each start of the receiver; after a change everything is sent again. */
+  epoch: string;
+  hears: DaemonId[];
+  at: HlcTime;
+}
--- a/packages/control/src/hub/member-record.ts
+++ b/packages/control/src/hub/member-record.ts
@@ -1,12 +1,19 @@
-import type { Announcement } from '@vanillarelay/core';
+import type { Announcement, DaemonId } from '@vanillarelay/core';
+import type { Damping } from './damping.js';
 
 /** A member in the hub's table. */
 export interface MemberRecord {
   announcement: Announcement;
-  /** Position in the load vector. */
+  /** Position in the load vector of its service. */
   slot: number;
   /** Generation of the table in which it last changed. */
   changedIn: number;
-  /** Monotonic time of the last report. */
+  /** Monotonic time of the last report that any hub received. */
   seenAt: number;
+  /** The hub that received the last report. */
+  origin: DaemonId;
+  damping: Damping;
+  damped: boolean;
+  /** Sent to daemons of other services too, which ask it when they lose control. */
+  isContactPeer: boolean;
 }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,7 +1,12 @@
 export { createMemoryStore } from './create-memory-store.js';
 export { createHub } from './hub/create-hub.js';
 export { createMemberTable } from './hub/create-member-table.js';
+export type { DaemonRow } from './hub/daemon-row.js';
+export type { GossipMessage } from './hub/gossip-message.js';
+export type { GossipReply } from './hub/gossip-reply.js';
+export type { HubPeer } from './hub/hub-peer.js';
 export type { MemberRecord } from './hub/member-record.js';
+export type { Rollout } from './hub/rollout.js';
 export { applyCommand } from './state/apply-command.js';
 export { createFleetState } from './state/create-fleet-state.js';
 export type { FleetState } from './state/fleet-state.js';
--- a/packages/core/src/messages/frame.ts
+++ b/packages/core/src/messages/frame.ts
@@ -9,6 +9,8 @@
 /** The hub's answer to a report. */
 export interface Frame {
   hub: DaemonId;
+  /** Milliseconds for which the hub held the exchange before it built the frame. */
+  heldMs: number;
   /** Milliseconds since the hub last knew of a live quorum. */
   quorumAgeMs: number;
   stateVersion: number;
@@ -20,11 +22,11 @@
   cursor: string;
   /** True when `members` replaces the daemon's membership. */
   whole: boolean;
-  /** Changed members with their position in `loads`. */
+  /** Changed members with their position in their service's `loads`. */
   members: { member: Member; slot: number }[];
   removed: EndpointId[];
-  /** Running requests of each member by slot, one byte each, base64. */
-  loads: string;
+  /** Running requests of each service's members by slot, one byte each, base64. */
+  loads: Record<ServiceId, string>;
   /** Mean of running requests over the ready members of a service. */
   means: Record<ServiceId, number>;
   /** This entry's share of the limit, for accounts near their limit. */
--- a/packages/core/src/messages/report.ts
+++ b/packages/core/src/messages/report.ts
@@ -5,6 +5,7 @@
 import type { VmId } from '../ids/vm-id.js';
 import type { HlcTime } from '../time/hlc-time.js';
 import type { Announcement } from './announcement.js';
+import type { Contact } from './contact.js';
 
 /** What a daemon tells the hub in each exchange. */
 export interface Report {
@@ -12,6 +13,8 @@
   role: 'entry' | 'agent';
   vm: VmId;
   dataCentre: DataCentreId;
+  /** How the daemon stands to control, for the operators' list. */
+  contact: Contact;
   /** IP and port at which the daemon answers operators. */
   address: string;
   incarnation: number;
--- a/packages/daemon/src/agent/create-agent-server.ts
+++ b/packages/daemon/src/agent/create-agent-server.ts
@@ -1,15 +1,19 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AgentClient, PlacementNote, StreamId, TimelineEvent } from '@vanillarelay/core';
 import { createCloseSignal } from '../http/create-close-signal.js';
+import { createHttpServer } from '../http/create-http-server.js';
 import { readBody } from '../http/read-body.js';
 import { writeBody } from '../http/write-body.js';
 import { hasKey } from '../trust/has-key.js';
+import type { TlsFiles } from '../trust/tls-files.js';
 import type { DispatchHead } from './dispatch-head.js';
 import { dispatchHeaders } from './dispatch-headers.js';
 
 interface AgentServerOptions {
   handlers: AgentClient;
   peerKeys: readonly string[];
+  /** Plain HTTP when absent. */
+  tls?: TlsFiles | undefined;
   listTimeline: () => TimelineEvent[];
   /** Called when a request presents no valid key. */
   reportStranger: (path: string) => void;
@@ -62,7 +66,7 @@
     response.end(JSON.stringify(await handleQuery(request.url ?? '', head)) ?? 'null');
   };
 
-  return createServer((request, response) => {
+  return createHttpServer(options.tls, (request, response) => {
     handle(request, response).catch(() => response.destroy());
   });
 }
--- a/packages/daemon/src/agent/open-agent.ts
+++ b/packages/daemon/src/agent/open-agent.ts
@@ -7,11 +7,13 @@
   type DispatchRequest,
 } from '@vanillarelay/core';
 import { Pool } from 'undici';
+import type { TlsFiles } from '../trust/tls-files.js';
 import { dispatchHeaders } from './dispatch-headers.js';
 
 /** Opens an HTTP client of an agent. */
-export function openAgent(address: string, key: string): AgentClient {
-  const pool = new Pool(`http://${address}`, {
+export function openAgent(address: string, key: string, tls?: TlsFiles): AgentClient {
+  const pool = new Pool(`${tls ? 'https' : 'http'}://${address}`, {
+    ...(tls ? { connect: { ca: tls.ca } } : {}),
     connections: 256,
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/packages/daemon/src/agent/run-agent.ts
+++ b/packages/daemon/src/agent/run-agent.ts
@@ -8,11 +8,13 @@
   type ServiceId,
   type VmId,
 } from '@vanillarelay/core';
-import { createLink, type Link } from '@vanillarelay/link';
+import { createLink, createProposer, type Link } from '@vanillarelay/link';
 import { openControl } from '../control/open-control.js';
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
 import { waitForSignal } from '../platform/wait-for-signal.js';
+import { loadTrust } from '../trust/load-trust.js';
+import { createAgentOpener } from './create-agent-opener.js';
 import { createAgentServer } from './create-agent-server.js';
 import { openEndpoint } from './open-endpoint.js';
 
@@ -20,10 +22,11 @@
 export async function runAgent(settings: AgentSettings): Promise<void> {
   const context = await createProcessContext(settings);
   const { clock, timeline } = context;
-  const key = settings.peerKeys[0] ?? '';
+  const trust = await loadTrust(settings);
+  const { tls } = trust;
   const controls = settings.control.map(({ id, address }) => ({
     id: toId<DaemonId>(id),
-    client: openControl(address, key),
+    client: openControl(address, trust),
   }));
   const incarnation = Math.floor(clock.now());
   const identity = {
@@ -41,12 +44,13 @@
     slots: settings.slots,
     incarnation,
     endpoint: openEndpoint(settings.endpointAddress),
-    control: { propose: (command, signal) => controls[0]!.client.propose(command, signal) },
+    control: { propose: createProposer({ ...context, controls }) },
     findLink: () => link,
   });
   link = createLink({
     ...context,
     controls,
+    openPeer: createAgentOpener(trust),
     buildReport: () => ({
       ...identity,
       daemon: toId<DaemonId>(settings.id),
@@ -60,6 +64,7 @@
   const server = createAgentServer({
     handlers: agent.handlers,
     peerKeys: settings.peerKeys,
+    tls,
     listTimeline: () => timeline.list(),
     reportStranger: (path) => timeline.record('stranger.refused', { path }),
   });
--- a/packages/daemon/src/control/create-control-router.ts
+++ b/packages/daemon/src/control/create-control-router.ts
@@ -1,21 +1,33 @@
-import type {
-  Command,
-  CommandResult,
-  DaemonState,
-  Frame,
-  Report,
-  TimelineEvent,
+import type { GossipMessage, GossipReply, Rollout } from '@vanillarelay/control';
+import {
+  RelayError,
+  ResultCode,
+  toRefusal,
+  type Command,
+  type CommandResult,
+  type DaemonState,
+  type Frame,
+  type QuorumReport,
+  type Refusal,
+  type Report,
+  type TimelineEvent,
 } from '@vanillarelay/core';
 import { initTRPC, TRPCError } from '@trpc/server';
 import { z } from 'zod';
 import type { ControlContext } from './control-context.js';
+import type { DaemonEntry } from './daemon-entry.js';
+import { gossipSchema } from './gossip-schema.js';
+import { reportSchema } from './report-schema.js';
 
 /** What a control node answers; the router below puts it on the wire. */
 interface ControlHandlers {
   exchange(report: Report, signal: AbortSignal): Promise<Frame>;
+  readQuorum(stateVersion: number): QuorumReport;
+  gossip(message: GossipMessage): GossipReply;
   propose(command: Command): Promise<CommandResult>;
   readState(): DaemonState;
-  listDaemons(): { daemon: string; version: number; seenAt: number; address: string }[];
+  readRollout(): Rollout;
+  listDaemons(): DaemonEntry[];
   listTimeline(): TimelineEvent[];
 }
 
@@ -23,22 +35,45 @@
 
 /** Makes the tRPC router of a control node. */
 export function createControlRouter(handlers: ControlHandlers) {
-  const t = initTRPC.context<ControlContext>().create();
+  const t = initTRPC.context<ControlContext>().create({
+    isDev: false,
+    errorFormatter: ({ shape, error }) => ({
+      ...shape,
+      data: { code: shape.data.code, refusal: buildRefusal(error) },
+    }),
+  });
   const peerProcedure = t.procedure.use(({ ctx, next }) => {
     if (ctx.role !== 'peer') throw new TRPCError({ code: 'FORBIDDEN' });
     return next();
   });
   return t.router({
     exchange: peerProcedure
-      .input(defineObject<Report>())
+      .input(reportSchema.report)
       .mutation(({ input, signal }) =>
         handlers.exchange(input, signal ?? new AbortController().signal),
       ),
+    readQuorum: peerProcedure
+      .input(z.strictObject({ stateVersion: reportSchema.count }))
+      .query(({ input }) => handlers.readQuorum(input.stateVersion)),
+    gossip: peerProcedure.input(gossipSchema).mutation(({ input }) => handlers.gossip(input)),
     propose: t.procedure
       .input(defineObject<Command>())
       .mutation(({ input }) => handlers.propose(input)),
     readState: t.procedure.query(() => handlers.readState()),
+    readRollout: t.procedure.query(() => handlers.readRollout()),
     listDaemons: t.procedure.query(() => handlers.listDaemons()),
     readTimeline: t.procedure.query(() => handlers.listTimeline()),
   });
 }
+
+/** Messages that a schema or role refuses have certainly not run. */
+function buildRefusal(error: TRPCError): Refusal {
+  if (error.cause instanceof RelayError) return toRefusal(error.cause);
+  if (error.code === 'BAD_REQUEST' || error.code === 'PARSE_ERROR') {
+    return { code: ResultCode.malformedMessage, message: error.message, notRun: true };
+  }
+  if (error.code === 'FORBIDDEN' || error.code === 'UNAUTHORIZED') {
+    return { code: ResultCode.strangerRefused, message: error.message, notRun: true };
+  }
+  return { code: ResultCode.internal, message: error.message, notRun: false };
+}
--- a/packages/daemon/src/control/run-control.ts
+++ b/packages/daemon/src/control/run-control.ts
@@ -1,45 +1,47 @@
-import { createServer } from 'node:http';
-import { applyWSSHandler } from '@trpc/server/adapters/ws';
 import type { ControlSettings } from '@vanillarelay/config';
 import { createHub, createMemoryStore } from '@vanillarelay/control';
 import { toId, type DaemonId } from '@vanillarelay/core';
-import { WebSocketServer } from 'ws';
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
 import { waitForSignal } from '../platform/wait-for-signal.js';
-import { hasKey } from '../trust/has-key.js';
-import type { ControlContext } from './control-context.js';
+import { loadTrust } from '../trust/load-trust.js';
 import { createControlRouter } from './create-control-router.js';
+import { createControlServer } from './create-control-server.js';
+import { openControl } from './open-control.js';
 
 /** Runs a control process until a signal ends it. */
 export async function runControl(settings: ControlSettings): Promise<void> {
   const context = await createProcessContext(settings);
+  const { timeline } = context;
+  const trust = await loadTrust(settings);
   const store = createMemoryStore();
-  const hub = createHub({ ...context, id: toId<DaemonId>(settings.id), store });
+  const peers = settings.group
+    .filter(({ id }) => id !== settings.id)
+    .map(({ id, address }) => ({ id: toId<DaemonId>(id), peer: openControl(address, trust) }));
+  const hub = createHub({ ...context, id: toId<DaemonId>(settings.id), store, peers });
   const router = createControlRouter({
     exchange: hub.exchange,
+    readQuorum: hub.readQuorum,
+    gossip: hub.gossip,
     propose: store.propose,
     readState: () => store.readState().daemon,
+    readRollout: hub.readRollout,
     listDaemons: hub.listDaemons,
-    listTimeline: () => context.timeline.list(),
+    listTimeline: () => timeline.list(),
   });
-  const server = createServer();
-  const webSockets = new WebSocketServer({ server, maxPayload: 8 * 1024 * 1024 });
-  applyWSSHandler({
-    wss: webSockets,
+  const server = createControlServer({
     router,
-    createContext: ({ info }): ControlContext => {
-      const key = info.connectionParams?.key;
-      if (hasKey(settings.peerKeys, key)) return { role: 'peer' };
-      if (hasKey(settings.operatorKeys, key)) return { role: 'operator' };
-      context.timeline.record('stranger.refused', {});
-      throw new Error('unauthorized');
-    },
+    peerKeys: settings.peerKeys,
+    operatorKeys: settings.operatorKeys,
+    tls: trust.tls,
+    reportStranger: (address) => timeline.record('stranger.refused', { address }),
+    reportRefusal: (path, message) => timeline.record('message.refused', { path, message }),
   });
   await serveOn(server, settings.address);
-  context.timeline.record('process.started', { role: 'control', address: settings.address });
+  hub.start();
+  timeline.record('process.started', { role: 'control', address: settings.address });
   await waitForSignal();
-  webSockets.clients.forEach((client) => client.terminate());
-  webSockets.close();
-  server.close();
+  hub.stop();
+  peers.forEach(({ peer }) => peer.close());
+  server.stop();
 }
--- a/packages/daemon/src/entry/create-entry-server.ts
+++ b/packages/daemon/src/entry/create-entry-server.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import {
   RelayError,
   toRefusal,
@@ -8,16 +8,20 @@
 } from '@vanillarelay/core';
 import { buildProblem, type CallerReply, type CallerRequest } from '@vanillarelay/entry';
 import { createCloseSignal } from '../http/create-close-signal.js';
+import { createHttpServer } from '../http/create-http-server.js';
 import { readBody } from '../http/read-body.js';
 import { toPlainHeaders } from '../http/to-plain-headers.js';
 import { writeBody } from '../http/write-body.js';
 import { hasKey } from '../trust/has-key.js';
+import type { TlsFiles } from '../trust/tls-files.js';
 
 interface EntryServerOptions {
   handle: (request: CallerRequest, signal: AbortSignal) => Promise<CallerReply>;
   isReady: () => boolean;
   operatorKeys: readonly string[];
   listTimeline: () => TimelineEvent[];
+  /** Plain HTTP when absent. */
+  tls?: TlsFiles | undefined;
 }
 
 const bodyLimitBytes = 16 * 1024 * 1024;
@@ -28,6 +32,7 @@
   isReady,
   operatorKeys,
   listTimeline,
+  tls,
 }: EntryServerOptions): Server {
   const handleCaller = async (
     request: IncomingMessage,
@@ -60,7 +65,7 @@
     }
   };
 
-  return createServer((request, response) => {
+  return createHttpServer(tls, (request, response) => {
     if (request.url === '/health/live') {
       response.writeHead(200).end('live');
     } else if (request.url === '/health/ready') {
--- /dev/null
+++ b/packages/daemon/src/trust/find-role.ts
@@ -0,0 +1,18 @@
+import { hasKey } from './has-key.js';
+
+interface RoleKeys {
+  peerKeys: readonly string[];
+  operatorKeys: readonly string[];
+}
+
+/** Who presents a key; undefined for a stranger. Both lists are always compared. */
+export function findRole(
+  { peerKeys, operatorKeys }: RoleKeys,
+  presented: unknown,
+): 'peer' | 'operator' | undefined {
+  const key = typeof presented === 'string' ? presented : undefined;
+  const isPeer = hasKey(peerKeys, key);
+  const isOperator = hasKey(operatorKeys, key);
+  if (isPeer) return 'peer';
+  return isOperator ? 'operator' : undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/trust/load-trust.ts
@@ -0,0 +1,30 @@
+import { readFile } from 'node:fs/promises';
+import { RelayError, ResultCode } from '@vanillarelay/core';
+import type { Trust } from './trust.js';
+
+interface TrustSettings {
+  peerKeys: readonly string[];
+  tls?: { certificateFile: string; keyFile: string; caFile: string } | undefined;
+}
+
+/** Reads the key and the TLS files that the settings name; there is no way on without them. */
+export async function loadTrust({ peerKeys, tls }: TrustSettings): Promise<Trust> {
+  const [key] = peerKeys;
+  if (!key) throw new RelayError(ResultCode.invalidSettings, 'peerKeys: at least one is needed');
+  if (!tls) return { key };
+  const [cert, privateKey, ca] = await Promise.all([
+    readPem('tls.certificateFile', tls.certificateFile),
+    readPem('tls.keyFile', tls.keyFile),
+    readPem('tls.caFile', tls.caFile),
+  ]);
+  return { key, tls: { cert, key: privateKey, ca } };
+}
+
+async function readPem(setting: string, path: string): Promise<Buffer> {
+  try {
+    return await readFile(path);
+  } catch (cause) {
+    const { message } = cause as Error;
+    throw new RelayError(ResultCode.unreadableFile, `${setting}: ${message}`, { cause });
+  }
+}
--- /dev/null
+++ b/packages/link/__tests__/contact.test.ts
@@ -0,0 +1,173 @@
+import { expect, it } from 'vitest';
+import { createTestFleet } from './create-test-fleet.js';
+
+const seed = 11;
+
+// Guards against a daemon that takes part before it knows the state, or never does.
+it('attaches every daemon and gives it the state and the members', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  const view = fleet.findLink('entry-0').readView();
+  expect([...new Set(Object.values(fleet.readContacts()))]).toEqual(['attached']);
+  expect([...view.members.keys()].sort()).toEqual(fleet.daemonIds.slice(1));
+  expect({ version: view.state?.version, means: view.means }).toEqual({
+    version: 1,
+    means: { reports: 1 },
+  });
+});
+
+// Guards against a gap in service when the hub of a daemon dies in the middle of a long poll.
+it('stays attached when its hub is killed during an exchange', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  fleet.findProcess('control-0').kill();
+  expect(await fleet.runAndCollect(8_000)).toEqual(['attached']);
+  expect(fleet.findLink('entry-0').readView().members.size).toBe(6);
+});
+
+// Guards against a fleet that stops when all control nodes are gone while their VMs refuse.
+it('keeps serving leaderless when all control processes are killed', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  fleet.controlIds.forEach((id) => fleet.findProcess(id).kill());
+  expect((await fleet.runAndCollect(10_000)).sort()).toEqual(['attached', 'leaderless']);
+  expect([...new Set(Object.values(fleet.readContacts()))]).toEqual(['leaderless']);
+});
+
+// Guards against a fleet that stops, or pauses, when all control VMs go silent.
+it('keeps serving leaderless when all control VMs are silent and all peers see the same', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  fleet.cutGroup(fleet.controlIds);
+  const seen = await fleet.runAndCollect(10_000);
+  expect(seen).not.toContain('isolated');
+  expect([...new Set(Object.values(fleet.readContacts()))]).toEqual(['leaderless']);
+});
+
+// Guards against new work at a daemon that cannot learn that its data centre was taken out.
+it('isolates a daemon that is cut off alone within 4 s, and attaches it again', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  fleet.cutGroup(['agent-1']);
+  await fleet.virtual.run(4_000);
+  expect(fleet.readContacts(['agent-1', 'agent-0'])).toEqual({
+    'agent-1': 'isolated',
+    'agent-0': 'attached',
+  });
+  expect(await fleet.runAndCollect(10_000, ['agent-1'])).toEqual(['isolated']);
+  fleet.clearCuts();
+  await fleet.virtual.run(3_000);
+  expect(fleet.readContacts(['agent-1'])).toEqual({ 'agent-1': 'attached' });
+});
+
+// Guards against a data centre cut off from the quorum that serves on as if there were none.
+it('isolates the side of a partition that has no quorum', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  const side = ['agent-0', 'agent-3', 'control-0', 'entry-0'];
+  fleet.setQuorum('control-0', false);
+  fleet.cutGroup(side);
+  await fleet.virtual.run(4_000);
+  const seen = await fleet.runAndCollect(8_000, ['agent-0', 'agent-3', 'entry-0']);
+  expect(seen).toEqual(['isolated']);
+  expect(fleet.readContacts(['agent-1', 'agent-2'])).toEqual({
+    'agent-1': 'attached',
+    'agent-2': 'attached',
+  });
+});
+
+// Guards against a daemon that stops although a peer could tell it everything.
+it('relays contact and newer state through attached peers, without a gap', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  fleet.controlIds.forEach((id) => fleet.network.cut('agent-1', id));
+  expect(await fleet.runAndCollect(4_000, ['agent-1'])).toEqual(['attached', 'relayed']);
+  await fleet.propose({
+    ...{ type: 'takeOutDataCentre', changeId: 'out', operator: 'test' },
+    dataCentre: 'faisalabad',
+  });
+  expect(await fleet.runAndCollect(3_000, ['agent-1'])).toEqual(['relayed']);
+  const { state } = fleet.findLink('agent-1').readView();
+  expect(state?.dataCentresOut).toEqual(['faisalabad']);
+});
+
+// Guards against work at a process that was suspended and does not know what it missed.
+it('answers isolated right after a freeze, before its next exchange', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  fleet.findProcess('agent-2').freeze();
+  await fleet.virtual.run(30_000);
+  fleet.findProcess('agent-2').resume();
+  expect(fleet.findLink('agent-2').readContact()).toBe('isolated');
+  await fleet.virtual.run(0);
+  expect(fleet.findLink('agent-2').readContact()).toBe('isolated');
+  await fleet.virtual.run(3_000);
+  expect(fleet.findLink('agent-2').readContact()).toBe('attached');
+});
+
+// Guards against daemons that trust a hub whose quorum is gone and whose state is old.
+it('leaves a hub that is cut off from its quorum and never takes its older state', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  fleet.setQuorum('control-1', false);
+  await fleet.propose({
+    ...{ type: 'takeOutDataCentre', changeId: 'out', operator: 'test' },
+    dataCentre: 'multan',
+  });
+  const seen = await fleet.runAndCollect(8_000);
+  expect(seen).not.toContain('isolated');
+  const versions = fleet.daemonIds.map((id) => fleet.findLink(id).readView().state?.version);
+  expect([...new Set(versions)]).toEqual([2]);
+  expect([...new Set(Object.values(fleet.readContacts()))]).toEqual(['attached']);
+});
+
+// Guards against a take-out that does not reach half of the fleet, which then goes on serving.
+it('lets no daemon serve on the old state 4 s after a take-out with half of them cut off', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  const cut = ['agent-0', 'agent-3', 'agent-1', 'entry-0'];
+  fleet.cutGroup(cut);
+  await fleet.propose({
+    ...{ type: 'takeOutDataCentre', changeId: 'out', operator: 'test' },
+    dataCentre: 'lahore',
+  });
+  await fleet.virtual.run(4_000);
+  const servesOnOldState = fleet.daemonIds.filter(
+    (id) =>
+      fleet.findLink(id).readContact() !== 'isolated' &&
+      fleet.findLink(id).readView().state?.version !== 2,
+  );
+  expect(servesOnOldState).toEqual([]);
+  expect(fleet.readContacts(['agent-2', 'agent-4', 'agent-5'])).toEqual({
+    'agent-2': 'attached',
+    'agent-4': 'attached',
+    'agent-5': 'attached',
+  });
+  fleet.clearCuts();
+  await fleet.virtual.run(3_000);
+  const versions = fleet.daemonIds.map((id) => fleet.findLink(id).readView().state?.version);
+  expect([...new Set(versions)]).toEqual([2]);
+});
+
+// Guards against a restarted daemon that serves on a state that no quorum stands behind.
+it('lets a restarted daemon serve only with the state of a live hub or of serving peers', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  fleet.controlIds.forEach((id) => fleet.setQuorum(id, false));
+  await fleet.virtual.run(5_000);
+  const address = 'agent-4';
+  fleet.findProcess(address).kill();
+  await fleet.virtual.run(1_000);
+  fleet.startDaemon(address, 'agent', fleet.findDataCentre(address));
+  expect(fleet.findLink(address).readContact()).toBe('isolated');
+  await fleet.virtual.run(4_000);
+  expect(fleet.readContacts([address, 'agent-1'])).toEqual({
+    [address]: 'leaderless',
+    'agent-1': 'leaderless',
+  });
+  fleet.findProcess(address).kill();
+  fleet.startDaemon(address, 'agent', fleet.findDataCentre(address));
+  fleet.daemonIds.filter((id) => id !== address).forEach((id) => fleet.network.cut(id, address));
+  await fleet.virtual.run(6_000);
+  expect(fleet.findLink(address).readContact()).toBe('isolated');
+});
--- /dev/null
+++ b/packages/link/__tests__/link-rules.test.ts
@@ -0,0 +1,106 @@
+import {
+  createHlc,
+  createTimeline,
+  type ContactReport,
+  type ControlClient,
+  type DaemonState,
+  type Frame,
+} from '@vanillarelay/core';
+import { createLink } from '@vanillarelay/link';
+import { createSeededRandom, createVirtualClock } from '@vanillarelay/scenarios';
+import { expect, it } from 'vitest';
+import { createViewStore } from '../src/create-view-store.js';
+import { isQuorumLost } from '../src/is-quorum-lost.js';
+
+const seed = 12;
+
+const buildState = (version: number, dataCentres: string[] = []): DaemonState =>
+  ({
+    version,
+    config: { dataCentres: Object.fromEntries(dataCentres.map((id) => [id, { region: 'r' }])) },
+    dataCentresOut: [],
+  }) as unknown as DaemonState;
+
+// Guards against a version that goes back when a hub or a peer is behind.
+it('takes no older state and no patch of another version', () => {
+  const store = createViewStore();
+  const steps = [
+    [{ state: buildState(5), stateVersion: 5 }, 0],
+    [{ state: buildState(4), stateVersion: 4 }, 0],
+    [{ patch: { version: 4 }, stateVersion: 4 }, 5],
+    [{ patch: { version: 7 }, stateVersion: 7 }, 6],
+    [{ patch: { version: 8 }, stateVersion: 8 }, 5],
+  ] as const;
+  const versions = steps.map(([part, askedVersion]) => {
+    store.updateState(part, askedVersion);
+    return store.readVersion();
+  });
+  expect(versions).toEqual([5, 5, 5, 5, 8]);
+});
+
+// Guards against a daemon that finds an old frame in its socket when it wakes and takes it for new.
+it('does not attach by a frame that waited while the process was frozen', async () => {
+  const virtual = createVirtualClock();
+  const process = virtual.createProcess('agent');
+  const hlc = createHlc(process.clock);
+  const answers: ((frame: Frame) => void)[] = [];
+  const client = {
+    exchange: () =>
+      new Promise((resolve) => {
+        answers.push(resolve);
+      }),
+    readQuorum: () => new Promise(() => {}),
+  } as unknown as ControlClient;
+  const link = createLink({
+    ...{ clock: process.clock, random: createSeededRandom(seed), hlc },
+    timeline: createTimeline({ hlc, process: 'agent', vm: 'v', dataCentre: 'd' } as never),
+    controls: [{ id: 'control', client } as never],
+    buildReport: () => ({ daemon: 'agent' }) as never,
+  });
+  const frame = {
+    ...{ heldMs: 500, quorumAgeMs: 10, stateVersion: 1, state: buildState(1), cursor: 'c' },
+    ...{ whole: true, members: [], removed: [], loads: {}, means: {}, shares: {}, at: hlc.read() },
+  } as unknown as Frame;
+  link.start();
+  await virtual.run(500);
+  answers.shift()?.(frame);
+  await virtual.run(0);
+  expect(link.readContact()).toBe('attached');
+  process.freeze();
+  await virtual.run(30_000);
+  answers.shift()?.(frame);
+  await virtual.run(0);
+  expect(link.readContact()).toBe('isolated');
+  link.stop();
+});
+
+// Guards against a daemon that takes itself for the only witness, or ignores one that knows better.
+it('tells a lost quorum from a lost connection by the peers', () => {
+  const report = (dataCentre: string, sees: ContactReport['sees']) =>
+    ({ dataCentre, sees }) as ContactReport;
+  const decide = (dataCentres: string[], reports: ContactReport[], out: string[] = []) =>
+    isQuorumLost({
+      reports,
+      state: { ...buildState(1, dataCentres), dataCentresOut: out } as DaemonState,
+      ownDataCentre: 'a' as never,
+    });
+  expect({
+    aloneInOneDataCentre: decide(['a'], []),
+    oneDataCentre: decide(['a'], [report('a', 'nothing')]),
+    silentDataCentre: decide(['a', 'b', 'c'], [report('b', 'nothing')]),
+    silentDataCentreTakenOut: decide(['a', 'b', 'c'], [report('b', 'nothing')], ['c']),
+    justStartedPeer: decide(['a', 'b'], [report('b', 'unknown')]),
+    onePeerSeesQuorum: decide(['a', 'b'], [report('b', 'nothing'), report('b', 'quorum')]),
+    allPeersSeeNone: decide(['a', 'b'], [report('b', 'quorumLost'), report('b', 'nothing')]),
+  }).toMatchInlineSnapshot(`
+    {
+      "allPeersSeeNone": true,
+      "aloneInOneDataCentre": false,
+      "justStartedPeer": false,
+      "oneDataCentre": true,
+      "onePeerSeesQuorum": false,
+      "silentDataCentre": false,
+      "silentDataCentreTakenOut": true,
+    }
+  `);
+});
--- /dev/null
+++ b/packages/link/__tests__/proposer.test.ts
@@ -0,0 +1,154 @@
+import {
+  RelayError,
+  ResultCode,
+  type Command,
+  type CommandResult,
+  type ControlClient,
+} from '@vanillarelay/core';
+import { createProposer } from '@vanillarelay/link';
+import { createSeededRandom, createVirtualClock } from '@vanillarelay/scenarios';
+import { expect, it } from 'vitest';
+
+const seed = 13;
+const claim = { type: 'claim', account: 'a', key: 'k', nonce: 'n' } as unknown as Command;
+const crash = { type: 'reportCrash', endpoint: 'e', fingerprints: [] } as unknown as Command;
+
+type Answer = () => Promise<CommandResult>;
+
+const refuse =
+  (code: ResultCode, notRun: boolean): Answer =>
+  async () => {
+    throw new RelayError(code, 'refused', { notRun });
+  };
+const wait: Answer = () => new Promise(() => {});
+const accept: Answer = async () => ({ ok: true, index: 7 });
+const nameLeader: Answer = async () => ({
+  ...{ ok: false, code: ResultCode.notLeader, message: '', details: { leader: 'control-2' } },
+});
+
+/** Proposes to three nodes with the given behaviour; tells the result and who was called. */
+async function runProposal(answers: Answer[], command: Command) {
+  const virtual = createVirtualClock();
+  const calls: number[] = [];
+  const propose = createProposer({
+    clock: virtual.clock,
+    random: createSeededRandom(seed),
+    controls: answers.map((answer, index) => ({
+      id: `control-${index}` as never,
+      client: {
+        propose: (sent: Command) => {
+          expect(sent).toBe(command);
+          calls.push(index);
+          return answer();
+        },
+      } as unknown as ControlClient,
+    })),
+  });
+  const result = await virtual.runUntil(
+    propose(command, new AbortController().signal).catch((error: RelayError) => ({
+      code: error.code,
+      notRun: error.notRun,
+    })),
+  );
+  return { result, calls: [...new Set(calls)], repeated: calls.length > answers.length };
+}
+
+// Guards against a proposal that ends at a follower, a dead node or a node that does not answer.
+it('follows the leader and passes nodes that fail', async () => {
+  const failed = refuse(ResultCode.connectionFailed, false);
+  expect([
+    await runProposal([nameLeader, nameLeader, accept], claim),
+    await runProposal([failed, wait, accept], claim),
+  ]).toMatchInlineSnapshot(`
+    [
+      {
+        "calls": [
+          1,
+          2,
+        ],
+        "repeated": false,
+        "result": {
+          "index": 7,
+          "ok": true,
+        },
+      },
+      {
+        "calls": [
+          1,
+          2,
+        ],
+        "repeated": false,
+        "result": {
+          "index": 7,
+          "ok": true,
+        },
+      },
+    ]
+  `);
+});
+
+// Guards against "not run" for a command that a node may have accepted.
+it('rejects as not run only when no node can have accepted the command', async () => {
+  const refused = refuse(ResultCode.connectionFailed, true);
+  const noQuorum = refuse(ResultCode.noQuorum, true);
+  expect([
+    await runProposal([refused, noQuorum, refused], claim),
+    await runProposal([refused, noQuorum, wait], claim),
+    await runProposal([refused, refused, refuse(ResultCode.noQuorum, false)], claim),
+  ]).toMatchInlineSnapshot(`
+    [
+      {
+        "calls": [
+          1,
+          2,
+          0,
+        ],
+        "repeated": true,
+        "result": {
+          "code": 5001,
+          "notRun": true,
+        },
+      },
+      {
+        "calls": [
+          1,
+          2,
+          0,
+        ],
+        "repeated": true,
+        "result": {
+          "code": 5001,
+          "notRun": false,
+        },
+      },
+      {
+        "calls": [
+          1,
+          2,
+          0,
+        ],
+        "repeated": true,
+        "result": {
+          "code": 5001,
+          "notRun": false,
+        },
+      },
+    ]
+  `);
+});
+
+// Guards against one crash that is counted twice and convicts an innocent request.
+it('does not repeat a command without identity that may have been accepted', async () => {
+  expect(await runProposal([wait, wait, wait], crash)).toMatchInlineSnapshot(`
+    {
+      "calls": [
+        1,
+      ],
+      "repeated": false,
+      "result": {
+        "code": 5001,
+        "notRun": false,
+      },
+    }
+  `);
+});
--- a/packages/link/src/apply-frame.ts
+++ b/packages/link/src/apply-frame.ts
@@ -6,29 +6,38 @@
   slots: Map<EndpointId, number>;
 }
 
-/** Updates the member table by a frame and returns the new view. A state is never replaced by an older one. */
+/** Updates the member table by a frame and returns the new view; the state stays as it is. */
 export function applyFrame(view: FleetView, table: MemberTable, frame: Frame): FleetView {
+  const { members, slots } = table;
   if (frame.whole) {
-    table.members.clear();
-    table.slots.clear();
+    members.clear();
+    slots.clear();
   }
-  frame.members.forEach(({ member, slot }) => {
-    table.members.set(member.id, member);
-    table.slots.set(member.id, slot);
-  });
   frame.removed.forEach((id) => {
-    table.members.delete(id);
-    table.slots.delete(id);
+    members.delete(id);
+    slots.delete(id);
   });
-  const bytes = Buffer.from(frame.loads, 'base64');
-  const loads = new Map<EndpointId, number>();
-  table.slots.forEach((slot, id) => loads.set(id, bytes[slot] ?? 0));
-  const isNewer = frame.state && frame.state.version > (view.state?.version ?? -1);
+  frame.members.forEach(({ member, slot }) => {
+    members.set(member.id, member);
+    slots.set(member.id, slot);
+  });
+  const isChanged = frame.whole || frame.members.length > 0 || frame.removed.length > 0;
   return {
-    state: isNewer ? frame.state : view.state,
-    members: new Map(table.members),
-    loads,
+    state: view.state,
+    members: isChanged ? new Map(members) : view.members,
+    loads: buildLoads(table, frame),
     means: frame.means,
     shares: frame.shares,
   };
 }
+
+function buildLoads({ members, slots }: MemberTable, frame: Frame): Map<EndpointId, number> {
+  const vectors = new Map(
+    Object.entries(frame.loads).map(([service, text]) => [service, Buffer.from(text, 'base64')]),
+  );
+  const loads = new Map<EndpointId, number>();
+  members.forEach(({ service }, id) => {
+    loads.set(id, vectors.get(service)?.[slots.get(id) ?? 0] ?? 0);
+  });
+  return loads;
+}
--- a/packages/link/src/create-link.ts
+++ b/packages/link/src/create-link.ts
@@ -1,104 +1,198 @@
-import type {
-  Clock,
-  ControlClient,
-  DaemonId,
-  Frame,
-  Hlc,
-  Random,
-  Report,
-  Timeline,
+import {
+  withDeadline,
+  type AccountId,
+  type AgentClient,
+  type Clock,
+  type ContactReport,
+  type Hlc,
+  type Random,
+  type Report,
+  type Timeline,
 } from '@vanillarelay/core';
-import { createSource, withDeadline } from '@vanillarelay/core';
-import { applyFrame } from './apply-frame.js';
+import { computeContact } from './compute-contact.js';
+import { computeSees } from './compute-sees.js';
+import type { ContactEvidence } from './contact-evidence.js';
+import { contactLimits } from './contact-limits.js';
 import type { Contact } from './contact.js';
-import type { FleetView } from './fleet-view.js';
+import type { ControlNode } from './control-node.js';
+import { createSurvey } from './create-survey.js';
+import { createVersionFetch } from './create-version-fetch.js';
+import { createViewStore } from './create-view-store.js';
 
 interface LinkOptions {
   clock: Clock;
   random: Random;
   hlc: Hlc;
   timeline: Timeline;
-  controls: { id: DaemonId; client: ControlClient }[];
+  controls: ControlNode[];
   /** The daemon's part of the report; called once an exchange. */
-  buildReport: () => Omit<Report, 'stateVersion' | 'cursor' | 'at'>;
+  buildReport: () => Omit<Report, 'stateVersion' | 'cursor' | 'contact' | 'at'>;
+  /** Reaches an agent when no control node answers; without it the daemon asks no peers. */
+  openPeer?: (address: string) => Pick<AgentClient, 'readContact'>;
 }
 
-const exchangeTimeoutMs = 2_500;
+/** The hub holds an exchange for at most 1 s. */
+const exchangeTimeoutMs = 1_500;
 const retryDelayMs = 200;
-const quorumLeaseMs = 3_000;
+/** Above the age that frames of a hub with a period of 1 s and heartbeats of 250 ms reach. */
+const surveyAfterMs = 1_400;
+const surveyIntervalMs = 150;
 
-const emptyView: FleetView = {
-  state: undefined,
-  members: new Map(),
-  loads: new Map(),
-  means: {},
-  shares: {},
-};
-
-/** Makes the daemon's side of the exchange with control: one task that polls one hub at a time. */
+/** Makes the daemon's side of the exchange with control: one task polls a hub, one looks for others. */
 export function createLink(options: LinkOptions) {
-  const { clock, random, hlc, timeline, controls, buildReport } = options;
-  const table = { members: new Map(), slots: new Map() };
-  const frames = createSource<Frame>();
+  const { clock, random, hlc, timeline, controls, buildReport, openPeer } = options;
+  const store = createViewStore();
   const stopping = new AbortController();
-  let view = emptyView;
-  let contact: Contact = 'isolated';
-  let hubIndex = Math.floor(random() * controls.length);
+  const evidence: ContactEvidence = {
+    quorumSeenAt: Number.NEGATIVE_INFINITY,
+    relaySeenAt: Number.NEGATIVE_INFINITY,
+    lossSeenAt: Number.NEGATIVE_INFINITY,
+    majorityLossSeenAt: Number.NEGATIVE_INFINITY,
+    silenceSeenAt: Number.NEGATIVE_INFINITY,
+    isConfirmed: false,
+  };
+  let lastContact: Contact = 'isolated';
+  let lastReport: Report | undefined;
+  let hub = controls[Math.floor(random() * controls.length)];
+  let interrupt = new AbortController();
   let cursor = '';
-  let quorumSeenAt = Number.NEGATIVE_INFINITY;
-
-  const views = frames.stream.map((frame) => {
-    view = applyFrame(view, table, frame);
-    return view;
-  });
+  /** Usage of reports that no hub has acknowledged. */
+  let unsentUsage: Record<AccountId, number> = {};
 
   const readContact = (): Contact => {
-    const next = clock.monotonic() - quorumSeenAt <= quorumLeaseMs ? 'attached' : 'isolated';
-    if (next !== contact) timeline.record('contact.changed', { from: contact, to: next });
-    contact = next;
+    const contact = computeContact(evidence, clock.monotonic());
+    if (contact !== lastContact) {
+      timeline.record('contact.changed', { from: lastContact, to: contact });
+    }
+    lastContact = contact;
     return contact;
   };
 
-  const exchange = async (): Promise<void> => {
-    const hub = controls[hubIndex];
-    if (!hub) return;
+  const survey = createSurvey({
+    ...{ clock, random, hlc, controls, store, evidence, openPeer },
+    findSelf: () => ({
+      endpoint: lastReport?.announcement?.id,
+      dataCentre: lastReport?.dataCentre,
+    }),
+  });
+  const receiveVersion = createVersionFetch({ clock, random, controls, store, survey });
+
+  const buildWholeReport = (): Report => {
     const report: Report = {
       ...buildReport(),
-      stateVersion: view.state?.version ?? 0,
+      contact: readContact(),
+      stateVersion: store.readVersion(),
       cursor,
       at: hlc.read(),
     };
+    Object.entries(report.usage ?? {}).forEach(([account, count]) => {
+      const id = account as AccountId;
+      unsentUsage[id] = (unsentUsage[id] ?? 0) + count;
+    });
+    return report.usage ? { ...report, usage: unsentUsage } : report;
+  };
+
+  const replaceHub = (next: ControlNode | undefined): void => {
+    if (next === hub) return;
+    hub = next;
+    cursor = '';
+    interrupt.abort();
+  };
+
+  const exchange = async (node: ControlNode): Promise<void> => {
+    const sentAt = clock.monotonic();
+    const report = buildWholeReport();
+    lastReport = report;
+    interrupt = new AbortController();
+    const interrupted = createAbortPromise(interrupt.signal);
     const frame = await withDeadline(clock, exchangeTimeoutMs, (signal) =>
-      hub.client.exchange(report, signal),
+      Promise.race([
+        node.client.exchange(report, AbortSignal.any([signal, interrupt.signal])),
+        interrupted,
+      ]),
     );
     hlc.receive(frame.at);
+    unsentUsage = {};
     cursor = frame.cursor;
-    quorumSeenAt = Math.max(quorumSeenAt, clock.monotonic() - frame.quorumAgeMs);
-    frames.push(frame);
+    store.updateByFrame(frame, report.stateVersion);
+    // Not the time of arrival: a frozen daemon finds old frames in its socket when it wakes.
+    const heldMs = Math.min(frame.heldMs, clock.monotonic() - sentAt);
+    const seenAt = sentAt + heldMs - frame.quorumAgeMs;
+    evidence.quorumSeenAt = Math.max(evidence.quorumSeenAt, seenAt);
+    const isFresh = clock.monotonic() - seenAt <= contactLimits.quorumFreshMs;
+    if (isFresh && store.readVersion() >= frame.stateVersion) evidence.isConfirmed = true;
     readContact();
   };
 
-  const run = async (): Promise<void> => {
+  const runExchanges = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
+      const node = hub;
+      if (!node) return;
       try {
-        await exchange();
+        await exchange(node);
       } catch {
-        hubIndex = (hubIndex + 1) % controls.length;
-        cursor = '';
         readContact();
-        await clock.wait(retryDelayMs * (0.5 + random()), stopping.signal);
+        if (hub === node) {
+          replaceHub(chooseOther(controls, node, random));
+          cursor = '';
+          await clock.wait(retryDelayMs * (0.5 + random()), stopping.signal);
+        }
+      }
+    }
+  };
+
+  const runSurveys = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      if (clock.monotonic() - evidence.quorumSeenAt > surveyAfterMs) {
+        const live = await survey.run();
+        if (live) replaceHub(live);
+        readContact();
       }
+      await clock.wait(surveyIntervalMs * (0.5 + random()), stopping.signal);
     }
   };
 
   return {
     start: (): void => {
-      void views.drain();
-      void run();
+      void runExchanges();
+      void runSurveys();
+    },
+    stop: (): void => {
+      stopping.abort();
+      interrupt.abort();
     },
-    stop: (): void => stopping.abort(),
-    readView: (): FleetView => view,
+    readView: store.readView,
     readContact,
-    views,
+    /** The answer to a peer that lost control and runs at `stateVersion`. */
+    buildContactReport: (stateVersion: number): Omit<ContactReport, 'dataCentre'> => {
+      const now = clock.monotonic();
+      const { state } = store.readView();
+      const isNewer = state !== undefined && state.version > stateVersion;
+      return {
+        contact: readContact(),
+        sees: computeSees(evidence, now),
+        quorumAgeMs: Math.min(Number.MAX_SAFE_INTEGER, now - evidence.quorumSeenAt),
+        ...(isNewer && evidence.isConfirmed ? { state } : {}),
+      };
+    },
+    /**
+     * To be called with each state version that a message carries. Fetches the state soon when the
+     * version is newer; resolves to whether the view has reached it within a second.
+     */
+    receiveVersion,
+    views: store.views,
   };
 }
+
+function createAbortPromise(signal: AbortSignal): Promise<never> {
+  const promise = new Promise<never>((_, reject) => {
+    signal.addEventListener('abort', () => reject(new Error('interrupted')), { once: true });
+  });
+  promise.catch(() => {});
+  return promise;
+}
+
+function chooseOther(controls: ControlNode[], node: ControlNode, random: Random) {
+  const others = controls.filter((other) => other !== node);
+  return others[Math.floor(random() * others.length)] ?? node;
+}
--- /dev/null
+++ b/packages/link/src/create-proposer.ts
@@ -0,0 +1,99 @@
+import {
+  RelayError,
+  ResultCode,
+  withDeadline,
+  type Clock,
+  type Command,
+  type CommandResult,
+  type Random,
+} from '@vanillarelay/core';
+import type { ControlNode } from './control-node.js';
+import { isRepeatable } from './is-repeatable.js';
+
+interface ProposerOptions {
+  clock: Clock;
+  random: Random;
+  controls: readonly ControlNode[];
+  /** Time after which a proposal is given up, in milliseconds. */
+  limitMs?: number;
+}
+
+interface Attempt {
+  result?: CommandResult;
+  /** Whether it is certain that the node has not accepted the command and never will. */
+  notRun: boolean;
+  /** The leader that the node named. */
+  leader?: string;
+}
+
+/** An election takes 1 to 2 s, after up to 2 s in which nobody notices that the leader is gone. */
+const defaultLimitMs = 5_000;
+const attemptTimeoutMs = 1_500;
+const retryDelayMs = 100;
+
+/** Makes the way to propose commands over all control nodes. */
+export function createProposer(options: ProposerOptions) {
+  const { clock, random, controls, limitMs = defaultLimitMs } = options;
+  let preferred = Math.floor(random() * controls.length);
+
+  const callNode = async (
+    index: number,
+    command: Command,
+    signal: AbortSignal,
+    timeoutMs: number,
+  ): Promise<Attempt> => {
+    const node = controls[index];
+    if (!node) return { notRun: true };
+    try {
+      const result = await withDeadline(clock, timeoutMs, (timeout) =>
+        node.client.propose(command, AbortSignal.any([timeout, signal])),
+      );
+      return result.ok ? { result, notRun: false } : readRefusal(result);
+    } catch (error) {
+      if (!(error instanceof RelayError)) return { notRun: false };
+      if (error.code === ResultCode.notLeader) return { notRun: true, ...findLeader(error.holder) };
+      return { notRun: error.notRun };
+    }
+  };
+
+  const findIndex = (index: number, leader: string | undefined): number => {
+    const named = controls.findIndex(({ id }) => id === leader);
+    return named >= 0 && named !== index ? named : (index + 1) % controls.length;
+  };
+
+  /**
+   * Resolves with the answer of the log. Rejects with `noQuorum`, and `notRun: true` only when no
+   * node can have accepted the command. A command that may have been accepted is sent again only
+   * when it carries its own identity.
+   */
+  return async (command: Command, signal: AbortSignal): Promise<CommandResult> => {
+    const endsAt = clock.monotonic() + limitMs;
+    let index = preferred;
+    let notRun = true;
+    while (!signal.aborted && clock.monotonic() < endsAt) {
+      const timeoutMs = Math.min(attemptTimeoutMs, endsAt - clock.monotonic());
+      const attempt = await callNode(index, command, signal, timeoutMs);
+      if (attempt.result) {
+        preferred = index;
+        return attempt.result;
+      }
+      notRun &&= attempt.notRun;
+      if (!notRun && !isRepeatable(command)) break;
+      index = findIndex(index, attempt.leader);
+      await clock.wait(retryDelayMs * (0.5 + random()), signal);
+    }
+    throw new RelayError(ResultCode.noQuorum, 'no control node accepted the command', { notRun });
+  };
+}
+
+function readRefusal(result: Extract<CommandResult, { ok: false }>): Attempt {
+  if (result.code === ResultCode.notLeader) {
+    return { notRun: true, ...findLeader(result.details?.leader) };
+  }
+  if (result.code === ResultCode.noQuorum) return { notRun: result.details?.notRun === true };
+  return { result, notRun: false };
+}
+
+function findLeader(leader: unknown): { leader?: string } {
+  return typeof leader === 'string' ? { leader } : {};
+}
--- /dev/null
+++ b/packages/link/src/create-survey.ts
@@ -0,0 +1,140 @@
+import {
+  RelayError,
+  withDeadline,
+  type AgentClient,
+  type Clock,
+  type ContactReport,
+  type DataCentreId,
+  type EndpointId,
+  type Hlc,
+  type Member,
+  type Random,
+} from '@vanillarelay/core';
+import { contactLimits } from './contact-limits.js';
+import type { ContactEvidence } from './contact-evidence.js';
+import type { ControlNode } from './control-node.js';
+import { isQuorumLost } from './is-quorum-lost.js';
+import { selectPeers } from './select-peers.js';
+import type { ViewStore } from './view-store.js';
+
+interface SurveyOptions {
+  clock: Clock;
+  random: Random;
+  hlc: Hlc;
+  controls: readonly ControlNode[];
+  store: ViewStore;
+  evidence: ContactEvidence;
+  openPeer: ((address: string) => Pick<AgentClient, 'readContact'>) | undefined;
+  findSelf: () => { endpoint: EndpointId | undefined; dataCentre: DataCentreId | undefined };
+}
+
+type ControlAnswer = 'quorum' | 'noQuorum' | 'refused' | 'silent';
+
+/**
+ * Two rounds have to end within the lease of 3 s, counted from the last frame, so that a fleet that
+ * lost all control nodes does not pause between `attached` and `leaderless`.
+ */
+const controlTimeoutMs = 500;
+const peerTimeoutMs = 250;
+/** Peers are asked when no control node has named a quorum after this long. */
+const controlHeadStartMs = 250;
+
+/** Makes the rounds of questions to all control nodes and to peers of a daemon without a live hub. */
+export function createSurvey(options: SurveyOptions) {
+  const { clock, random, hlc, controls, store, evidence, openPeer, findSelf } = options;
+
+  /**
+   * Asks one control node; a live quorum counts as of the time at which the question was sent. The
+   * answer has no membership, so it does not let a daemon serve that has just started.
+   */
+  const requestQuorum = async ({ client }: ControlNode): Promise<ControlAnswer> => {
+    const sentAt = clock.monotonic();
+    const version = store.readVersion();
+    try {
+      const answer = await withDeadline(clock, controlTimeoutMs, (signal) =>
+        client.readQuorum(version, signal),
+      );
+      hlc.receive(answer.at);
+      store.updateState(answer, version);
+      if (answer.quorumAgeMs > contactLimits.quorumFreshMs) return 'noQuorum';
+      evidence.quorumSeenAt = Math.max(evidence.quorumSeenAt, sentAt - answer.quorumAgeMs);
+      return 'quorum';
+    } catch (error) {
+      return error instanceof RelayError && error.notRun ? 'refused' : 'silent';
+    }
+  };
+
+  const requestPeer = async (member: Member): Promise<ContactReport | undefined> => {
+    const peer = openPeer?.(member.address);
+    if (!peer) return undefined;
+    const sentAt = clock.monotonic();
+    const version = store.readVersion();
+    try {
+      const report = await withDeadline(clock, peerTimeoutMs, (signal) =>
+        peer.readContact(version, signal),
+      );
+      if (report.contact !== 'attached') return report;
+      if (report.state) {
+        store.updateState({ state: report.state, stateVersion: report.state.version }, version);
+      }
+      evidence.relaySeenAt = Math.max(evidence.relaySeenAt, sentAt - report.quorumAgeMs);
+      evidence.isConfirmed = true;
+      return report;
+    } catch {
+      return undefined;
+    }
+  };
+
+  const requestPeers = async (): Promise<ContactReport[]> => {
+    const { members } = store.readView();
+    const peers = selectPeers({ members: members.values(), self: findSelf().endpoint, random });
+    const reports = await Promise.all(peers.map(requestPeer));
+    return reports.filter((report) => report !== undefined);
+  };
+
+  /** A daemon that has just started takes its state from a serving peer when there is no quorum. */
+  const applyPeerStates = (reports: readonly ContactReport[]): void => {
+    reports.forEach(({ contact, state }) => {
+      if (contact !== 'leaderless') return;
+      if (state) store.updateState({ state, stateVersion: state.version }, store.readVersion());
+      evidence.isConfirmed = true;
+    });
+  };
+
+  const recordLoss = (
+    answers: readonly ControlAnswer[],
+    reports: readonly ContactReport[],
+    startedAt: number,
+  ): void => {
+    if (answers.includes('quorum')) return;
+    const lost = answers.filter((answer) => answer !== 'silent').length;
+    const isMajority = lost > controls.length / 2;
+    evidence.silenceSeenAt = startedAt;
+    if (isMajority) evidence.majorityLossSeenAt = startedAt;
+    const { state } = store.readView();
+    const ownDataCentre = findSelf().dataCentre;
+    if (!isMajority && !isQuorumLost({ reports, state, ownDataCentre })) return;
+    evidence.lossSeenAt = startedAt;
+    applyPeerStates(reports);
+  };
+
+  /** Runs one round; returns the first control node that knows of a quorum. */
+  const run = async (): Promise<ControlNode | undefined> => {
+    const startedAt = clock.monotonic();
+    let live: ControlNode | undefined;
+    const round = Promise.all(
+      controls.map(async (node) => {
+        const answer = await requestQuorum(node);
+        if (answer === 'quorum') live ??= node;
+        return answer;
+      }),
+    );
+    await Promise.race([round, clock.wait(controlHeadStartMs)]);
+    if (live) return live;
+    const [answers, reports] = await Promise.all([round, requestPeers()]);
+    recordLoss(answers, reports, startedAt);
+    return live;
+  };
+
+  return { run, requestQuorum };
+}
--- /dev/null
+++ b/packages/link/src/select-peers.ts
@@ -0,0 +1,27 @@
+import type { DataCentreId, EndpointId, Member, Random } from '@vanillarelay/core';
+
+interface PeerSelection {
+  members: Iterable<Member>;
+  /** The asking daemon itself, when it is an agent. */
+  self: EndpointId | undefined;
+  random: Random;
+}
+
+/** Several, so that one lost VM does not hide its data centre. */
+const peersPerDataCentre = 3;
+
+/** Random agents of every data centre, to be asked for their contact. */
+export function selectPeers({ members, self, random }: PeerSelection): Member[] {
+  const groups = new Map<DataCentreId, Member[]>();
+  [...members].forEach((member) => {
+    if (member.id === self) return;
+    groups.set(member.dataCentre, [...(groups.get(member.dataCentre) ?? []), member]);
+  });
+  return [...groups.values()].flatMap((group) =>
+    group
+      .map((member) => ({ member, weight: random() }))
+      .sort((a, b) => a.weight - b.weight)
+      .slice(0, peersPerDataCentre)
+      .map(({ member }) => member),
+  );
+}
--- a/scripts/local-fleet/sample.mjs
+++ b/scripts/local-fleet/sample.mjs
@@ -94,7 +94,7 @@
 
 try {
   await wait(1_000);
-  const client = openControl(control[0].address, peerKey);
+  const client = openControl(control[0].address, { key: peerKey });
   const applied = await client.propose(
     { type: 'applyConfig', changeId: 'first', operator: 'local', expectedVersion: 0, config },
     AbortSignal.timeout(5_000),
