--- a/packages/scenarios/src/fakes/create-fake-network.ts
+++ b/packages/scenarios/src/fakes/create-fake-network.ts
@@ -1,4 +1,5 @@
 import { RelayError, ResultCode, type Random } from '@vanillarelay/core';
+import type { RunningProcess } from './running-process.js';
 import type { VirtualClock } from './virtual-clock.js';
 import type { VirtualProcess } from './virtual-process.js';
 
@@ -109,19 +110,25 @@
     return { ...reply, body: passBody(body as AsyncIterable<Uint8Array>, from, to, lost) };
   };
 
-  /** A client at `from` of the handlers at `to`; an `AbortSignal` as last argument is carried over. */
-  const open = <T extends object>(from: VirtualProcess, to: VirtualProcess, handlers: () => T): T =>
+  /** A client at `from` of whatever runs at the target; a signal as last argument is carried over. */
+  const open = <T extends object>(
+    from: VirtualProcess,
+    findTarget: () => RunningProcess<T> | undefined,
+  ): T =>
     new Proxy({} as T, {
       get: (_, name) => {
         if (name === 'then') return undefined;
-        return (...args: unknown[]) => {
-          const last = args.at(-1);
+        return async (...args: unknown[]) => {
+          const target = findTarget();
+          if (!target)
+            throw new RelayError(ResultCode.connectionFailed, 'no such process', { notRun: true });
+          const last = args[args.length - 1];
           const signal = last instanceof AbortSignal ? last : undefined;
           const run = (serverSignal: AbortSignal) => {
-            const method = (handlers() as Record<PropertyKey, Method>)[name] as Method;
+            const method = (target.handlers as Record<PropertyKey, Method>)[name] as Method;
             return method(...(signal ? [...args.slice(0, -1), serverSignal] : args));
           };
-          return call(from, to, run, signal);
+          return call(from, target.process, run, signal);
         };
       },
     });
--- a/packages/scenarios/src/fakes/create-virtual-clock.ts
+++ b/packages/scenarios/src/fakes/create-virtual-clock.ts
@@ -1,10 +1,12 @@
 import { setImmediate as waitForTurn } from 'node:timers/promises';
 import type { Clock } from '@vanillarelay/core';
+import TinyQueue from 'tinyqueue';
 import type { VirtualProcess } from './virtual-process.js';
 
 interface Timer {
   at: number;
   order: number;
+  isCancelled: boolean;
   callback: () => void;
 }
 
@@ -17,27 +19,23 @@
 
 /** Makes a clock that moves only when the test runs it, with processes that share it. */
 export function createVirtualClock({ startAt = defaultStartAt }: VirtualClockOptions = {}) {
-  const timers = new Set<Timer>();
+  const timers = new TinyQueue<Timer>([], (a, b) => a.at - b.at || a.order - b.order);
   let elapsed = 0;
   let order = 0;
 
   const startTimer = (ms: number, callback: () => void): (() => void) => {
     order += 1;
-    const timer = { at: elapsed + Math.max(0, ms), order, callback };
-    timers.add(timer);
-    return () => timers.delete(timer);
+    const timer = { at: elapsed + Math.max(0, ms), order, isCancelled: false, callback };
+    timers.push(timer);
+    return () => {
+      timer.isCancelled = true;
+    };
   };
 
   const takeNext = (until: number): Timer | undefined => {
-    let next: Timer | undefined;
-    timers.forEach((timer) => {
-      if (timer.at > until) return;
-      if (!next || timer.at < next.at || (timer.at === next.at && timer.order < next.order)) {
-        next = timer;
-      }
-    });
-    if (next) timers.delete(next);
-    return next;
+    while (timers.peek()?.isCancelled) timers.pop();
+    const next = timers.peek();
+    return next && next.at <= until ? timers.pop() : undefined;
   };
 
   /** Runs everything that is due within the next `ms` milliseconds. */
--- /dev/null
+++ b/packages/scenarios/src/fleet/create-fleet-context.ts
@@ -0,0 +1,30 @@
+import { createHash } from '@vanillarelay/core';
+import { createFakeNetwork } from '../fakes/create-fake-network.js';
+import { createSeededRandom } from '../fakes/create-seeded-random.js';
+import { createVirtualClock } from '../fakes/create-virtual-clock.js';
+import type { FleetContext } from './fleet-context.js';
+
+interface FleetContextOptions {
+  seed: number;
+  /** One-way delay between VMs, in milliseconds. */
+  delayMs?: number;
+}
+
+/** Makes an empty in-process fleet on a virtual clock. */
+export async function createFleetContext({
+  seed,
+  delayMs = 1,
+}: FleetContextOptions): Promise<FleetContext> {
+  const virtual = createVirtualClock();
+  const random = createSeededRandom(seed);
+  return {
+    virtual,
+    random,
+    network: createFakeNetwork({ virtual, random, delayMs }),
+    hash: await createHash(),
+    controls: new Map(),
+    agents: new Map(),
+    endpoints: new Map(),
+    entries: new Map(),
+  };
+}
--- /dev/null
+++ b/packages/scenarios/src/fleet/fleet-context.ts
@@ -0,0 +1,17 @@
+import type { ControlClient, AgentClient, EndpointClient, Hash, Random } from '@vanillarelay/core';
+import type { createEntry } from '@vanillarelay/entry';
+import type { createFakeNetwork } from '../fakes/create-fake-network.js';
+import type { RunningProcess } from '../fakes/running-process.js';
+import type { VirtualClock } from '../fakes/virtual-clock.js';
+
+/** What the processes of an in-process fleet share. */
+export interface FleetContext {
+  virtual: VirtualClock;
+  network: ReturnType<typeof createFakeNetwork>;
+  random: Random;
+  hash: Hash;
+  controls: Map<string, RunningProcess<ControlClient>>;
+  agents: Map<string, RunningProcess<AgentClient>>;
+  endpoints: Map<string, RunningProcess<EndpointClient>>;
+  entries: Map<string, RunningProcess<ReturnType<typeof createEntry>>>;
+}
--- /dev/null
+++ b/packages/scenarios/src/fleet/start-control.ts
@@ -0,0 +1,31 @@
+import { createHub, createMemoryStore } from '@vanillarelay/control';
+import {
+  createHlc,
+  createTimeline,
+  toId,
+  type ControlClient,
+  type DaemonId,
+  type DataCentreId,
+  type VmId,
+} from '@vanillarelay/core';
+import type { FleetContext } from './fleet-context.js';
+
+/** Starts a control node of the in-process fleet. */
+export function startControl(context: FleetContext, id: string, dataCentre: DataCentreId): void {
+  const process = context.virtual.createProcess(id);
+  const { clock } = process;
+  const hlc = createHlc(clock);
+  const timeline = createTimeline({
+    hlc,
+    process: toId<DaemonId>(id),
+    vm: toId<VmId>(id),
+    dataCentre,
+  });
+  const store = createMemoryStore();
+  const hub = createHub({ id: toId<DaemonId>(id), clock, hlc, timeline, store });
+  const handlers: ControlClient = {
+    exchange: hub.exchange,
+    propose: (command) => store.propose(command),
+  };
+  context.controls.set(id, { process, handlers });
+}
