fix(scenarios): remove listeners of finished calls

Cause: 50 engines for 60 virtual seconds took 278 s of wall time; each call left a kill listener and two thousand chats listened on one abort signal, which Node searches one by one. Ruled out: the timer queue (a heap already) and the hub's frames (few and small).

--- a/packages/bench/src/load/start-traffic.ts
+++ b/packages/bench/src/load/start-traffic.ts
@@ -6,8 +6,13 @@
 
 /** Starts the chats, one task each; they stop with the signal. */
 export function startTraffic(options: TrafficOptions, signal: AbortSignal): Promise<void[]> {
+  // One signal for each chat: thousands of listeners on one signal are searched one by one.
+  const controllers = Array.from({ length: options.chats }, () => new AbortController());
+  signal.addEventListener('abort', () => controllers.forEach((each) => each.abort()), {
+    once: true,
+  });
   return Promise.all(
-    Array.from({ length: options.chats }, (_, index) => runChats(options, index, signal)),
+    controllers.map((controller, index) => runChats(options, index, controller.signal)),
   );
 }
 
--- a/packages/scenarios/src/fakes/create-fake-network.ts
+++ b/packages/scenarios/src/fakes/create-fake-network.ts
@@ -10,6 +10,14 @@
   delayMs?: number;
 }
 
+/** The caller's side of one call. */
+interface Connection {
+  /** Rejects when the target dies or the caller gives up. */
+  broken: Promise<never>;
+  /** Ends the watch over both ends. */
+  clear: () => void;
+}
+
 type Method = (...args: unknown[]) => Promise<unknown>;
 
 /** Makes connections between virtual processes that can be cut, slowed and doubled. */
@@ -37,35 +45,55 @@
     await to.waitUntilRunning();
   };
 
-  const createLostSignal = (to: VirtualProcess) =>
-    new Promise<never>((_, reject) => {
-      to.observeKill(() => {
-        reject(new RelayError(ResultCode.connectionFailed, `${to.id} broke the connection off`));
-      });
+  const createConnection = (to: VirtualProcess, signal?: AbortSignal): Connection => {
+    let clear = () => {};
+    const broken = new Promise<never>((_, reject) => {
+      const abort = () =>
+        reject(new RelayError(ResultCode.connectionFailed, `call to ${to.id} was given up`));
+      const clearKill = to.observeKill(() =>
+        reject(new RelayError(ResultCode.connectionFailed, `${to.id} broke the connection off`)),
+      );
+      if (signal?.aborted) abort();
+      signal?.addEventListener('abort', abort, { once: true });
+      clear = () => {
+        clearKill();
+        signal?.removeEventListener('abort', abort);
+      };
     });
+    broken.catch(() => {});
+    return { broken, clear };
+  };
 
-  /** A server-side signal that aborts when the caller aborts or dies. */
+  /** A server-side signal that aborts when the caller aborts or dies; `clear` ends the watch. */
   const createServerSignal = (from: VirtualProcess, to: VirtualProcess, signal?: AbortSignal) => {
     const controller = new AbortController();
     const abort = () => {
       void wait(from.id, to.id).then(() => !isCut(from.id, to.id) && controller.abort());
     };
     signal?.addEventListener('abort', abort, { once: true });
-    from.observeKill(abort);
-    return controller.signal;
+    const clearKill = from.observeKill(abort);
+    const clear = () => {
+      clearKill();
+      signal?.removeEventListener('abort', abort);
+    };
+    return { serverSignal: controller.signal, clear };
   };
 
   async function* passBody(
     body: AsyncIterable<Uint8Array>,
     from: VirtualProcess,
     to: VirtualProcess,
-    lost: Promise<never>,
+    connection: Connection,
   ): AsyncGenerator<Uint8Array> {
-    for await (const chunk of body) {
-      await Promise.race([pass(to, from), lost]);
-      yield chunk;
+    try {
+      for await (const chunk of body) {
+        await Promise.race([pass(to, from), connection.broken]);
+        yield chunk;
+      }
+      await Promise.race([pass(to, from), connection.broken]);
+    } finally {
+      connection.clear();
     }
-    await Promise.race([pass(to, from), lost]);
   }
 
   const call = async (
@@ -74,40 +102,45 @@
     run: (signal: AbortSignal) => Promise<unknown>,
     signal?: AbortSignal,
   ): Promise<unknown> => {
-    const lost = createLostSignal(to);
-    lost.catch(() => {});
-    const aborted = new Promise<never>((_, reject) => {
-      const abort = () =>
-        reject(new RelayError(ResultCode.connectionFailed, `call to ${to.id} was given up`));
-      if (signal?.aborted) abort();
-      signal?.addEventListener('abort', abort, { once: true });
-    });
-    aborted.catch(() => {});
+    const connection = createConnection(to, signal);
+    const { serverSignal, clear: clearServer } = createServerSignal(from, to, signal);
+    const clear = () => {
+      connection.clear();
+      clearServer();
+    };
     const exchange = async () => {
       await pass(from, to);
-      const serverSignal = createServerSignal(from, to, signal);
       if (duplicates.has(`${from.id}>${to.id}`)) {
         void pass(from, to)
           .then(() => run(serverSignal))
           .catch(() => {});
       }
-      const reply = await Promise.race([run(serverSignal), lost]);
+      const reply = await run(serverSignal);
       await pass(to, from);
-      return wrapReply(reply, from, to, lost);
+      return reply;
     };
-    return Promise.race([exchange(), aborted]);
+    try {
+      const reply = await Promise.race([exchange(), connection.broken]);
+      return wrapReply(reply, from, to, { ...connection, clear });
+    } catch (error) {
+      connection.clear();
+      throw error;
+    }
   };
 
   const wrapReply = (
     reply: unknown,
     from: VirtualProcess,
     to: VirtualProcess,
-    lost: Promise<never>,
+    connection: Connection,
   ): unknown => {
-    if (typeof reply !== 'object' || reply === null || !('body' in reply)) return reply;
-    const { body } = reply;
-    if (typeof body !== 'object' || body === null || !(Symbol.asyncIterator in body)) return reply;
-    return { ...reply, body: passBody(body as AsyncIterable<Uint8Array>, from, to, lost) };
+    const body = (reply as { body?: unknown } | null | undefined)?.body;
+    if (typeof body !== 'object' || body === null || !(Symbol.asyncIterator in body)) {
+      connection.clear();
+      return reply;
+    }
+    const passed = passBody(body as AsyncIterable<Uint8Array>, from, to, connection);
+    return { ...(reply as object), body: passed };
   };
 
   /** A client at `from` of whatever runs at the target; a signal as last argument is carried over. */
--- a/packages/scenarios/src/fakes/create-virtual-clock.ts
+++ b/packages/scenarios/src/fakes/create-virtual-clock.ts
@@ -77,7 +77,7 @@
 
   /** Makes a process; `offsetMs` is how far its wall clock is wrong. */
   const createProcess = (id: string, offsetMs = 0): VirtualProcess => {
-    const killListeners: (() => void)[] = [];
+    const killListeners = new Set<() => void>();
     let status: 'running' | 'frozen' | 'killed' = 'running';
     let held: (() => void)[] = [];
     const runOrHold = (callback: () => void) => () => {
@@ -119,7 +119,10 @@
         held = [];
         killListeners.forEach((listener) => listener());
       },
-      observeKill: (listener) => killListeners.push(listener),
+      observeKill: (listener) => {
+        killListeners.add(listener);
+        return () => killListeners.delete(listener);
+      },
     };
   };
 
--- a/packages/scenarios/src/fakes/virtual-process.ts
+++ b/packages/scenarios/src/fakes/virtual-process.ts
@@ -11,6 +11,6 @@
   freeze(): void;
   resume(): void;
   kill(): void;
-  /** Calls back when the process is killed. */
-  observeKill(listener: () => void): void;
+  /** Calls back when the process is killed; returns a function that removes the listener. */
+  observeKill(listener: () => void): () => void;
 }
