feat(stand-ins): add fake engine, plain service and weight store

Cause: the fake engine had no cold start, crash, freeze, priorities, orders or cache transfer, and there was no plain service or weight store to test against.

Ruled out: one cache over all prompts by block hash; a text for each chat gives the same reuse for returning chats and lets tests export and import one chat.

Change: the engine takes the chat id from the header 'x-chat' or the body's 'chat_id', and the priority from 'x-priority' or the body. The HTTP server answers GET /health, POST /orders (409 for a stale token), GET and PUT /cache/<chat> and POST /switch/<name>. The service counts by the header 'idempotency-key', or by method, path and body hash.

Conclusion: agents, scenarios and the local fleet can use the three stand-ins on the virtual clock and as processes.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -13,4 +13,6 @@
 export { runEntry } from './entry/run-entry.js';
 export { createEndpointServer } from './stand-ins/create-endpoint-server.js';
 export { runFakeEngine } from './stand-ins/run-fake-engine.js';
+export { runFakeService } from './stand-ins/run-fake-service.js';
+export { runFakeWeightStore } from './stand-ins/run-fake-weight-store.js';
 export { hasKey } from './trust/has-key.js';
--- a/packages/daemon/src/stand-ins/run-fake-engine.ts
+++ b/packages/daemon/src/stand-ins/run-fake-engine.ts
@@ -1,20 +1,28 @@
-import { createFakeEngine } from '@vanillarelay/stand-ins';
-import { serveOn } from '../http/serve-on.js';
+import { createFakeEngine, type FakeEngineOptions } from '@vanillarelay/stand-ins';
 import { createSystemClock } from '../platform/create-system-clock.js';
-import { waitForSignal } from '../platform/wait-for-signal.js';
-import { createEndpointServer } from './create-endpoint-server.js';
+import { serveEndpoint } from './serve-endpoint.js';
+
+type EngineProcessOptions = Partial<Omit<FakeEngineOptions, 'clock' | 'random' | 'instance'>>;
 
 /** Runs a fake engine as a process until a signal ends it. */
-export async function runFakeEngine(address: string): Promise<void> {
+export async function runFakeEngine(
+  address: string,
+  options: EngineProcessOptions = {},
+): Promise<void> {
   const clock = createSystemClock();
   const engine = createFakeEngine({
+    ...options,
     clock,
     random: Math.random,
     instance: `${address}@${clock.now()}`,
   });
-  const server = createEndpointServer(engine);
-  await serveOn(server, address);
-  await waitForSignal();
-  server.close();
-  server.closeAllConnections();
+  await serveEndpoint(address, engine, {
+    crash: engine.crash,
+    freeze: engine.freeze,
+    resume: engine.resume,
+    cold: engine.resetWarmUp,
+    stats: engine.readStats,
+    orders: engine.listOrders,
+    'cache-events': () => engine.listCacheEvents(0),
+  });
 }
--- /dev/null
+++ b/packages/daemon/src/stand-ins/serve-endpoint.ts
@@ -0,0 +1,17 @@
+import type { EndpointClient } from '@vanillarelay/core';
+import { serveOn } from '../http/serve-on.js';
+import { waitForSignal } from '../platform/wait-for-signal.js';
+import { createEndpointServer } from './create-endpoint-server.js';
+
+/** Serves a fake endpoint until a signal ends the process. */
+export async function serveEndpoint(
+  address: string,
+  endpoint: EndpointClient,
+  switches: Record<string, () => unknown> = {},
+): Promise<void> {
+  const server = createEndpointServer({ endpoint, switches });
+  await serveOn(server, address);
+  await waitForSignal();
+  server.close();
+  server.closeAllConnections();
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/create-batch.ts
@@ -0,0 +1,70 @@
+interface Waiter {
+  priority: number;
+  wake: () => void;
+}
+
+interface BatchOptions {
+  size: number;
+  observe: (running: number) => void;
+}
+
+/** Makes the batch: a limited number of requests run at once, others wait by priority. */
+export function createBatch({ size, observe }: BatchOptions) {
+  const waiters: Waiter[] = [];
+  let running = 0;
+
+  const update = (change: number): void => {
+    running += change;
+    observe(running + waiters.length);
+  };
+
+  const wakeNext = (): void => {
+    const next = waiters.shift();
+    if (!next) return;
+    update(1);
+    next.wake();
+  };
+
+  const addWaiter = (waiter: Waiter): void => {
+    const index = waiters.findIndex(({ priority }) => priority > waiter.priority);
+    waiters.splice(index < 0 ? waiters.length : index, 0, waiter);
+    observe(running + waiters.length);
+  };
+
+  const createRelease = () => {
+    let isReleased = false;
+    return (): void => {
+      if (isReleased) return;
+      isReleased = true;
+      update(-1);
+      if (running < size) wakeNext();
+    };
+  };
+
+  /** Resolves with a function that gives the place back; undefined when the signal aborts first. */
+  const take = async (priority: number, signal: AbortSignal): Promise<(() => void) | undefined> => {
+    if (signal.aborted) return undefined;
+    if (running < size) {
+      update(1);
+      return createRelease();
+    }
+    return new Promise((resolve) => {
+      const abort = () => {
+        waiters.splice(waiters.indexOf(waiter), 1);
+        observe(running + waiters.length);
+        resolve(undefined);
+      };
+      const waiter: Waiter = {
+        priority,
+        wake: () => {
+          signal.removeEventListener('abort', abort);
+          resolve(createRelease());
+        },
+      };
+      addWaiter(waiter);
+      signal.addEventListener('abort', abort, { once: true });
+    });
+  };
+
+  return { take, countRunning: () => running, countWaiting: () => waiters.length };
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/create-cache-events.ts
@@ -0,0 +1,38 @@
+import type { Clock, Random } from '@vanillarelay/core';
+import type { CacheEvent } from './cache-event.js';
+
+interface CacheEventsOptions {
+  clock: Clock;
+  random: Random;
+  delayMs: number;
+  /** Share of events that are lost. */
+  loss: number;
+}
+
+const capacity = 10_000;
+
+/** Makes the publication of cache events: late and with gaps in the sequence. */
+export function createCacheEvents({ clock, random, delayMs, loss }: CacheEventsOptions) {
+  const events: { readableAt: number; event: CacheEvent }[] = [];
+  let sequence = 0;
+
+  const record = (type: CacheEvent['type'], chat: string, tokens: number): void => {
+    sequence += 1;
+    if (random() < loss) return;
+    events.push({
+      readableAt: clock.monotonic() + delayMs,
+      event: { sequence, type, chat, tokens },
+    });
+    if (events.length > capacity) events.shift();
+  };
+
+  /** Published events after a sequence number, oldest first. */
+  const list = (after: number): CacheEvent[] => {
+    const now = clock.monotonic();
+    return events
+      .filter(({ readableAt, event }) => readableAt <= now && event.sequence > after)
+      .map(({ event }) => event);
+  };
+
+  return { record, list };
+}
--- a/packages/stand-ins/src/engine/create-fake-engine.ts
+++ b/packages/stand-ins/src/engine/create-fake-engine.ts
@@ -1,92 +1,158 @@
-import {
-  RelayError,
-  ResultCode,
-  type EndpointAnswer,
-  type EndpointClient,
-  type EndpointRequest,
-} from '@vanillarelay/core';
+import { RelayError, ResultCode, type EndpointRequest, type EngineOrder } from '@vanillarelay/core';
+import { buildJsonAnswer } from '../http/build-json-answer.js';
+import { createBatch } from './create-batch.js';
+import { createCacheEvents } from './create-cache-events.js';
+import { createCompletion } from './create-completion.js';
+import { createFreezer } from './create-freezer.js';
+import { createLaggedValue } from './create-lagged-value.js';
+import { createOrderBook } from './create-order-book.js';
+import { createPrefixCache } from './create-prefix-cache.js';
+import { createWarmUp } from './create-warm-up.js';
 import type { FakeEngineOptions } from './fake-engine-options.js';
+import type { FakeEngineStats } from './fake-engine-stats.js';
+import type { FakeEngine } from './fake-engine.js';
+import { parseChatBody } from './parse-chat-body.js';
 
-interface ChatBody {
-  chat_id?: string;
-  stream?: boolean;
-  messages: { role: string; content: string }[];
-}
-
-const charactersPerToken = 4;
+const tooManyRequests = 503;
+const coldRetrySeconds = 1;
 
-/** Makes a fake engine: continuous batching, a prefix cache in limited memory, streamed answers. */
-export function createFakeEngine(options: FakeEngineOptions) {
-  const {
+/** Makes a fake engine: continuous batching, a prefix cache in limited memory, cold start, orders. */
+export function createFakeEngine(options: FakeEngineOptions): FakeEngine {
+  const { clock, random, instance, coldLimit = 2, restartMs = 1_000, loadMs = 1_000 } = options;
+  const stats = createStats();
+  const load = createLaggedValue(clock, options.loadLagMs ?? 0);
+  const events = createCacheEvents({
+    clock,
+    random,
+    delayMs: options.cacheEventDelayMs ?? 500,
+    loss: options.cacheEventLoss ?? 0.05,
+  });
+  const cache = createPrefixCache({
+    capacityTokens: options.cacheTokens ?? 20_000,
+    report: events.record,
+  });
+  const warmUp = createWarmUp({
     clock,
-    instance,
-    prefillMsPerToken = 0.2,
-    tokenMs = 2,
-    batchSlowdownMs = 0.1,
-    cacheTokens = 20_000,
-    answerTokens = 8,
-  } = options;
-  /** Cached prompt tokens by chat, least recently used first. */
-  const cache = new Map<string, number>();
-  let running = 0;
+    startsCold: options.startsCold ?? false,
+    warmUpMs: options.warmUpMs ?? 2_000,
+    warmUpRequests: options.warmUpRequests ?? 4,
+  });
+  const batch = createBatch({
+    size: options.batchSize ?? 256,
+    observe: (running) => {
+      load.update(running);
+      stats.running = running;
+      stats.highestRunning = Math.max(stats.highestRunning, running);
+    },
+  });
+  const freezer = createFreezer(clock);
+  let isDown = false;
+  let crashing = new AbortController();
 
-  const takeFromCache = (chat: string, promptTokens: number): number => {
-    const cached = Math.min(cache.get(chat) ?? 0, promptTokens);
-    cache.delete(chat);
-    cache.set(chat, promptTokens + answerTokens);
-    let total = [...cache.values()].reduce((sum, tokens) => sum + tokens, 0);
-    while (total > cacheTokens && cache.size > 1) {
-      const [oldest, tokens] = [...cache][0] ?? ['', 0];
-      cache.delete(oldest);
-      total -= tokens;
-    }
-    return cached;
+  const crash = (): void => {
+    if (isDown) return;
+    isDown = true;
+    stats.crashes += 1;
+    crashing.abort();
+    cache.clear();
+    clock.startTimer(restartMs, () => {
+      isDown = false;
+      crashing = new AbortController();
+      warmUp.reset();
+    });
+  };
+
+  const completion = createCompletion({
+    options,
+    batch,
+    cache,
+    freezer,
+    warmUp,
+    stats,
+    crash,
+    readCrashSignal: () => crashing.signal,
+  });
+
+  const checkIsUp = (): void => {
+    if (!isDown) return;
+    throw new RelayError(ResultCode.connectionFailed, 'engine refused the connection', {
+      notRun: true,
+    });
   };
 
-  async function* writeTokens(body: ChatBody, signal: AbortSignal): AsyncGenerator<Uint8Array> {
-    running += 1;
-    try {
-      const promptTokens = Math.ceil(JSON.stringify(body.messages).length / charactersPerToken);
-      const cached = takeFromCache(body.chat_id ?? '', promptTokens);
-      await clock.wait((promptTokens - cached) * prefillMsPerToken, signal);
-      for (let token = 0; token < answerTokens && !signal.aborted; token += 1) {
-        yield encodeEvent({ choices: [{ index: 0, delta: { content: `t${token} ` } }] });
-        await clock.wait(tokenMs + batchSlowdownMs * (running - 1), signal);
-      }
-      if (signal.aborted) throw new RelayError(ResultCode.cancelled, 'request cancelled');
-      yield encodeEvent({
-        choices: [{ index: 0, delta: {}, finish_reason: 'stop' }],
-        usage: {
-          prompt_tokens: promptTokens,
-          completion_tokens: answerTokens,
-          prompt_tokens_details: { cached_tokens: cached },
-        },
-      });
-      yield Buffer.from('data: [DONE]\n\n');
-    } finally {
-      running -= 1;
+  const run = async (request: EndpointRequest, signal: AbortSignal) => {
+    checkIsUp();
+    await freezer.waitUntilRunning();
+    const body = parseChatBody(request.body);
+    if (!body) return buildJsonAnswer(400, { error: { message: 'no chat completion request' } });
+    if (warmUp.isCold() && stats.running >= coldLimit) {
+      stats.coldFailures += 1;
+      const answer = buildJsonAnswer(tooManyRequests, { error: { message: 'engine is cold' } });
+      return {
+        ...answer,
+        headers: { ...answer.headers, 'retry-after': String(coldRetrySeconds) },
+      };
     }
-  }
+    return completion.run(body, request.headers, signal);
+  };
 
-  const run = async (request: EndpointRequest, signal: AbortSignal): Promise<EndpointAnswer> => {
-    const body = JSON.parse(Buffer.from(request.body).toString('utf8')) as ChatBody;
-    return {
-      status: 200,
-      headers: { 'content-type': 'text/event-stream' },
-      body: writeTokens(body, signal),
-    };
+  const runOrder = async ({ action, target }: EngineOrder): Promise<void> => {
+    if (action === 'changeRole') {
+      stats.role = target;
+      return;
+    }
+    await (options.loadWeights ? options.loadWeights(target) : clock.wait(loadMs));
+    if (action !== 'loadModel') return;
+    stats.model = target;
+    cache.clear();
+    warmUp.reset();
   };
+  const orders = createOrderBook({ fencing: options.fencing ?? 'checked', run: runOrder });
 
-  const client: EndpointClient = {
+  return {
     run,
-    readHealth: async () => ({ instance, cold: false, running }),
-    sendOrder: async () => {},
-    exportCache: async () => undefined,
-    importCache: async () => {},
+    readHealth: async () => {
+      checkIsUp();
+      await freezer.waitUntilRunning();
+      const suffix = stats.crashes > 0 ? `#${stats.crashes}` : '';
+      return { instance: `${instance}${suffix}`, cold: warmUp.isCold(), running: load.read() };
+    },
+    sendOrder: async (order) => {
+      checkIsUp();
+      await freezer.waitUntilRunning();
+      await orders.receive(order);
+    },
+    exportCache: async (chat) => {
+      checkIsUp();
+      const text = cache.find(chat);
+      return text === undefined ? undefined : Buffer.from(text);
+    },
+    importCache: async (chat, bytes) => {
+      checkIsUp();
+      cache.write(chat, Buffer.from(bytes).toString('utf8'));
+    },
+    crash,
+    freeze: freezer.freeze,
+    resume: freezer.resume,
+    resetWarmUp: warmUp.reset,
+    listCacheEvents: events.list,
+    listOrders: orders.list,
+    readStats: () => ({ ...stats }),
   };
-  return client;
 }
 
-function encodeEvent(value: unknown): Uint8Array {
-  return Buffer.from(`data: ${JSON.stringify(value)}\n\n`);
+function createStats(): FakeEngineStats {
+  return {
+    started: 0,
+    completed: 0,
+    cancelled: 0,
+    coldFailures: 0,
+    crashes: 0,
+    promptTokens: 0,
+    cachedTokens: 0,
+    running: 0,
+    highestRunning: 0,
+    model: '',
+    role: '',
+  };
 }
--- /dev/null
+++ b/packages/stand-ins/src/engine/create-warm-up.ts
@@ -0,0 +1,33 @@
+import type { Clock } from '@vanillarelay/core';
+
+interface WarmUpOptions {
+  clock: Clock;
+  startsCold: boolean;
+  warmUpMs: number;
+  warmUpRequests: number;
+}
+
+/** Makes the warm-up state: cold until enough time has passed and enough requests have completed. */
+export function createWarmUp({ clock, startsCold, warmUpMs, warmUpRequests }: WarmUpOptions) {
+  let isCold = startsCold;
+  let coldSince = clock.monotonic();
+  let completed = 0;
+
+  const readIsCold = (): boolean => {
+    if (completed >= warmUpRequests && clock.monotonic() - coldSince >= warmUpMs) isCold = false;
+    return isCold;
+  };
+
+  return {
+    isCold: readIsCold,
+    countRequest: (): void => {
+      completed += 1;
+    },
+    /** Turns cold. */
+    reset: (): void => {
+      isCold = true;
+      coldSince = clock.monotonic();
+      completed = 0;
+    },
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/src/http/build-json-answer.ts
@@ -0,0 +1,9 @@
+import type { EndpointAnswer } from '@vanillarelay/core';
+
+/** An answer with a JSON body. */
+export function buildJsonAnswer(status: number, value: unknown): EndpointAnswer {
+  async function* writeBody() {
+    yield Buffer.from(JSON.stringify(value));
+  }
+  return { status, headers: { 'content-type': 'application/json' }, body: writeBody() };
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,2 +1,13 @@
+export { buildAnswerTokens } from './engine/build-answer-tokens.js';
+export { buildPrompt } from './engine/build-prompt.js';
+export type { CacheEvent } from './engine/cache-event.js';
+export { countTokens } from './engine/count-tokens.js';
 export { createFakeEngine } from './engine/create-fake-engine.js';
 export type { FakeEngineOptions } from './engine/fake-engine-options.js';
+export type { FakeEngineStats } from './engine/fake-engine-stats.js';
+export type { FakeEngine } from './engine/fake-engine.js';
+export { createFakeService } from './service/create-fake-service.js';
+export type { FakeServiceOptions } from './service/fake-service-options.js';
+export type { FakeService } from './service/fake-service.js';
+export { createFakeWeightStore } from './weights/create-fake-weight-store.js';
+export type { FakeWeightStoreOptions } from './weights/fake-weight-store-options.js';
