feat(config): check settings with messages that name path, value and what is allowed

Cause: invalid settings ended a process with zod's JSON dump and exit code 1, and an address in use with an uncaught error.

Ruled out: printing values of keys; such values appear by length only. Result codes as exit codes do not fit in a byte, so 6002 becomes 62.

Change: addresses must be IP:port, ids and addresses differ within a process's settings and between the files given to 'settings check'. By hand: wrong settings exit 60, an unreadable file 61, an address in use 62, before a port is bound. Tests: 0 before, 14 after (vitest run packages/config).

Conclusion: a process with invalid settings does not start and says why.

--- a/packages/config/src/control-settings.ts
+++ b/packages/config/src/control-settings.ts
@@ -1,18 +1,24 @@
 import { z } from 'zod';
+import { controlList } from './control-list.js';
 import { processSettings } from './process-settings.js';
 
-const ControlSettings = z.strictObject({
-  role: z.literal('control'),
-  ...processSettings,
-  operatorKeys: z.array(z.string().min(16)).min(1),
-  /** Folder for the log and snapshots. */
-  dataFolder: z.string().min(1),
-  /** All control nodes, this one included. */
-  group: z
-    .array(z.strictObject({ id: z.string().min(1), address: processSettings.address }))
-    .min(1)
-    .max(7),
-});
+const ControlSettings = z
+  .strictObject({
+    role: z.literal('control'),
+    ...processSettings,
+    /** Folder for the log and snapshots. */
+    dataFolder: z.string().min(1),
+    /** All control nodes, this one included. */
+    group: controlList,
+  })
+  .superRefine(({ id, address, group }, context) => {
+    if (group.some((node) => node.id === id && node.address === address)) return;
+    context.addIssue({
+      code: 'custom',
+      path: ['group'],
+      message: `a list with this node, ${id} at ${address}`,
+    });
+  });
 
 type ControlSettings = z.infer<typeof ControlSettings>;
 
--- a/packages/config/src/fleet-config-schema.ts
+++ b/packages/config/src/fleet-config-schema.ts
@@ -1,13 +1,17 @@
 import type { FleetConfig } from '@vanillarelay/core';
 import { z } from 'zod';
+import { addRepeats } from './add-repeats.js';
+import { name } from './name.js';
+
+const longestDeadlineMs = 86_400_000;
 
 const requestKind = z.strictObject({
-  methods: z.array(z.string()).min(1),
-  pathPrefix: z.string().startsWith('/'),
+  methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1),
+  pathPrefix: z.string().startsWith('/', { error: 'a path that begins with /' }),
   idempotent: z.boolean(),
   mustArrive: z.boolean(),
   priority: z.int().min(0).max(9),
-  deadlineMs: z.int().min(1).max(86_400_000),
+  deadlineMs: z.int().min(1).max(longestDeadlineMs),
 });
 
 const service = z.strictObject({
@@ -19,15 +23,36 @@
 });
 
 const account = z.strictObject({
-  keyHashes: z.array(z.string().regex(/^[0-9a-f]{64}$/)).min(1),
+  keyHashes: z
+    .array(z.string().regex(/^[0-9a-f]{64}$/, { error: 'SHA-256 as 64 hexadecimal digits' }))
+    .min(1),
   requestsPerSecond: z.number().positive(),
-  services: z.array(z.string().min(1)),
+  services: z.array(name),
 });
 
+const config = z
+  .strictObject({
+    dataCentres: z.record(name, z.strictObject({ region: z.string().min(1) })),
+    services: z.record(name, service),
+    accounts: z.record(name, account),
+    concurrentLoads: z.int().min(1),
+  })
+  .superRefine(({ services, accounts }, context) => {
+    const hashes = Object.entries(accounts).flatMap(([id, { keyHashes }]) =>
+      keyHashes.map((value, index) => ({ value, path: ['accounts', id, 'keyHashes', index] })),
+    );
+    addRepeats(context, 'a key that no other account has', hashes, (hash) => hash);
+    Object.entries(accounts).forEach(([id, { services: allowed }]) => {
+      allowed.forEach((wanted, index) => {
+        if (services[wanted]) return;
+        context.addIssue({
+          code: 'custom',
+          path: ['accounts', id, 'services', index],
+          message: `a service of this configuration: ${Object.keys(services).join(', ') || 'none'}`,
+        });
+      });
+    });
+  });
+
 /** Schema of the fleet configuration. */
-export const fleetConfigSchema: z.ZodType<FleetConfig> = z.strictObject({
-  dataCentres: z.record(z.string().min(1), z.strictObject({ region: z.string().min(1) })),
-  services: z.record(z.string().min(1), service),
-  accounts: z.record(z.string().min(1), account),
-  concurrentLoads: z.int().min(1),
-}) as unknown as z.ZodType<FleetConfig>;
+export const fleetConfigSchema = config as unknown as z.ZodType<FleetConfig>;
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,5 +1,12 @@
 export { AgentSettings } from './agent-settings.js';
+export { checkAllSettings } from './check-all-settings.js';
+export { checkFleetConfig } from './check-fleet-config.js';
+export { checkSettings } from './check-settings.js';
+export { checkValue } from './check-value.js';
 export { ControlSettings } from './control-settings.js';
 export { EntrySettings } from './entry-settings.js';
 export { fleetConfigSchema } from './fleet-config-schema.js';
+export { OperatorSettings } from './operator-settings.js';
+export { parseJson } from './parse-json.js';
 export { processSettings } from './process-settings.js';
+export { Settings } from './settings.js';
--- a/packages/config/src/process-settings.ts
+++ b/packages/config/src/process-settings.ts
@@ -1,13 +1,17 @@
 import { z } from 'zod';
+import { address } from './address.js';
+import { keyList } from './key-list.js';
+import { name } from './name.js';
 
 /** Schema fields that every process's settings share. */
 export const processSettings = {
-  id: z.string().min(1),
-  vm: z.string().min(1),
-  dataCentre: z.string().min(1),
+  id: name,
+  vm: name,
+  dataCentre: name,
   /** IP and port to listen on. */
-  address: z.string().regex(/^[0-9a-f.:[\]]+:\d{1,5}$/, 'expected IP:port'),
+  address,
   /** Keys accepted from peers; the first one is presented. */
-  peerKeys: z.array(z.string().min(16)).min(1),
+  peerKeys: keyList,
+  operatorKeys: keyList,
   logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
 };
