feat(cli): add operators' commands and queries

Cause: operators had no commands; the sample called the control node directly.

Ruled out: one default for the expected version; an operator who does not name it would overwrite a colleague's change.

Control answers listHistory and listEndpoints.

Conclusion: accepted and in force are reported apart; a refused command exits with the code of its result.

--- /dev/null
+++ b/packages/cli/src/commands/wait-until-in-force.ts
@@ -0,0 +1,19 @@
+import type { OperatorClient } from '@vanillarelay/daemon';
+import type { CliContext } from '../context/cli-context.js';
+
+const pollMs = 200;
+
+/** Asks the hubs until all daemons run at a state version; returns those behind at the end. */
+export async function waitUntilInForce(
+  { wait }: Pick<CliContext, 'wait'>,
+  client: OperatorClient,
+  index: number,
+  limitMs: number,
+): Promise<{ daemons: number; behind: string[] }> {
+  for (let waitedMs = 0; ; waitedMs += pollMs) {
+    const daemons = await client.listDaemons();
+    const behind = daemons.filter(({ version }) => version < index).map(({ daemon }) => daemon);
+    if (behind.length === 0 || waitedMs >= limitMs) return { daemons: daemons.length, behind };
+    await wait(pollMs);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/context/create-cli-context.ts
@@ -0,0 +1,32 @@
+import { randomUUID } from 'node:crypto';
+import { readFile, writeFile } from 'node:fs/promises';
+import { setTimeout as wait } from 'node:timers/promises';
+import { RelayError, ResultCode, toId, type ChangeId } from '@vanillarelay/core';
+import { openOperator } from '@vanillarelay/daemon';
+import type { CliContext } from './cli-context.js';
+
+/** Makes the context of a real command line. */
+export function createCliContext(): CliContext {
+  return {
+    openOperator,
+    print: (text) => console.log(text),
+    loadText,
+    writeText: (path, text) => writeFile(path, text),
+    createChangeId: () => toId<ChangeId>(randomUUID()),
+    wait: async (ms) => {
+      await wait(ms);
+    },
+  };
+}
+
+async function loadText(path: string): Promise<string> {
+  try {
+    return await readFile(path, 'utf8');
+  } catch (cause) {
+    throw new RelayError(
+      ResultCode.unreadableFile,
+      `${path}: got ${(cause as Error).message}, allowed: a readable file`,
+      { notRun: true, cause },
+    );
+  }
+}
--- /dev/null
+++ b/packages/cli/src/create-main-command.ts
@@ -0,0 +1,64 @@
+import { runAgent, runControl, runEntry } from '@vanillarelay/daemon';
+import { defineCommand, type CommandDef } from 'citty';
+import { createApplyCommand } from './commands/apply-config.js';
+import { createBringBackCommand } from './commands/bring-back-data-centre.js';
+import { createDrainCommand } from './commands/drain-endpoint.js';
+import { createLiftMarkCommand } from './commands/lift-mark.js';
+import { createOrderCommand } from './commands/order-engine.js';
+import { createTakeOutCommand } from './commands/take-out-data-centre.js';
+import type { CliContext } from './context/cli-context.js';
+import { createProcessCommand } from './processes/create-process-command.js';
+import { createStandInCommands } from './processes/create-stand-in-commands.js';
+import { createCheckSettingsQuery } from './queries/check-settings-files.js';
+import { createDiffConfigQuery } from './queries/diff-config.js';
+import { createExplainQuery } from './queries/explain-request.js';
+import { createListDataCentresQuery } from './queries/list-data-centres.js';
+import { createListEndpointsQuery } from './queries/list-endpoints.js';
+import { createHistoryQuery } from './queries/list-history.js';
+import { createListMarksQuery } from './queries/list-marks.js';
+import { createStatusQuery } from './queries/read-status.js';
+import { createTimelineQuery } from './queries/read-timeline.js';
+import { createShowConfigQuery } from './queries/show-config.js';
+
+/** Makes the `vanillarelay` command with all its subcommands. */
+export function createMainCommand(context: CliContext): CommandDef {
+  return defineCommand({
+    meta: { name: 'vanillarelay', description: 'Router fleet for returning chats' },
+    subCommands: {
+      control: createProcessCommand(context, 'control', runControl),
+      entry: createProcessCommand(context, 'entry', runEntry),
+      agent: createProcessCommand(context, 'agent', runAgent),
+      ...createStandInCommands(),
+      settings: createGroup('settings', 'Settings of processes', {
+        check: createCheckSettingsQuery(context),
+      }),
+      config: createGroup('config', 'The fleet configuration', {
+        apply: createApplyCommand(context),
+        show: createShowConfigQuery(context),
+        history: createHistoryQuery(context),
+        diff: createDiffConfigQuery(context),
+      }),
+      'data-centre': createGroup('data-centre', 'Data centres', {
+        'take-out': createTakeOutCommand(context),
+        'bring-back': createBringBackCommand(context),
+        list: createListDataCentresQuery(context),
+      }),
+      endpoint: createGroup('endpoint', 'Endpoints', {
+        drain: createDrainCommand(context),
+        list: createListEndpointsQuery(context),
+      }),
+      mark: createGroup('mark', 'Marks of requests that crash endpoints', {
+        list: createListMarksQuery(context),
+        lift: createLiftMarkCommand(context),
+      }),
+      engine: createGroup('engine', 'Engines', { order: createOrderCommand(context) }),
+      status: createStatusQuery(context),
+      timeline: createTimelineQuery(context),
+      explain: createExplainQuery(context),
+    },
+  });
+}
+
+function createGroup(name: string, description: string, subCommands: CommandDef['subCommands']) {
+  return defineCommand({ meta: { name, description }, subCommands: subCommands ?? {} });
+}
--- /dev/null
+++ b/packages/cli/src/queries/check-settings-files.ts
@@ -0,0 +1,45 @@
+import { checkAllSettings, checkSettings } from '@vanillarelay/config';
+import { RelayError, ResultCode } from '@vanillarelay/core';
+import { defineCommand } from 'citty';
+import type { CliContext } from '../context/cli-context.js';
+import { loadJson } from '../context/load-json.js';
+
+/** Makes the query `settings check`. */
+export function createCheckSettingsQuery(context: CliContext) {
+  return defineCommand({
+    meta: { name: 'check', description: 'Check settings files, alone and against each other' },
+    args: {
+      file: { type: 'positional', description: 'JSON settings files', required: true },
+      json: { type: 'boolean', description: 'Print JSON', default: false },
+    },
+    run: async ({ args }) => {
+      const all = [];
+      for (const source of args._) {
+        const value = await loadJson(context, source);
+        all.push({ source, settings: withSource(source, () => checkSettings(value)) });
+      }
+      checkAllSettings(all);
+      const found = all.map(({ source, settings: { role, id, address } }) => ({
+        source,
+        role,
+        id,
+        address,
+      }));
+      context.print(
+        args.json
+          ? JSON.stringify(found, null, 2)
+          : found.map((file) => `${file.source}: ok, ${file.role} ${file.id}`).join('\n'),
+      );
+    },
+  });
+}
+
+function withSource<T>(source: string, run: () => T): T {
+  try {
+    return run();
+  } catch (error) {
+    if (!(error instanceof RelayError)) throw error;
+    const message = error.message.replace(/^/gm, `${source}: `);
+    throw new RelayError(ResultCode.invalidSettings, message, { notRun: true, cause: error });
+  }
+}
--- a/packages/control/src/hub/create-hub.ts
+++ b/packages/control/src/hub/create-hub.ts
@@ -69,6 +69,11 @@
 
   return {
     exchange,
+    listEndpoints: () => {
+      const { members, loads } = table.buildDelta(0);
+      const running = Buffer.from(loads, 'base64');
+      return members.map(({ member, slot }) => ({ ...member, running: running[slot] ?? 0 }));
+    },
     listDaemons: () => [...versions].map(([daemon, seen]) => ({ daemon, ...seen })),
   };
 }
--- a/packages/control/src/state/apply-command.ts
+++ b/packages/control/src/state/apply-command.ts
@@ -34,6 +34,12 @@
       }
       daemon.config = command.config;
       daemon.configVersion += 1;
+      state.history.push({
+        version: daemon.configVersion,
+        changeId: command.changeId,
+        operator: command.operator,
+        config: command.config,
+      });
       break;
     case 'takeOutDataCentre':
       daemon.dataCentresOut = [...new Set([...daemon.dataCentresOut, command.dataCentre])];
--- a/packages/control/src/state/create-fleet-state.ts
+++ b/packages/control/src/state/create-fleet-state.ts
@@ -12,6 +12,7 @@
       marks: [],
       orders: [],
     },
+    history: [],
     changes: new Map(),
   };
 }
--- a/packages/daemon/src/control/create-control-router.ts
+++ b/packages/daemon/src/control/create-control-router.ts
@@ -1,8 +1,10 @@
 import type {
   Command,
   CommandResult,
+  ConfigChange,
   DaemonState,
   Frame,
+  Member,
   Report,
   TimelineEvent,
 } from '@vanillarelay/core';
@@ -17,6 +19,8 @@
   readState(): DaemonState;
   listDaemons(): { daemon: string; version: number; seenAt: number; address: string }[];
   listTimeline(): TimelineEvent[];
+  listHistory(): ConfigChange[];
+  listEndpoints(): (Member & { running: number })[];
 }
 
 const defineObject = <T>() => z.custom<T>((value) => typeof value === 'object' && value !== null);
@@ -39,6 +43,8 @@
       .mutation(({ input }) => handlers.propose(input)),
     readState: t.procedure.query(() => handlers.readState()),
     listDaemons: t.procedure.query(() => handlers.listDaemons()),
+    listHistory: t.procedure.query(() => handlers.listHistory()),
+    listEndpoints: t.procedure.query(() => handlers.listEndpoints()),
     readTimeline: t.procedure.query(() => handlers.listTimeline()),
   });
 }
--- a/packages/daemon/src/control/run-control.ts
+++ b/packages/daemon/src/control/run-control.ts
@@ -21,6 +21,8 @@
     propose: store.propose,
     readState: () => store.readState().daemon,
     listDaemons: hub.listDaemons,
+    listHistory: () => store.readState().history,
+    listEndpoints: hub.listEndpoints,
     listTimeline: () => context.timeline.list(),
   });
   const server = createServer();
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -11,6 +11,8 @@
 export { runControl } from './control/run-control.js';
 export { createEntryServer } from './entry/create-entry-server.js';
 export { runEntry } from './entry/run-entry.js';
+export { openOperator } from './operator/open-operator.js';
+export type { OperatorClient } from './operator/operator-client.js';
 export { createEndpointServer } from './stand-ins/create-endpoint-server.js';
 export { runFakeEngine } from './stand-ins/run-fake-engine.js';
 export { runFakeService } from './stand-ins/run-fake-service.js';
