--- /dev/null
+++ b/packages/agent/src/admission/create-admission.ts
@@ -0,0 +1,160 @@
+import { RelayError, ResultCode, type Clock } from '@vanillarelay/core';
+import { createFairQueue } from './create-fair-queue.js';
+import type { QueueItem } from './queue-item.js';
+import type { SlotRequest } from './slot-request.js';
+
+interface AdmissionOptions {
+  clock: Clock;
+  /** Requests that may run at once now: the least of all bounds. */
+  readLimit: () => number;
+  /** Throws the refusal when no new work is allowed at all. */
+  checkOpen: () => void;
+}
+
+/** The mean and the state may change with every frame, and are looked at this often. */
+const recheckMs = 50;
+const queueLimit = 1_024;
+const accountQueueLimit = 256;
+/** A frame comes twice a second; an earlier try would meet the same bound. */
+const busyRetryMs = 500;
+
+/** Makes the admission of an endpoint: it gives out slots, and queues those who may wait. */
+export function createAdmission({ clock, readLimit, checkOpen }: AdmissionOptions) {
+  const queue = createFairQueue({ limit: queueLimit, accountLimit: accountQueueLimit });
+  const idleListeners = new Set<() => void>();
+  let running = 0;
+  let isExclusive = false;
+  let cancelRecheck: (() => void) | undefined;
+
+  const hasRoom = (exclusive: boolean): boolean => {
+    if (isExclusive) return false;
+    return exclusive ? running === 0 : running + 1 <= readLimit();
+  };
+
+  const release = (): void => {
+    running -= 1;
+    isExclusive = false;
+    grantNext();
+    if (running > 0 || queue.count() > 0) return;
+    idleListeners.forEach((wake) => wake());
+    idleListeners.clear();
+  };
+
+  /** Takes a slot; the function returned gives it back, once. */
+  const takeSlot = (exclusive: boolean): (() => void) => {
+    running += 1;
+    isExclusive = exclusive;
+    let isHeld = true;
+    return () => {
+      if (isHeld) release();
+      isHeld = false;
+    };
+  };
+
+  const grantNext = (): void => {
+    for (let item = queue.findNext(); item; item = queue.findNext()) {
+      try {
+        checkOpen();
+      } catch (error) {
+        queue.remove(item);
+        item.refuse(error as Error);
+        continue;
+      }
+      if (!hasRoom(item.exclusive)) break;
+      queue.remove(item, true);
+      item.grant();
+    }
+    scheduleRecheck();
+  };
+
+  const scheduleRecheck = (): void => {
+    if (cancelRecheck || queue.count() === 0) return;
+    cancelRecheck = clock.startTimer(recheckMs, () => {
+      cancelRecheck = undefined;
+      grantNext();
+    });
+  };
+
+  const pushAndWait = (request: SlotRequest, signal: AbortSignal): Promise<() => void> =>
+    new Promise((resolve, reject) => {
+      const leftMs = request.deadlineAt - clock.monotonic();
+      const waitMs = request.mustArrive ? leftMs : Math.min(leftMs, request.patienceMs);
+      let cancelExpiry = () => {};
+      const refuse = (error: Error) => {
+        if (queue.remove(item)) item.refuse(error);
+        grantNext();
+      };
+      const abort = () => refuse(buildCancelled());
+      const clearWait = () => {
+        cancelExpiry();
+        signal.removeEventListener('abort', abort);
+      };
+      const item: QueueItem = {
+        account: request.account,
+        priority: request.priority,
+        exclusive: request.exclusive,
+        grant: () => {
+          clearWait();
+          resolve(takeSlot(request.exclusive));
+        },
+        refuse: (error) => {
+          clearWait();
+          reject(error);
+        },
+      };
+      if (!queue.push(item)) {
+        reject(buildQueueFull());
+        return;
+      }
+      cancelExpiry = clock.startTimer(waitMs, () => refuse(buildExpiry(waitMs >= leftMs)));
+      signal.addEventListener('abort', abort, { once: true });
+      scheduleRecheck();
+    });
+
+  /** Resolves with a function that gives the slot back; every rejection is `notRun: true`. */
+  const admit = async (request: SlotRequest, signal: AbortSignal): Promise<() => void> => {
+    checkOpen();
+    if (signal.aborted) throw buildCancelled();
+    if (request.deadlineAt <= clock.monotonic()) throw buildExpiry(true);
+    if (queue.count() === 0 && hasRoom(request.exclusive)) return takeSlot(request.exclusive);
+    return pushAndWait(request, signal);
+  };
+
+  return {
+    admit,
+    countRunning: () => running,
+    countWaiting: () => queue.count(),
+    /** Refuses those in the queue when no new work is allowed any more. */
+    recheck: grantNext,
+    /** Resolves when nothing runs or waits. */
+    waitUntilIdle: (): Promise<void> =>
+      running === 0 && queue.count() === 0
+        ? Promise.resolve()
+        : new Promise((resolve) => {
+            idleListeners.add(resolve);
+          }),
+  };
+}
+
+function buildExpiry(isDeadline: boolean): RelayError {
+  return isDeadline
+    ? new RelayError(ResultCode.deadlineExceeded, 'deadline passed before there was room', {
+        notRun: true,
+        retryAfterMs: busyRetryMs,
+      })
+    : new RelayError(ResultCode.endpointBusy, 'endpoint is at its bound', {
+        notRun: true,
+        retryAfterMs: busyRetryMs,
+      });
+}
+
+function buildQueueFull(): RelayError {
+  return new RelayError(ResultCode.queueFull, 'queue is full', {
+    notRun: true,
+    retryAfterMs: busyRetryMs,
+  });
+}
+
+function buildCancelled(): RelayError {
+  return new RelayError(ResultCode.cancelled, 'caller left', { notRun: true, retryAfterMs: 0 });
+}
--- /dev/null
+++ b/packages/agent/src/admission/create-fair-queue.ts
@@ -0,0 +1,61 @@
+import type { AccountId } from '@vanillarelay/core';
+import type { QueueItem } from './queue-item.js';
+
+interface FairQueueOptions {
+  /** Items held at most. */
+  limit: number;
+  /** Items of one account held at most, so that a surging account leaves room for others. */
+  accountLimit: number;
+}
+
+/** Makes a queue that serves by priority, and within a priority by turns over the accounts. */
+export function createFairQueue({ limit, accountLimit }: FairQueueOptions) {
+  const levels = new Map<number, Map<AccountId, QueueItem[]>>();
+  const counts = new Map<AccountId, number>();
+  let size = 0;
+
+  const addCount = (account: AccountId, change: number): void => {
+    const count = (counts.get(account) ?? 0) + change;
+    if (count > 0) counts.set(account, count);
+    else counts.delete(account);
+    size += change;
+  };
+
+  /** Returns false when the queue or the account's part of it is full. */
+  const push = (item: QueueItem): boolean => {
+    if (size >= limit || (counts.get(item.account) ?? 0) >= accountLimit) return false;
+    const level = levels.get(item.priority) ?? new Map<AccountId, QueueItem[]>();
+    levels.set(item.priority, level);
+    const items = level.get(item.account) ?? [];
+    items.push(item);
+    level.set(item.account, items);
+    addCount(item.account, 1);
+    return true;
+  };
+
+  const findNext = (): QueueItem | undefined => {
+    if (size === 0) return undefined;
+    const [items = []] = levels.get(Math.min(...levels.keys()))?.values() ?? [];
+    return items[0];
+  };
+
+  /** Takes an item out; returns false when it is no longer in the queue. */
+  const remove = (item: QueueItem, isServed = false): boolean => {
+    const level = levels.get(item.priority);
+    const items = level?.get(item.account);
+    const index = items?.indexOf(item) ?? -1;
+    if (!level || !items || index < 0) return false;
+    items.splice(index, 1);
+    if (isServed || items.length === 0) level.delete(item.account);
+    // The account has had its turn and goes to the end.
+    if (isServed && items.length > 0) level.set(item.account, items);
+    if (level.size === 0) levels.delete(item.priority);
+    addCount(item.account, -1);
+    return true;
+  };
+
+  const list = (): QueueItem[] =>
+    [...levels.values()].flatMap((level) => [...level.values()].flat());
+
+  return { push, findNext, remove, list, count: () => size };
+}
--- /dev/null
+++ b/packages/agent/src/admission/queue-item.ts
@@ -0,0 +1,12 @@
+import type { AccountId } from '@vanillarelay/core';
+
+/** A request that waits for room. */
+export interface QueueItem {
+  account: AccountId;
+  /** 0 is served first. */
+  priority: number;
+  /** Runs only when nothing else runs. */
+  exclusive: boolean;
+  grant: () => void;
+  refuse: (error: Error) => void;
+}
--- /dev/null
+++ b/packages/agent/src/admission/slot-request.ts
@@ -0,0 +1,15 @@
+import type { AccountId } from '@vanillarelay/core';
+
+/** A request that asks for a slot of the endpoint. */
+export interface SlotRequest {
+  account: AccountId;
+  priority: number;
+  /** Waits until its deadline instead of a short time. */
+  mustArrive: boolean;
+  /** Monotonic time after which nobody waits for the answer. */
+  deadlineAt: number;
+  /** Longest wait of a request that need not arrive, in milliseconds. */
+  patienceMs: number;
+  /** Runs only when nothing else runs. */
+  exclusive: boolean;
+}
--- /dev/null
+++ b/packages/agent/src/agent-options.ts
@@ -0,0 +1,40 @@
+import type {
+  AgentPeer,
+  Clock,
+  ControlClient,
+  DataCentreId,
+  EndpointClient,
+  EndpointId,
+  Hash,
+  Hlc,
+  Id,
+  Random,
+  ServiceId,
+  Timeline,
+  VmId,
+} from '@vanillarelay/core';
+import type { Link } from '@vanillarelay/link';
+
+/** What an agent is made from. */
+export interface AgentOptions {
+  id: EndpointId;
+  vm: VmId;
+  dataCentre: DataCentreId;
+  service: ServiceId;
+  address: string;
+  slots: number;
+  /** Grows with each start of the agent. */
+  incarnation: number;
+  clock: Clock;
+  random: Random;
+  hash: Hash;
+  hlc: Hlc;
+  timeline: Timeline;
+  createId: <T extends Id<string>>() => T;
+  endpoint: EndpointClient;
+  /** Rejects with `notRun: true` only when the command cannot have been accepted. */
+  control: Pick<ControlClient, 'propose'>;
+  /** The link is made after the agent, which builds its reports. */
+  findLink: () => Pick<Link, 'readView' | 'readContact'>;
+  openAgent: (address: string) => AgentPeer;
+}
--- a/packages/agent/src/create-agent.ts
+++ b/packages/agent/src/create-agent.ts
@@ -1,63 +1,110 @@
-import {
-  RelayError,
-  ResultCode,
-  toRefusal,
-  type AgentClient,
-  type Announcement,
-  type Clock,
-  type ContactReport,
-  type ControlClient,
-  type DataCentreId,
-  type DispatchReply,
-  type DispatchRequest,
-  type EndpointClient,
-  type EndpointId,
-  type Hlc,
-  type Random,
-  type ServiceId,
-  type Timeline,
-  type VmId,
-} from '@vanillarelay/core';
-import type { Link } from '@vanillarelay/link';
+import type { Announcement, DispatchRequest } from '@vanillarelay/core';
+import { createAdmission } from './admission/create-admission.js';
+import { createGate } from './admission/create-gate.js';
+import { createWarmUp } from './admission/create-warm-up.js';
+import type { AgentOptions } from './agent-options.js';
+import { createCrashReporter } from './suspects/create-crash-reporter.js';
+import { createDeparture } from './create-departure.js';
+import { createHandlers } from './create-handlers.js';
+import { createChatDirectory } from './directory/create-chat-directory.js';
+import { createRecomputeEstimate } from './directory/create-recompute-estimate.js';
+import { createDispatcher } from './executor/create-dispatcher.js';
+import { createExecutor } from './executor/create-executor.js';
+import { createOrderKeeper } from './orders/create-order-keeper.js';
+import { createRecords } from './records/create-records.js';
+import { createStreamTable } from './streams/create-stream-table.js';
+import { createHealthWatch } from './suspects/create-health-watch.js';
+import { createInFlight } from './suspects/create-in-flight.js';
+import { createMarks } from './suspects/create-marks.js';
 
-interface AgentOptions {
-  id: EndpointId;
-  vm: VmId;
-  dataCentre: DataCentreId;
-  service: ServiceId;
-  address: string;
-  slots: number;
-  incarnation: number;
-  clock: Clock;
-  random: Random;
-  hlc: Hlc;
-  timeline: Timeline;
-  endpoint: EndpointClient;
-  control: Pick<ControlClient, 'propose'>;
-  /** The link is made after the agent, which builds its reports. */
-  findLink: () => Link;
-}
+const healthIntervalMs = 250;
 
 /** Makes the agent of one endpoint: the only way to it. */
 export function createAgent(options: AgentOptions) {
-  const {
-    id,
-    vm,
-    dataCentre,
-    service,
-    address,
-    slots,
-    incarnation,
-    hlc,
+  const { id, service, slots, incarnation, clock, timeline, endpoint, control, findLink } = options;
+  const { propose } = control;
+  const stopping = new AbortController();
+  let sequence = 0;
+
+  const readState = () => findLink().readView().state;
+  const gate = createGate({
+    ...options,
+    isLeaving: () => departure.isLeaving(),
+    isEndpointUp: () => health.isUp(),
+  });
+  const { readService } = gate;
+  const warmUp = createWarmUp({ slots, timeline, readService });
+  const readLimit = () => Math.min(slots, warmUp.readLimit(), gate.readLoadBound());
+  const admission = createAdmission({ clock, readLimit, checkOpen: gate.checkOpen });
+  const directory = createChatDirectory(options);
+  const streams = createStreamTable({ clock });
+  const inFlight = createInFlight(clock);
+  const marks = createMarks({ clock, readState });
+  const estimate = createRecomputeEstimate();
+  const records = createRecords({ ...options, propose });
+  const crashes = createCrashReporter({
+    ...options,
+    propose,
+    inFlight,
+    marks,
+    handleDeath: () => {
+      warmUp.reset('endpoint died');
+      directory.clearHeld();
+    },
+  });
+  const health = createHealthWatch({
+    clock,
     timeline,
     endpoint,
-    findLink,
-  } = options;
-  let running = 0;
-  let sequence = 0;
+    handleDeath: crashes.handleDeath,
+    handleHealth: ({ cold }) => {
+      // Reported once for each turn: a cold endpoint says so until it is warm.
+      if (cold && !warmUp.isCold()) warmUp.reset('endpoint says so');
+      admission.recheck();
+    },
+  });
+  const executor = createExecutor({
+    ...options,
+    gate,
+    warmUp,
+    directory,
+    streams,
+    inFlight,
+    estimate,
+    handleBreak: health.check,
+    handleSuccess: (request: DispatchRequest) => crashes.handleSuccess(request.fingerprint),
+  });
+  const dispatcher = createDispatcher({
+    ...options,
+    gate,
+    admission,
+    directory,
+    marks,
+    estimate,
+    readLimit,
+    records,
+    executor,
+    findMember: (memberId) =>
+      [...findLink().readView().members.values()].find((member) => member.id === memberId),
+  });
+  const orders = createOrderKeeper({
+    ...options,
+    propose,
+    readState,
+    isIsolated: () => findLink().readContact() === 'isolated',
+    handleOrder: () => warmUp.reset('order'),
+  });
+  const departure = createDeparture({ ...options, gate, admission, records, directory, warmUp });
+  const handlers = createHandlers({ ...options, dispatcher, directory, streams, gate });
+
+  const readStatus = (): Announcement['status'] => {
+    if (gate.isDeparting() || !health.isUp()) return 'leaving';
+    return warmUp.isCold() ? 'cold' : 'ready';
+  };
 
   const buildAnnouncement = (): Announcement => {
     sequence += 1;
+    const { address, vm, dataCentre } = options;
     return {
       id,
       service,
@@ -65,88 +112,35 @@
       vm,
       dataCentre,
       incarnation,
-      status: 'ready',
+      status: readStatus(),
       slots,
       sequence,
-      running,
+      running: admission.countRunning(),
     };
   };
 
-  const admit = (): void => {
-    const { state } = findLink().readView();
-    if (findLink().readContact() === 'isolated') {
-      throw new RelayError(ResultCode.isolated, 'agent has no contact with control', {
-        notRun: true,
-      });
-    }
-    if (state?.dataCentresOut.includes(dataCentre)) {
-      throw new RelayError(ResultCode.dataCentreOut, `data centre ${dataCentre} is taken out`, {
-        notRun: true,
-      });
-    }
-    if (running >= slots) {
-      throw new RelayError(ResultCode.endpointBusy, 'no free slot', { notRun: true });
+  const run = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      void health.check();
+      inFlight.removeOld();
+      departure.update();
+      void directory.announceAgain();
+      void orders.runNewest();
+      await clock.wait(healthIntervalMs, stopping.signal);
     }
   };
 
-  async function* passBody(body: AsyncIterable<Uint8Array>): AsyncGenerator<Uint8Array> {
-    try {
-      yield* body;
-    } finally {
-      running -= 1;
-    }
-  }
-
-  const runAdmitted = async (request: DispatchRequest, signal: AbortSignal) => {
-    running += 1;
-    timeline.record('request.started', { service, running }, request.requestId);
-    try {
-      const { method, path, headers, body } = request;
-      return await endpoint.run({ method, path, headers, body }, signal);
-    } catch (error) {
-      running -= 1;
-      throw error;
-    }
+  return {
+    handlers,
+    buildAnnouncement,
+    /** Begins to watch the endpoint and to follow the replicated state. */
+    start: (): void => {
+      void run();
+    },
+    stop: (): void => stopping.abort(),
+    /** Resolves when nothing is in progress and the caches are moved. */
+    drain: departure.drain,
+    /** Carries an engine order out; rejects a stale one with a `RelayError`. */
+    receiveOrder: orders.receive,
   };
-
-  const dispatch = async (
-    request: DispatchRequest,
-    signal: AbortSignal,
-  ): Promise<DispatchReply> => {
-    hlc.receive(request.at);
-    const head = { stateVersion: findLink().readView().state?.version ?? 0, at: hlc.read() };
-    try {
-      admit();
-      const answer = await runAdmitted(request, signal);
-      return {
-        ...head,
-        type: 'answer',
-        status: answer.status,
-        headers: answer.headers,
-        body: passBody(answer.body),
-      };
-    } catch (error) {
-      return { ...head, type: 'refusal', refusal: toRefusal(error) };
-    }
-  };
-
-  const readContact = async (): Promise<ContactReport> => ({
-    contact: findLink().readContact(),
-    dataCentre,
-    quorumAgeMs: 0,
-  });
-
-  const refuseResume = async (): Promise<DispatchReply> => {
-    throw new RelayError(ResultCode.streamUnknown, 'no such stream', { notRun: true });
-  };
-
-  const handlers: AgentClient = {
-    dispatch,
-    resume: refuseResume,
-    cancel: async () => {},
-    notePlacement: async () => {},
-    readContact,
-  };
-
-  return { handlers, buildAnnouncement };
 }
--- /dev/null
+++ b/packages/agent/src/create-handlers.ts
@@ -0,0 +1,94 @@
+import {
+  toRefusal,
+  type AgentPeer,
+  type ContactReport,
+  type DispatchReply,
+  type DispatchRequest,
+  type Refusal,
+} from '@vanillarelay/core';
+import type { Gate } from './admission/gate.js';
+import type { AgentOptions } from './agent-options.js';
+import type { ChatDirectory } from './directory/chat-directory.js';
+import type { createDispatcher } from './executor/create-dispatcher.js';
+import { createAttemptMemory } from './executor/create-attempt-memory.js';
+import type { StreamTable } from './streams/stream-table.js';
+
+interface HandlersOptions extends Pick<
+  AgentOptions,
+  'dataCentre' | 'service' | 'hlc' | 'timeline' | 'endpoint' | 'findLink'
+> {
+  dispatcher: ReturnType<typeof createDispatcher>;
+  directory: ChatDirectory;
+  streams: StreamTable;
+  gate: Gate;
+}
+
+const defaultRetryMs = 1_000;
+
+/** Makes what the agent answers to entries and to other agents. */
+export function createHandlers(options: HandlersOptions): AgentPeer {
+  const { dataCentre, service, hlc, timeline, endpoint, findLink } = options;
+  const { dispatcher, directory, streams, gate } = options;
+  const attempts = createAttemptMemory();
+
+  const buildHead = () => ({
+    stateVersion: findLink().readView().state?.version ?? 0,
+    at: hlc.read(),
+  });
+
+  const dispatch = async (
+    request: DispatchRequest,
+    signal: AbortSignal,
+  ): Promise<DispatchReply> => {
+    hlc.receive(request.at);
+    const attempt = `${request.attemptId}/${request.takeOver}`;
+    try {
+      attempts.checkNew(attempt);
+      return { ...(await dispatcher.run(request, signal)), ...buildHead() };
+    } catch (error) {
+      const refusal: Refusal = { retryAfterMs: defaultRetryMs, ...toRefusal(error) };
+      if (refusal.notRun) attempts.recordRefusal(attempt, refusal);
+      timeline.record(
+        'request.refused',
+        { code: refusal.code, notRun: refusal.notRun },
+        request.requestId,
+      );
+      return { ...buildHead(), type: 'refusal', refusal };
+    }
+  };
+
+  const resume: AgentPeer['resume'] = async (streamId, after, signal) => {
+    try {
+      const body = streams.resume(streamId, after, signal);
+      const headers = { 'content-type': 'text/event-stream' };
+      return { ...buildHead(), type: 'answer', status: 200, headers, streamId, body };
+    } catch (error) {
+      const refusal: Refusal = { retryAfterMs: 0, ...toRefusal(error) };
+      return { ...buildHead(), type: 'refusal', refusal };
+    }
+  };
+
+  const readContact = async (stateVersion: number): Promise<ContactReport> => {
+    const { state } = findLink().readView();
+    return {
+      contact: findLink().readContact(),
+      dataCentre,
+      quorumAgeMs: 0,
+      ...(state && state.version > stateVersion ? { state } : {}),
+    };
+  };
+
+  return {
+    dispatch,
+    resume,
+    cancel: async (streamId) => streams.cancel(streamId),
+    notePlacement: async (note) => directory.receiveNote(note),
+    readContact,
+    importCache: async (transfer, cache) => {
+      gate.checkOpen();
+      if (transfer.service !== service) return;
+      await endpoint.importCache(transfer.engineChat, cache);
+      directory.receiveCache(transfer);
+    },
+  };
+}
--- /dev/null
+++ b/packages/agent/src/directory/create-chat-directory.ts
@@ -0,0 +1,189 @@
+import {
+  RelayError,
+  ResultCode,
+  toId,
+  type AgentPeer,
+  type CacheTransfer,
+  type ChatId,
+  type Clock,
+  type DispatchRequest,
+  type EndpointId,
+  type Hash,
+  type Hlc,
+  type Member,
+  type PlacementNote,
+  type ServiceId,
+} from '@vanillarelay/core';
+import type { Link } from '@vanillarelay/link';
+import { buildChatKey } from './build-chat-key.js';
+import { computeSequence } from './compute-sequence.js';
+import { createChatOrder } from './create-chat-order.js';
+import { createHeldChats } from './create-held-chats.js';
+import { createPointerTable } from './create-pointer-table.js';
+import type { HeldChat } from './held-chat.js';
+
+interface ChatDirectoryOptions {
+  id: EndpointId;
+  incarnation: number;
+  service: ServiceId;
+  clock: Clock;
+  hlc: Hlc;
+  hash: Hash;
+  findLink: () => Pick<Link, 'readView'>;
+  openAgent: (address: string) => AgentPeer;
+}
+
+const elsewhereRetryMs = 0;
+/** Chats looked at and told of again in one round, so that a changed membership causes no burst. */
+const chatsPerRound = 64;
+const notesPerRound = 4;
+
+/** Makes the agent's part of the chat directory, and its list of the chats held here. */
+export function createChatDirectory(options: ChatDirectoryOptions) {
+  const { id, incarnation, service, clock, hlc, hash, findLink, openAgent } = options;
+  const pointers = createPointerTable();
+  const held = createHeldChats();
+  let scannedIn = 0;
+  let unscanned: [ChatId, HeldChat][] = [];
+  const order = createChatOrder({ service, hash, readView: () => findLink().readView() });
+
+  /** Throws `chatElsewhere` when another ready endpoint holds the request's chat. */
+  const checkHere = ({ account, chat, takeOver }: DispatchRequest): void => {
+    if (!chat || takeOver) return;
+    const key = buildChatKey(account, chat);
+    if (held.find(key)) return;
+    const pointer = pointers.find(key);
+    if (!pointer || pointer.holder === id) return;
+    const holder = order.findReady(pointer.holder);
+    if (!holder || holder.incarnation !== pointer.incarnation) return;
+    throw new RelayError(ResultCode.chatElsewhere, `chat is held by ${pointer.holder}`, {
+      notRun: true,
+      retryAfterMs: elsewhereRetryMs,
+      holder: pointer.holder,
+    });
+  };
+
+  const sendNote = async (member: Member, note: PlacementNote): Promise<void> => {
+    if (member.id === id) pointers.receive(note);
+    else await openAgent(member.address).notePlacement(note);
+  };
+
+  /** Tells the first two agents of the chat's order, unless both know already. */
+  const announce = async (chat: ChatId, chatHeld: HeldChat): Promise<boolean> => {
+    const generation = order.readGeneration();
+    if (chatHeld.notedAt !== '' && chatHeld.checkedIn === generation) return false;
+    chatHeld.checkedIn = generation;
+    const told = order.list(chat).slice(0, 2);
+    const notedAt = formatTold(told);
+    if (chatHeld.notedAt === notedAt) return false;
+    chatHeld.notedAt = notedAt;
+    const { sequence } = chatHeld;
+    const note: PlacementNote = { service, chat, holder: id, incarnation, sequence };
+    try {
+      await Promise.all(told.map((member) => sendNote(member, note)));
+    } catch {
+      chatHeld.notedAt = '';
+    }
+    return true;
+  };
+
+  /** Notes that the chat is run here now. */
+  const recordRun = ({ account, chat }: DispatchRequest, tokens = 0): void => {
+    if (!chat) return;
+    const key = buildChatKey(account, chat);
+    const known = held.find(key);
+    const pointer = pointers.find(key);
+    // The chat has moved away and comes back: the notes of the other holder are out of date.
+    const isBack = pointer !== undefined && pointer.holder !== id;
+    const next: HeldChat = {
+      engineChat: chat,
+      tokens: Math.max(tokens, known?.tokens ?? 0),
+      usedAt: clock.monotonic(),
+      sequence: known && !isBack ? known.sequence : computeSequence(hlc.read()),
+      notedAt: isBack ? '' : (known?.notedAt ?? ''),
+      checkedIn: known?.checkedIn ?? 0,
+    };
+    held.add(key, next);
+    void announce(key, next);
+  };
+
+  /** Forgets the chats that the engine has evicted, as a miss of a chat thought to be held shows. */
+  const recordUsage = (
+    { account, chat }: DispatchRequest,
+    usage: { promptTokens: number; cachedTokens: number },
+    previousUseAt: number | undefined,
+  ): void => {
+    if (!chat) return;
+    const known = held.find(buildChatKey(account, chat));
+    if (known) known.tokens = usage.promptTokens;
+    if (usage.cachedTokens > 0 || previousUseAt === undefined) return;
+    held.removeOlder(previousUseAt).forEach((key) => {
+      if (pointers.find(key)?.holder === id) pointers.remove(key);
+    });
+  };
+
+  const findHeld = ({ account, chat }: DispatchRequest): HeldChat | undefined =>
+    chat ? held.find(buildChatKey(account, chat)) : undefined;
+
+  const receiveNote = (note: PlacementNote): void => {
+    const member = findLink().readView().members.get(note.holder);
+    if (note.service !== service || (member && note.incarnation < member.incarnation)) return;
+    pointers.receive(note);
+    const key = note.chat;
+    const own = held.find(key);
+    if (own && note.holder !== id && note.sequence > own.sequence) held.remove(key);
+  };
+
+  /** Tells the right agents of chats whose first two have changed, a few at a time. */
+  const announceAgain = async (): Promise<void> => {
+    if (scannedIn !== order.readGeneration()) {
+      scannedIn = order.readGeneration();
+      unscanned = held.listRecent();
+    }
+    let notes = 0;
+    for (const [chat, chatHeld] of unscanned.splice(0, chatsPerRound)) {
+      const isHeld = held.find(chat) === chatHeld;
+      if (isHeld && notes < notesPerRound && (await announce(chat, chatHeld))) notes += 1;
+      else if (isHeld && notes >= notesPerRound) unscanned.push([chat, chatHeld]);
+    }
+  };
+
+  /** Takes over a chat whose cache was moved here. */
+  const receiveCache = ({ chat, engineChat, tokens }: CacheTransfer): void => {
+    const next: HeldChat = {
+      engineChat,
+      tokens,
+      usedAt: clock.monotonic(),
+      sequence: computeSequence(hlc.read()),
+      notedAt: '',
+      checkedIn: 0,
+    };
+    held.add(chat, next);
+    void announce(chat, next);
+  };
+
+  /** The ready endpoint that takes the chat when this one leaves. */
+  const findNext = (chat: ChatId): Member | undefined =>
+    order.list(chat).find((member) => member.id !== id);
+
+  return {
+    checkHere,
+    recordRun,
+    recordUsage,
+    findHeld,
+    receiveNote,
+    announceAgain,
+    receiveCache,
+    findNext,
+    listHeld: held.listRecent,
+    removeHeld: held.remove,
+    /** Forgets all chats held here: the engine has restarted. */
+    clearHeld: (): void => held.clear(),
+    countPointers: pointers.count,
+    findPointer: (chat: string) => pointers.find(toId<ChatId>(chat)),
+  };
+}
+
+function formatTold(members: Member[]): string {
+  return members.map((member) => `${member.id}@${member.incarnation}`).join(' ');
+}
--- /dev/null
+++ b/packages/agent/src/executor/create-executor.ts
@@ -0,0 +1,211 @@
+import {
+  RelayError,
+  ResultCode,
+  type Clock,
+  type DispatchRequest,
+  type EndpointAnswer,
+  type EndpointClient,
+  type EndpointId,
+  type Id,
+  type StreamId,
+  type Timeline,
+} from '@vanillarelay/core';
+import type { Gate } from '../admission/gate.js';
+import type { WarmUp } from '../admission/warm-up.js';
+import type { ChatDirectory } from '../directory/chat-directory.js';
+import type { createRecomputeEstimate } from '../directory/create-recompute-estimate.js';
+import type { Claim } from '../records/claim.js';
+import { createAnswerStream } from '../streams/create-answer-stream.js';
+import type { StreamTable } from '../streams/stream-table.js';
+import type { Usage } from '../streams/usage.js';
+import type { InFlight } from '../suspects/in-flight.js';
+import { createAnswerRecorder } from './create-answer-recorder.js';
+import { createCodec } from './create-codec.js';
+import { openAnswer } from './open-answer.js';
+import type { RunResult } from './run-result.js';
+
+interface ExecutorOptions {
+  id: EndpointId;
+  clock: Clock;
+  timeline: Timeline;
+  createId: <T extends Id<string>>() => T;
+  endpoint: EndpointClient;
+  gate: Gate;
+  warmUp: WarmUp;
+  directory: ChatDirectory;
+  streams: StreamTable;
+  inFlight: InFlight;
+  estimate: ReturnType<typeof createRecomputeEstimate>;
+  /** Called when a connection to the endpoint broke. */
+  handleBreak: () => unknown;
+  /** Called when a request ended well. */
+  handleSuccess: (request: DispatchRequest) => void;
+}
+
+type GrantedClaim = Extract<Claim, { granted: true }>;
+
+interface Execution {
+  request: DispatchRequest;
+  signal: AbortSignal;
+  /** Gives the slot back. */
+  release: () => void;
+  /** Set for non-idempotent requests. */
+  claim?: GrantedClaim;
+}
+
+const abandonWaitMs = 2_000;
+const retryAfterMs = 500;
+
+/** Makes the part that runs admitted requests at the endpoint. */
+export function createExecutor(options: ExecutorOptions) {
+  const { id, clock, timeline, endpoint, gate, warmUp, directory, streams, inFlight } = options;
+
+  /** Gives a claim up; waits a little, so that a further try finds the record free. */
+  const abandon = async (claim: GrantedClaim | undefined, ran: boolean): Promise<void> => {
+    if (claim) await Promise.race([claim.abandon(ran), clock.wait(abandonWaitMs)]);
+  };
+
+  const run = async (execution: Execution): Promise<RunResult> => {
+    const { request, signal, release, claim } = execution;
+    try {
+      // Waiting and claiming take time: what was allowed before may no longer be.
+      gate.checkOpen();
+      if (signal.aborted) throw buildCancelled(true);
+    } catch (error) {
+      release();
+      await abandon(claim, false);
+      throw error;
+    }
+    const controller = new AbortController();
+    const abort = () => controller.abort(buildCancelled(false));
+    // A claimed run is not cut: half of it would leave an unknown outcome.
+    if (!claim) signal.addEventListener('abort', abort, { once: true });
+    const flight = {
+      fingerprint: request.fingerprint,
+      cancel: (e: RelayError) => controller.abort(e),
+    };
+    const removeFlight = inFlight.add(flight);
+    const previousUseAt = directory.findHeld(request)?.usedAt;
+    directory.recordRun(request);
+    timeline.record('request.started', { service: request.service }, request.requestId);
+    const start = { at: clock.monotonic(), round: warmUp.readRound(), previousUseAt };
+    try {
+      const answer = await openAnswer(endpoint, request, controller.signal);
+      signal.removeEventListener('abort', abort);
+      const running = { ...execution, controller, flight, removeFlight, start };
+      return passAnswer(running, answer);
+    } catch (error) {
+      signal.removeEventListener('abort', abort);
+      const { notRun } = error as RelayError;
+      const isBroken = !controller.signal.aborted;
+      removeFlight(isBroken && !notRun);
+      release();
+      if (isBroken) options.handleBreak();
+      timeline.record('request.failed', { notRun }, request.requestId);
+      await abandon(claim, !notRun);
+      throw error;
+    }
+  };
+
+  interface Running extends Execution {
+    controller: AbortController;
+    flight: { cancel: (error: RelayError) => void };
+    removeFlight: (isBroken: boolean) => void;
+    start: { at: number; round: number; previousUseAt: number | undefined };
+  }
+
+  const passAnswer = (running: Running, answer: EndpointAnswer): RunResult => {
+    const { request, signal, claim, start, controller } = running;
+    const streamId = options.createId<StreamId>();
+    const recorder = createAnswerRecorder();
+    let usage: Usage | undefined;
+    let firstByteMs: number | undefined;
+    const codec = createCodec({
+      answer,
+      serviceType: gate.readService()?.type,
+      idPrefix: `${id}.${streamId}`,
+      method: request.method,
+      reportUsage: (value) => {
+        usage = value;
+      },
+    });
+    const isResumable = request.resumable && codec.isEvents;
+    const stream = createAnswerStream({
+      clock,
+      body: answer.body,
+      codec,
+      budget: streams.budget,
+      resumable: isResumable,
+      detached: claim !== undefined,
+      cancelRun: () => controller.abort(buildCancelled(false)),
+      recordChunk: (chunk) => {
+        firstByteMs ??= clock.monotonic() - start.at;
+        if (claim) recorder.record(chunk);
+      },
+      handleEnd: (error) => {
+        if (isResumable) streams.recordEnd(streamId);
+        closeRun(running, error);
+        recordFigures(running, {
+          answer,
+          usage,
+          firstByteMs: firstByteMs ?? clock.monotonic() - start.at,
+          error,
+        });
+        if (!claim) return;
+        const { status, headers } = answer;
+        void (error
+          ? claim.abandon(true)
+          : claim.complete({
+              status,
+              contentType: headers['content-type'] ?? '',
+              body: recorder.readBody(),
+            }));
+      },
+    });
+    running.flight.cancel = stream.cancel;
+    if (isResumable) streams.add(streamId, stream);
+    const { 'content-length': length, ...otherHeaders } = answer.headers;
+    return {
+      type: 'answer',
+      status: answer.status,
+      headers: codec.isEvents || length === undefined ? otherHeaders : answer.headers,
+      ...(isResumable ? { streamId } : {}),
+      body: stream.read(0, signal),
+    };
+  };
+
+  const closeRun = (running: Running, error: RelayError | undefined): void => {
+    const isBroken =
+      error?.code === ResultCode.streamBroken || error?.code === ResultCode.endpointFailed;
+    running.removeFlight(isBroken);
+    running.release();
+    if (isBroken) options.handleBreak();
+    const { requestId } = running.request;
+    if (error) timeline.record('request.broken', { code: error.code }, requestId);
+    else timeline.record('request.ended', {}, requestId);
+  };
+
+  const recordFigures = (
+    { request, start }: Running,
+    figures: {
+      answer: EndpointAnswer;
+      usage: Usage | undefined;
+      firstByteMs: number;
+      error: RelayError | undefined;
+    },
+  ): void => {
+    const { answer, usage, firstByteMs, error } = figures;
+    if (error) return;
+    options.handleSuccess(request);
+    if (answer.status < 500) warmUp.recordAnswer(firstByteMs, start.round);
+    if (!usage) return;
+    directory.recordUsage(request, usage, start.previousUseAt);
+    options.estimate.record(firstByteMs, usage.promptTokens - usage.cachedTokens);
+  };
+
+  return { run, abandon };
+}
+
+function buildCancelled(notRun: boolean): RelayError {
+  return new RelayError(ResultCode.cancelled, 'caller left', { notRun, retryAfterMs });
+}
--- /dev/null
+++ b/packages/agent/src/executor/open-answer.ts
@@ -0,0 +1,33 @@
+import {
+  RelayError,
+  ResultCode,
+  type EndpointAnswer,
+  type EndpointClient,
+  type EndpointRequest,
+} from '@vanillarelay/core';
+
+/**
+ * Sends a request to the endpoint and resolves with the head of its answer; rejects with
+ * `notRun: true` when the endpoint cannot have got it. An endpoint that ignores the signal holds
+ * nobody up.
+ */
+export async function openAnswer(
+  endpoint: EndpointClient,
+  { method, path, headers, body }: EndpointRequest,
+  signal: AbortSignal,
+): Promise<EndpointAnswer> {
+  const aborted = new Promise<never>((_, reject) => {
+    const abort = () => reject(new RelayError(ResultCode.cancelled, 'request cancelled'));
+    if (signal.aborted) abort();
+    signal.addEventListener('abort', abort, { once: true });
+  });
+  try {
+    return await Promise.race([endpoint.run({ method, path, headers, body }, signal), aborted]);
+  } catch (cause) {
+    if (signal.aborted && signal.reason instanceof RelayError) throw signal.reason;
+    throw new RelayError(ResultCode.endpointFailed, (cause as Error).message, {
+      notRun: cause instanceof RelayError && cause.notRun,
+      cause,
+    });
+  }
+}
--- /dev/null
+++ b/packages/agent/src/records/create-records.ts
@@ -0,0 +1,194 @@
+import {
+  RelayError,
+  ResultCode,
+  type Clock,
+  type Command,
+  type CommandResult,
+  type DispatchRequest,
+  type EndpointId,
+  type Id,
+  type Random,
+  type Timeline,
+} from '@vanillarelay/core';
+import type { Claim } from './claim.js';
+import { createProposer } from './create-proposer.js';
+import { parseClaimResult } from './parse-claim-result.js';
+
+type RecordCommand = Extract<Command, { type: 'claim' | 'complete' | 'abandon' }>;
+
+interface RecordsOptions {
+  id: EndpointId;
+  incarnation: number;
+  clock: Clock;
+  random: Random;
+  timeline: Timeline;
+  createId: <T extends Id<string>>() => T;
+  propose: Parameters<typeof createProposer>[0]['propose'];
+}
+
+const firstDelayMs = 50;
+const longestDelayMs = 1_000;
+/** Covers the loss of the leader and an election; later the caller does better to come again. */
+const claimLimitMs = 5_000;
+const retryAfterMs = 1_000;
+/** An answer above this is not kept in the record. */
+const answerLimitBytes = 64 * 1024;
+const givenUpLimit = 1_000;
+
+/** Makes the agent's side of the records of non-idempotent requests. */
+export function createRecords(options: RecordsOptions) {
+  const { id, incarnation, clock, random, timeline, createId } = options;
+  const propose = createProposer(options);
+  /** Nonces of claims given up while their answer was unknown, by record. */
+  const givenUp = new Map<string, string>();
+  let unfinished = 0;
+
+  /** Proposes until the answer is known or `limitAt` has passed; then the last error is thrown. */
+  const retry = async (
+    command: RecordCommand,
+    limitAt: number,
+    signal?: AbortSignal,
+  ): Promise<CommandResult> => {
+    let delayMs = firstDelayMs;
+    let mayBeAccepted = false;
+    for (;;) {
+      try {
+        return await propose(command);
+      } catch (error) {
+        mayBeAccepted ||= !(error instanceof RelayError && error.notRun);
+        await clock.wait(delayMs * (0.5 + random()), signal);
+        delayMs = Math.min(longestDelayMs, delayMs * 2);
+        if (signal?.aborted || clock.monotonic() >= limitAt) {
+          throw new RelayError(ResultCode.noQuorum, 'control gave no answer', {
+            notRun: !mayBeAccepted,
+            retryAfterMs,
+            cause: error,
+          });
+        }
+      }
+    }
+  };
+
+  /** Proposes for as long as it takes. */
+  const runToEnd = async (command: RecordCommand): Promise<void> => {
+    unfinished += 1;
+    try {
+      const result = await retry(command, Number.POSITIVE_INFINITY);
+      if (!result.ok) timeline.record('record.refused', { type: command.type, code: result.code });
+    } finally {
+      unfinished -= 1;
+    }
+  };
+
+  const buildGrant = (request: DispatchRequest, nonce: string): Claim => {
+    const key = buildKey(request);
+    return {
+      granted: true,
+      complete: ({ status, contentType, body }) =>
+        runToEnd({
+          type: 'complete',
+          ...key,
+          nonce,
+          status,
+          contentType,
+          ...(body && body.length <= answerLimitBytes
+            ? { answer: Buffer.from(body).toString('base64') }
+            : {}),
+        }),
+      abandon: (ran) => runToEnd({ type: 'abandon', ...key, nonce, ran }),
+    };
+  };
+
+  /** Gives up a claim of unknown outcome: its nonce is never used, and the log is told so. */
+  const abandonUnknown = (request: DispatchRequest, nonce: string): void => {
+    givenUp.set(toText(request), nonce);
+    if (givenUp.size > givenUpLimit) givenUp.delete(givenUp.keys().next().value!);
+    void runToEnd({ type: 'abandon', ...buildKey(request), nonce, ran: false });
+  };
+
+  /** A delayed claim may be accepted after its `abandon`; the record then names a run that never was. */
+  const abandonLate = async (request: DispatchRequest, claim: Claim): Promise<void> => {
+    const nonce = givenUp.get(toText(request));
+    if (claim.granted || !nonce || claim.record.status !== 'running') return;
+    if (claim.record.endpoint !== id || claim.record.incarnation !== incarnation) return;
+    givenUp.delete(toText(request));
+    await runToEnd({ type: 'abandon', ...buildKey(request), nonce, ran: false });
+  };
+
+  /** Claims the right to run; a rejection with `notRun: true` means that this attempt never will. */
+  const claim = async (
+    request: DispatchRequest,
+    deadlineAt: number,
+    signal: AbortSignal,
+  ): Promise<Claim> => {
+    const nonce = createId<Id<'Nonce'>>();
+    const limitAt = Math.min(deadlineAt, clock.monotonic() + claimLimitMs);
+    let result: CommandResult;
+    try {
+      const command = buildClaim(request, nonce, { endpoint: id, incarnation });
+      result = await retry(command, limitAt, signal);
+    } catch (error) {
+      const isUnknown = !(error instanceof RelayError && error.notRun);
+      if (isUnknown) abandonUnknown(request, nonce);
+      throw buildClaimError(signal, clock.monotonic() >= deadlineAt, error);
+    }
+    const record = parseClaimResult(result);
+    if (!record) {
+      if (!result.ok) throw buildRefusedClaim(result);
+      const grant = buildGrant(request, nonce);
+      return grant;
+    }
+    if (record.bodyHash !== request.bodyHash) throw buildReusedKey();
+    const refused: Claim = { granted: false, record };
+    await abandonLate(request, refused);
+    return refused;
+  };
+
+  return { claim, countUnfinished: () => unfinished };
+}
+
+function buildKey({ account, idempotencyKey }: DispatchRequest) {
+  return { account, key: idempotencyKey ?? '' };
+}
+
+function toText({ account, idempotencyKey }: DispatchRequest): string {
+  return `${account}\n${idempotencyKey}`;
+}
+
+function buildClaim(
+  request: DispatchRequest,
+  nonce: string,
+  executor: { endpoint: EndpointId; incarnation: number },
+): RecordCommand {
+  const { bodyHash, attemptId } = request;
+  return { type: 'claim', ...buildKey(request), bodyHash, attemptId, ...executor, nonce };
+}
+
+function buildClaimError(signal: AbortSignal, isLate: boolean, cause: unknown): RelayError {
+  // The nonce of this execution is dropped here, so the attempt can never run.
+  const options = { notRun: true, retryAfterMs, cause };
+  if (signal.aborted) return new RelayError(ResultCode.cancelled, 'caller left', options);
+  if (isLate)
+    return new RelayError(ResultCode.deadlineExceeded, 'deadline passed while claiming', options);
+  return new RelayError(ResultCode.noQuorum, 'control did not confirm the claim', options);
+}
+
+function buildReusedKey(): RelayError {
+  return new RelayError(
+    ResultCode.idempotencyKeyReused,
+    'the idempotency key was used with another body',
+    { notRun: true },
+  );
+}
+
+/** Codes with which a claim is refused although an earlier run may have happened. */
+const ranCodes: ResultCode[] = [
+  ResultCode.outcomeUnknown,
+  ResultCode.alreadyRunning,
+  ResultCode.answerNotKept,
+  ResultCode.recordExpired,
+];
+
+function buildRefusedClaim({ code, message }: Extract<CommandResult, { ok: false }>): RelayError {
+  return new RelayError(code, message, { notRun: !ranCodes.includes(code), retryAfterMs });
+}
--- /dev/null
+++ b/packages/agent/src/streams/create-byte-codec.ts
@@ -0,0 +1,41 @@
+import { RelayError, ResultCode } from '@vanillarelay/core';
+import type { ChunkCodec } from './chunk-codec.js';
+import { parseUsage } from './parse-usage.js';
+import type { Usage } from './usage.js';
+
+interface ByteCodecOptions {
+  /** Bytes that the endpoint promised; undefined when it promised none. */
+  expectedBytes: number | undefined;
+  /** Set for JSON answers of models. */
+  reportUsage?: (usage: Usage) => void;
+}
+
+/** Usage is looked for in answers up to this size. */
+const usageLimitBytes = 256 * 1024;
+
+/** Makes the codec of a body that is passed on as it is. */
+export function createByteCodec({ expectedBytes, reportUsage }: ByteCodecOptions): ChunkCodec {
+  const kept: Uint8Array[] = [];
+  let size = 0;
+
+  const checkEnd = (): RelayError | undefined => {
+    if (expectedBytes !== undefined && size !== expectedBytes) {
+      const message = `answer ended after ${size} of ${expectedBytes} bytes`;
+      return new RelayError(ResultCode.streamBroken, message);
+    }
+    if (!reportUsage || size > usageLimitBytes) return undefined;
+    const usage = parseUsage(Buffer.concat(kept).toString('utf8'));
+    if (usage) reportUsage(usage);
+    return undefined;
+  };
+
+  return {
+    push: (chunk) => {
+      size += chunk.length;
+      if (reportUsage && size <= usageLimitBytes) kept.push(chunk);
+      return [chunk];
+    },
+    checkEnd,
+    encodeError: () => undefined,
+  };
+}
--- /dev/null
+++ b/packages/agent/src/streams/create-chunk-buffer.ts
@@ -0,0 +1,37 @@
+import type { MemoryBudget } from './memory-budget.js';
+
+/** Makes the numbered pieces of one answer, kept until they are removed. */
+export function createChunkBuffer(budget: MemoryBudget) {
+  let chunks: Uint8Array[] = [];
+  /** Sequence of `chunks[0]`; the first piece of an answer is number 1. */
+  let first = 1;
+
+  const push = (chunk: Uint8Array): void => {
+    chunks.push(chunk);
+    budget.usedBytes += chunk.length;
+  };
+
+  /** Removes all pieces up to a sequence. */
+  const removeUntil = (sequence: number): void => {
+    const count = Math.min(chunks.length, Math.max(0, sequence - first + 1));
+    if (count === 0) return;
+    chunks.slice(0, count).forEach((chunk) => {
+      budget.usedBytes -= chunk.length;
+    });
+    chunks = chunks.slice(count);
+    first += count;
+  };
+
+  return {
+    push,
+    removeUntil,
+    find: (sequence: number): Uint8Array | undefined => chunks[sequence - first],
+    /** Whether the piece after `sequence` is kept or is the next to come. */
+    hasAfter: (sequence: number): boolean =>
+      sequence + 1 >= first && sequence < first + chunks.length,
+    countBytesAfter: (sequence: number): number =>
+      chunks.slice(Math.max(0, sequence - first + 1)).reduce((sum, chunk) => sum + chunk.length, 0),
+    /** Sequence of the next piece. */
+    readNext: (): number => first + chunks.length,
+  };
+}
--- /dev/null
+++ b/packages/agent/src/streams/create-event-splitter.ts
@@ -0,0 +1,63 @@
+import { RelayError, ResultCode } from '@vanillarelay/core';
+
+const lineFeed = 10;
+const carriageReturn = 13;
+const eventLimitBytes = 1024 * 1024;
+
+/** Makes a parser of server-sent events; chunk borders may fall anywhere, inside a character too. */
+export function createEventSplitter() {
+  let lines: string[] = [];
+  let size = 0;
+  let rest: Buffer = Buffer.alloc(0);
+  let isFirstLine = true;
+
+  const addLine = (bytes: Buffer): string[] | undefined => {
+    let line = bytes.toString('utf8');
+    if (isFirstLine) line = line.replace(/^\uFEFF/, '');
+    isFirstLine = false;
+    if (line !== '') {
+      lines.push(line);
+      size += bytes.length;
+      return undefined;
+    }
+    const event = lines;
+    lines = [];
+    size = 0;
+    return event.length > 0 ? event : undefined;
+  };
+
+  /** The events completed by the chunk, each as its lines. */
+  const push = (chunk: Uint8Array): string[][] => {
+    const bytes = rest.length > 0 ? Buffer.concat([rest, chunk]) : Buffer.from(chunk);
+    const events: string[][] = [];
+    let start = 0;
+    for (let end = findLineEnd(bytes, 0); end >= 0; end = findLineEnd(bytes, start)) {
+      const event = addLine(bytes.subarray(start, end));
+      if (event) events.push(event);
+      const isPair = bytes[end] === carriageReturn && bytes[end + 1] === lineFeed;
+      start = end + (isPair ? 2 : 1);
+    }
+    rest = bytes.subarray(start);
+    if (size + rest.length > eventLimitBytes) {
+      throw new RelayError(
+        ResultCode.streamBroken,
+        `event is larger than ${eventLimitBytes} bytes`,
+      );
+    }
+    return events;
+  };
+
+  /** Whether an event has begun and is not complete. */
+  const hasRest = (): boolean =>
+    lines.length > 0 || rest.some((byte) => byte !== carriageReturn && byte !== lineFeed);
+
+  return { push, hasRest };
+}
+
+/** Position of the next line end; a carriage return at the very end waits for its line feed. */
+function findLineEnd(bytes: Buffer, from: number): number {
+  const feed = bytes.indexOf(lineFeed, from);
+  const carriage = bytes.indexOf(carriageReturn, from);
+  if (carriage < 0 || (feed >= 0 && feed < carriage)) return feed;
+  return carriage + 1 < bytes.length ? carriage : -1;
+}
--- /dev/null
+++ b/packages/agent/src/streams/to-stream-error.ts
@@ -0,0 +1,8 @@
+import { RelayError, ResultCode } from '@vanillarelay/core';
+
+/** The error of an answer that broke off. */
+export function toStreamError(cause: unknown): RelayError {
+  if (cause instanceof RelayError && cause.code !== ResultCode.connectionFailed) return cause;
+  const message = cause instanceof Error ? cause.message : String(cause);
+  return new RelayError(ResultCode.streamBroken, `answer broke off: ${message}`, { cause });
+}
--- /dev/null
+++ b/packages/agent/src/streams/usage.ts
@@ -0,0 +1,5 @@
+/** Prompt tokens of an answer, as OpenAI's `usage` object tells them. */
+export interface Usage {
+  promptTokens: number;
+  cachedTokens: number;
+}
--- /dev/null
+++ b/packages/agent/src/suspects/create-crash-reporter.ts
@@ -0,0 +1,69 @@
+import {
+  RelayError,
+  ResultCode,
+  withDeadline,
+  type Clock,
+  type Command,
+  type ControlClient,
+  type EndpointId,
+  type Fingerprint,
+  type Timeline,
+} from '@vanillarelay/core';
+import type { InFlight } from './in-flight.js';
+import type { Marks } from './marks.js';
+
+interface CrashReporterOptions {
+  id: EndpointId;
+  incarnation: number;
+  clock: Clock;
+  timeline: Timeline;
+  propose: ControlClient['propose'];
+  inFlight: InFlight;
+  marks: Marks;
+  handleDeath: () => void;
+}
+
+const tryTimeoutMs = 2_500;
+const retryDelayMs = 500;
+const tryLimit = 20;
+
+/** Makes the part that tells control which requests were running when the endpoint died. */
+export function createCrashReporter(options: CrashReporterOptions) {
+  const { id, incarnation, clock, timeline, propose, inFlight, marks } = options;
+  let crashes = 0;
+
+  /** Repeats until control has answered; both commands may be accepted twice without harm. */
+  const send = async (command: Command): Promise<void> => {
+    for (let tries = 0; tries < tryLimit; tries += 1) {
+      try {
+        await withDeadline(clock, tryTimeoutMs, (signal) => propose(command, signal));
+        return;
+      } catch {
+        await clock.wait(retryDelayMs);
+      }
+    }
+  };
+
+  const handleDeath = (): void => {
+    const fingerprints = inFlight.takeSuspects();
+    timeline.record('endpoint.died', { running: fingerprints.length });
+    options.handleDeath();
+    inFlight.cancelAll(new RelayError(ResultCode.endpointFailed, 'endpoint died'));
+    if (fingerprints.length === 0) return;
+    marks.recordCrash(fingerprints);
+    crashes += 1;
+    // One crash has one number, so that a repeated report does not count as a second crash.
+    const crash = incarnation + crashes;
+    void send({ type: 'reportCrash', endpoint: id, incarnation: crash, fingerprints });
+  };
+
+  /** A suspect that ended well did not cause the crash. */
+  const handleSuccess = (fingerprint: Fingerprint): void => {
+    if (!marks.find(fingerprint)) return;
+    marks.clear(fingerprint);
+    timeline.record('suspect.cleared', { fingerprint });
+    void send({ type: 'clearMark', fingerprint });
+  };
+
+  return { handleDeath, handleSuccess };
+}
--- a/packages/control/src/state/apply-command.ts
+++ b/packages/control/src/state/apply-command.ts
@@ -3,6 +3,10 @@
 
 /** Changes the state by a committed command; the same on every node. */
 export function applyCommand(state: FleetState, command: Command, index: number): CommandResult {
+  if (command.type === 'batch') {
+    const value = command.commands.map((item) => applyCommand(state, item, index));
+    return { ok: true, index, value };
+  }
   if (!('changeId' in command)) {
     return {
       ok: false,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export type { AgentClient } from './clients/agent-client.js';
+export type { AgentPeer } from './clients/agent-peer.js';
 export type { ControlClient } from './clients/control-client.js';
 export type { EndpointAnswer } from './clients/endpoint-answer.js';
 export type { EndpointClient } from './clients/endpoint-client.js';
@@ -34,6 +35,7 @@
 export { toId } from './ids/to-id.js';
 export type { VmId } from './ids/vm-id.js';
 export type { Announcement } from './messages/announcement.js';
+export type { CacheTransfer } from './messages/cache-transfer.js';
 export type { CommandResult } from './messages/command-result.js';
 export type { Command } from './messages/command.js';
 export type { ContactReport } from './messages/contact-report.js';
--- a/packages/core/src/messages/command.ts
+++ b/packages/core/src/messages/command.ts
@@ -51,5 +51,11 @@
   | { type: 'takePermit'; endpoint: EndpointId; leaseMs: number }
   | { type: 'releasePermit'; endpoint: EndpointId };
 
+/** Several commands in one log entry, applied in order; the value is the list of their results. */
+interface BatchCommand {
+  type: 'batch';
+  commands: RecordCommand[];
+}
+
 /** A change of the replicated state. */
-export type Command = OperatorCommand | RecordCommand | EndpointCommand;
+export type Command = OperatorCommand | RecordCommand | EndpointCommand | BatchCommand;
--- a/packages/daemon/src/agent/create-agent-server.ts
+++ b/packages/daemon/src/agent/create-agent-server.ts
@@ -1,68 +1,102 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AgentClient, PlacementNote, StreamId, TimelineEvent } from '@vanillarelay/core';
+import {
+  toRefusal,
+  type AgentPeer,
+  type DispatchReply,
+  type TimelineEvent,
+} from '@vanillarelay/core';
 import { createCloseSignal } from '../http/create-close-signal.js';
 import { readBody } from '../http/read-body.js';
 import { writeBody } from '../http/write-body.js';
 import { hasKey } from '../trust/has-key.js';
-import type { DispatchHead } from './dispatch-head.js';
+import { DispatchHead } from './dispatch-head.js';
 import { dispatchHeaders } from './dispatch-headers.js';
+import { encodeHead } from './encode-head.js';
+import { parseHead } from './parse-head.js';
+import { queryHeads } from './query-heads.js';
 
 interface AgentServerOptions {
-  handlers: AgentClient;
+  handlers: AgentPeer;
   peerKeys: readonly string[];
   listTimeline: () => TimelineEvent[];
   /** Called when a request presents no valid key. */
   reportStranger: (path: string) => void;
 }
 
+type Route = (request: IncomingMessage, response: ServerResponse) => Promise<unknown>;
+
 const bodyLimitBytes = 32 * 1024 * 1024;
+const cacheLimitBytes = 64 * 1024 * 1024;
+const maxHeaderSize = 64 * 1024;
 
 /** Makes the HTTP server of an agent. */
 export function createAgentServer(options: AgentServerOptions): Server {
   const { handlers, peerKeys, listTimeline, reportStranger } = options;
 
-  const handleDispatch = async (
-    head: DispatchHead,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ) => {
-    const body = await readBody(request, bodyLimitBytes);
-    const reply = await handlers.dispatch({ ...head, body }, createCloseSignal(response));
+  const writeReply = async (response: ServerResponse, reply: DispatchReply): Promise<void> => {
     if (reply.type === 'refusal') {
-      response.writeHead(503, { [dispatchHeaders.reply]: JSON.stringify(reply) }).end();
+      response.writeHead(503, { [dispatchHeaders.reply]: encodeHead(reply) }).end();
       return;
     }
-    const { body: answer, ...replyHead } = reply;
-    response.writeHead(200, { [dispatchHeaders.reply]: JSON.stringify(replyHead) });
-    await writeBody(response, answer);
+    const { body, ...replyHead } = reply;
+    response.writeHead(200, { [dispatchHeaders.reply]: encodeHead(replyHead) });
+    // The caller learns of the answer before its first byte, and of its connection's state.
+    response.flushHeaders();
+    await writeBody(response, body);
   };
 
-  const handleQuery = async (path: string, head: unknown): Promise<unknown> => {
-    if (path === '/relay/contact') {
-      const { stateVersion } = head as { stateVersion: number };
-      return handlers.readContact(stateVersion, new AbortController().signal);
-    }
-    if (path === '/relay/placement') await handlers.notePlacement(head as PlacementNote);
-    if (path === '/relay/cancel') await handlers.cancel((head as { streamId: StreamId }).streamId);
-    if (path === '/relay/timeline') return listTimeline();
-    return null;
+  /** Routes that write their answer themselves; others answer with JSON. */
+  const routes: Record<string, Route> = {
+    '/relay/dispatch': async (request, response) => {
+      const signal = createCloseSignal(response);
+      const head = parseHead(request, DispatchHead);
+      const body = await readBody(request, bodyLimitBytes);
+      await writeReply(response, await handlers.dispatch({ ...head, body }, signal));
+    },
+    '/relay/resume': async (request, response) => {
+      const { streamId, after } = parseHead(request, queryHeads.resume);
+      const signal = createCloseSignal(response);
+      await writeReply(response, await handlers.resume(streamId, after, signal));
+    },
+    '/relay/contact': (request, response) => {
+      const { stateVersion } = parseHead(request, queryHeads.contact);
+      return handlers.readContact(stateVersion, createCloseSignal(response));
+    },
+    '/relay/placement': (request) =>
+      handlers.notePlacement(parseHead(request, queryHeads.placement)),
+    '/relay/cancel': (request) => handlers.cancel(parseHead(request, queryHeads.cancel).streamId),
+    '/relay/cache': async (request, response) => {
+      const transfer = parseHead(request, queryHeads.cache);
+      const cache = await readBody(request, cacheLimitBytes);
+      await handlers.importCache(transfer, cache, createCloseSignal(response));
+    },
+    '/relay/timeline': async () => listTimeline(),
   };
 
   const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-    if (!hasKey(peerKeys, request.headers[dispatchHeaders.key] as string | undefined)) {
-      reportStranger(request.url ?? '');
-      response.writeHead(401).end();
+    const path = request.url ?? '';
+    const key = request.headers[dispatchHeaders.key];
+    if (!hasKey(peerKeys, typeof key === 'string' ? key : undefined)) {
+      reportStranger(path);
+      response.writeHead(401, { connection: 'close' }).end();
       return;
     }
-    const head = JSON.parse(String(request.headers[dispatchHeaders.request] ?? '{}')) as unknown;
-    if (request.url === '/relay/dispatch') {
-      await handleDispatch(head as DispatchHead, request, response);
+    const route = Object.hasOwn(routes, path) ? routes[path] : undefined;
+    if (!route) {
+      response.writeHead(404).end();
       return;
     }
-    response.end(JSON.stringify(await handleQuery(request.url ?? '', head)) ?? 'null');
+    try {
+      const value = await route(request, response);
+      if (!response.headersSent) response.end(JSON.stringify(value ?? null));
+    } catch (error) {
+      if (response.headersSent) throw error;
+      const reply = { type: 'refusal', refusal: toRefusal(error), stateVersion: 0 };
+      response.writeHead(400, { [dispatchHeaders.reply]: encodeHead(reply) }).end();
+    }
   };
 
-  return createServer((request, response) => {
+  return createServer({ maxHeaderSize }, (request, response) => {
     handle(request, response).catch(() => response.destroy());
   });
 }
--- /dev/null
+++ b/packages/daemon/src/agent/encode-head.ts
@@ -0,0 +1,7 @@
+/** A value as JSON in ASCII, fit for an HTTP header. */
+export function encodeHead(value: unknown): string {
+  return JSON.stringify(value).replace(
+    /[\u007f-\uffff]/g,
+    (character) => `\\u${character.charCodeAt(0).toString(16).padStart(4, '0')}`,
+  );
+}
--- a/packages/daemon/src/agent/open-agent.ts
+++ b/packages/daemon/src/agent/open-agent.ts
@@ -1,20 +1,28 @@
 import {
   RelayError,
   ResultCode,
-  type AgentClient,
+  type AgentPeer,
   type ContactReport,
   type DispatchReply,
-  type DispatchRequest,
 } from '@vanillarelay/core';
-import { Pool } from 'undici';
+import { Pool, type Dispatcher } from 'undici';
+import { isNotConnected } from '../http/is-not-connected.js';
+import { wrapBody } from '../http/wrap-body.js';
 import { dispatchHeaders } from './dispatch-headers.js';
+import { encodeHead } from './encode-head.js';
+
+const maxHeaderSize = 64 * 1024;
+/** Statuses with which the agent's server refuses a message before it looks at its body. */
+const firstRefusedStatus = 400;
+const firstFailedStatus = 500;
 
 /** Opens an HTTP client of an agent. */
-export function openAgent(address: string, key: string): AgentClient {
+export function openAgent(address: string, key: string): AgentPeer {
   const pool = new Pool(`http://${address}`, {
     connections: 256,
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxHeaderSize,
   });
 
   const request = async (path: string, head: object, body: Uint8Array, signal?: AbortSignal) => {
@@ -22,43 +30,54 @@
       return await pool.request({
         method: 'POST',
         path,
-        headers: { [dispatchHeaders.key]: key, [dispatchHeaders.request]: JSON.stringify(head) },
+        headers: { [dispatchHeaders.key]: key, [dispatchHeaders.request]: encodeHead(head) },
         body,
         signal: signal ?? null,
       });
     } catch (cause) {
-      const notRun = (cause as { code?: string }).code === 'ECONNREFUSED';
       throw new RelayError(ResultCode.connectionFailed, (cause as Error).message, {
-        notRun,
+        notRun: isNotConnected(cause),
         cause,
       });
     }
   };
 
-  const dispatch = async (
-    { body, ...head }: DispatchRequest,
-    signal: AbortSignal,
-  ): Promise<DispatchReply> => {
-    const answer = await request('/relay/dispatch', head, body, signal);
-    const reply = JSON.parse(String(answer.headers[dispatchHeaders.reply])) as DispatchReply;
-    if (reply.type === 'answer') return { ...reply, body: answer.body };
+  const readReply = async (answer: Dispatcher.ResponseData): Promise<DispatchReply> => {
+    const text = answer.headers[dispatchHeaders.reply];
+    if (typeof text !== 'string') throw await buildUnexpected(answer);
+    const reply = JSON.parse(text) as DispatchReply;
+    if (reply.type === 'answer') return { ...reply, body: wrapBody(answer.body) };
     await answer.body.dump();
     return reply;
   };
 
-  const requestJson = async <T>(path: string, head: object, signal?: AbortSignal): Promise<T> => {
-    const answer = await request(path, head, new Uint8Array(), signal);
+  const requestJson = async <T>(
+    path: string,
+    head: object,
+    { body = new Uint8Array(), signal }: { body?: Uint8Array; signal?: AbortSignal } = {},
+  ): Promise<T> => {
+    const answer = await request(path, head, body, signal);
+    if (answer.statusCode >= firstRefusedStatus) throw await buildUnexpected(answer);
     return (await answer.body.json()) as T;
   };
 
   return {
-    dispatch,
-    resume: async () => {
-      throw new RelayError(ResultCode.streamUnknown, 'no such stream', { notRun: true });
-    },
+    dispatch: async ({ body, ...head }, signal) =>
+      readReply(await request('/relay/dispatch', head, body, signal)),
+    resume: async (streamId, after, signal) =>
+      readReply(await request('/relay/resume', { streamId, after }, new Uint8Array(), signal)),
     cancel: (streamId) => requestJson('/relay/cancel', { streamId }),
     notePlacement: (note) => requestJson('/relay/placement', note),
     readContact: (stateVersion, signal) =>
-      requestJson<ContactReport>('/relay/contact', { stateVersion }, signal),
+      requestJson<ContactReport>('/relay/contact', { stateVersion }, { signal }),
+    importCache: (transfer, cache, signal) =>
+      requestJson('/relay/cache', transfer, { body: cache, signal }),
   };
 }
+
+async function buildUnexpected({ statusCode, body }: Dispatcher.ResponseData): Promise<RelayError> {
+  await body.dump();
+  return new RelayError(ResultCode.malformedMessage, `agent answered with status ${statusCode}`, {
+    notRun: statusCode >= firstRefusedStatus && statusCode < firstFailedStatus,
+  });
+}
--- a/packages/daemon/src/agent/open-endpoint.ts
+++ b/packages/daemon/src/agent/open-endpoint.ts
@@ -1,6 +1,20 @@
 import { RelayError, ResultCode, type EndpointClient } from '@vanillarelay/core';
-import { Pool } from 'undici';
+import { Pool, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import { isNotConnected } from '../http/is-not-connected.js';
 import { toPlainHeaders } from '../http/to-plain-headers.js';
+import { wrapBody } from '../http/wrap-body.js';
+
+/** A plain service tells only that it lives. */
+const healthSchema = z.object({
+  instance: z.string().max(256).default(''),
+  cold: z.boolean().default(false),
+  running: z.number().default(0),
+});
+
+const conflictStatus = 409;
+const notFoundStatus = 404;
+const firstFailedStatus = 400;
 
 /** Opens an HTTP client of the endpoint. */
 export function openEndpoint(address: string): EndpointClient {
@@ -9,42 +23,74 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
+
+  const request = async (options: Omit<Dispatcher.RequestOptions, 'origin'>) => {
+    try {
+      return await pool.request(options);
+    } catch (cause) {
+      throw new RelayError(ResultCode.connectionFailed, (cause as Error).message, {
+        notRun: isNotConnected(cause),
+        cause,
+      });
+    }
+  };
+
   return {
     run: async ({ method, path, headers, body }, signal) => {
-      try {
-        const answer = await pool.request({
-          method,
-          path,
-          headers,
-          body: body.length > 0 ? body : null,
-          signal,
-        });
-        return {
-          status: answer.statusCode,
-          headers: toPlainHeaders(answer.headers),
-          body: answer.body,
-        };
-      } catch (cause) {
-        const notRun = (cause as { code?: string }).code === 'ECONNREFUSED';
-        throw new RelayError(ResultCode.endpointFailed, (cause as Error).message, {
-          notRun,
-          cause,
-        });
-      }
+      const answer = await request({
+        method,
+        path,
+        headers,
+        body: body.length > 0 ? body : null,
+        signal,
+      });
+      return {
+        status: answer.statusCode,
+        headers: toPlainHeaders(answer.headers),
+        body: wrapBody(answer.body),
+      };
     },
     readHealth: async (signal) => {
-      const { body } = await pool.request({ method: 'GET', path: '/health', signal });
-      return (await body.json()) as { instance: string; cold: boolean; running: number };
+      const { body } = await request({ method: 'GET', path: '/health', signal });
+      const text = await body.text();
+      return healthSchema.parse(parseObject(text));
     },
     sendOrder: async (order) => {
-      const { body } = await pool.request({
+      const { statusCode, body } = await request({
         method: 'POST',
         path: '/orders',
+        headers: { 'content-type': 'application/json' },
         body: JSON.stringify(order),
       });
       await body.dump();
+      if (statusCode < firstFailedStatus) return;
+      const code =
+        statusCode === conflictStatus ? ResultCode.staleFencingToken : ResultCode.endpointFailed;
+      throw new RelayError(code, `endpoint answered an order with status ${statusCode}`);
+    },
+    exportCache: async (chat) => {
+      const path = `/cache/${encodeURIComponent(chat)}`;
+      const { statusCode, body } = await request({ method: 'GET', path });
+      if (statusCode < firstFailedStatus) return new Uint8Array(await body.arrayBuffer());
+      await body.dump();
+      if (statusCode === notFoundStatus) return undefined;
+      throw new RelayError(ResultCode.endpointFailed, `endpoint exported no cache: ${statusCode}`);
+    },
+    importCache: async (chat, cache) => {
+      const path = `/cache/${encodeURIComponent(chat)}`;
+      const { statusCode, body } = await request({ method: 'PUT', path, body: cache });
+      await body.dump();
+      if (statusCode < firstFailedStatus) return;
+      throw new RelayError(ResultCode.endpointFailed, `endpoint refused a cache: ${statusCode}`);
     },
-    exportCache: async () => undefined,
-    importCache: async () => {},
   };
 }
+
+function parseObject(text: string): object {
+  try {
+    const value: unknown = JSON.parse(text);
+    return typeof value === 'object' && value !== null ? value : {};
+  } catch {
+    return {};
+  }
+}
--- a/packages/daemon/src/agent/run-agent.ts
+++ b/packages/daemon/src/agent/run-agent.ts
@@ -2,6 +2,7 @@
 import type { AgentSettings } from '@vanillarelay/config';
 import {
   toId,
+  type AgentPeer,
   type DaemonId,
   type DataCentreId,
   type EndpointId,
@@ -13,7 +14,9 @@
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
 import { waitForSignal } from '../platform/wait-for-signal.js';
+import { closeServer } from '../http/close-server.js';
 import { createAgentServer } from './create-agent-server.js';
+import { openAgent } from './open-agent.js';
 import { openEndpoint } from './open-endpoint.js';
 
 /** Runs an agent process until a signal ends it. */
@@ -31,6 +34,12 @@
     dataCentre: toId<DataCentreId>(settings.dataCentre),
   };
   const service = toId<ServiceId>(settings.service);
+  const peers = new Map<string, AgentPeer>();
+  const findPeer = (address: string): AgentPeer => {
+    const peer = peers.get(address) ?? openAgent(address, key);
+    peers.set(address, peer);
+    return peer;
+  };
   let link: Link;
   const agent = createAgent({
     ...context,
@@ -43,6 +52,7 @@
     endpoint: openEndpoint(settings.endpointAddress),
     control: { propose: (command, signal) => controls[0]!.client.propose(command, signal) },
     findLink: () => link,
+    openAgent: findPeer,
   });
   link = createLink({
     ...context,
@@ -65,10 +75,12 @@
   });
   await serveOn(server, settings.address);
   link.start();
+  agent.start();
   timeline.record('process.started', { role: 'agent', address: settings.address });
   await waitForSignal();
+  await agent.drain();
+  agent.stop();
   link.stop();
-  server.close();
-  server.closeIdleConnections();
+  await closeServer(server);
   controls.forEach(({ client }) => client.close());
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,5 @@
 export { createAgentServer } from './agent/create-agent-server.js';
-export type { DispatchHead } from './agent/dispatch-head.js';
+export { DispatchHead } from './agent/dispatch-head.js';
 export { dispatchHeaders } from './agent/dispatch-headers.js';
 export { openAgent } from './agent/open-agent.js';
 export { openEndpoint } from './agent/open-endpoint.js';
