feat(entry): check callers, place chats, retry at most once and limit accounts

Cause: the thin entry tried every endpoint in turn, retried what may have run, had no limits and passed truncated answers on as complete ones. Conclusion: no run of kill, freeze or cut at 0 to 40 ms ran a notice twice or said "not run" of one that ran.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export type { TimelineFilter } from './events/timeline-filter.js';
 export type { Timeline } from './events/timeline.js';
 export { createHash } from './hash/create-hash.js';
+export { findRendezvousFirst } from './hash/find-rendezvous-first.js';
 export { hashBody } from './hash/hash-body.js';
 export type { Hash } from './hash/hash.js';
 export { sortByRendezvous } from './hash/sort-by-rendezvous.js';
--- a/packages/daemon/src/entry/create-entry-server.ts
+++ b/packages/daemon/src/entry/create-entry-server.ts
@@ -1,51 +1,57 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import {
-  RelayError,
-  toRefusal,
-  type RequestId,
-  toId,
-  type TimelineEvent,
-} from '@vanillarelay/core';
-import { buildProblem, type CallerReply, type CallerRequest } from '@vanillarelay/entry';
+import type { HistogramSummary, TimelineEvent } from '@vanillarelay/core';
+import type { CallerReply, createEntry } from '@vanillarelay/entry';
 import { createCloseSignal } from '../http/create-close-signal.js';
 import { readBody } from '../http/read-body.js';
 import { toPlainHeaders } from '../http/to-plain-headers.js';
 import { writeBody } from '../http/write-body.js';
+import { writeEarly } from '../http/write-early.js';
 import { hasKey } from '../trust/has-key.js';
+import { callerLimits } from './caller-limits.js';
+import { refuseMalformed } from './refuse-malformed.js';
 
 interface EntryServerOptions {
-  handle: (request: CallerRequest, signal: AbortSignal) => Promise<CallerReply>;
-  isReady: () => boolean;
+  entry: Pick<ReturnType<typeof createEntry>, 'handle' | 'checkCaller' | 'refuse' | 'isReady'>;
   operatorKeys: readonly string[];
   listTimeline: () => TimelineEvent[];
+  listHistograms: () => HistogramSummary[];
+  limits?: Partial<typeof callerLimits>;
 }
 
-const bodyLimitBytes = 16 * 1024 * 1024;
-
 /** Makes the callers' HTTP server of an entry. */
-export function createEntryServer({
-  handle,
-  isReady,
-  operatorKeys,
-  listTimeline,
-}: EntryServerOptions): Server {
+export function createEntryServer(options: EntryServerOptions): Server {
+  const { entry, operatorKeys, listTimeline, listHistograms } = options;
+  const limits = { ...callerLimits, ...options.limits };
+
+  const refuseEarly = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+    error: unknown,
+  ): Promise<void> => {
+    const reply = entry.refuse(error);
+    const chunks: Uint8Array[] = [];
+    for await (const chunk of reply.body) chunks.push(chunk);
+    await writeEarly(request, response, reply.status, reply.headers, Buffer.concat(chunks));
+  };
+
   const handleCaller = async (
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> => {
-    const signal = createCloseSignal(response);
-    let reply: CallerReply;
+    let body: Uint8Array;
     try {
-      const body = await readBody(request, bodyLimitBytes);
-      const headers = toPlainHeaders(request.headers);
-      reply = await handle(
-        { method: request.method ?? 'GET', path: request.url ?? '/', headers, body },
-        signal,
-      );
+      // Before the body is read, so that nobody without a key can send large bodies.
+      entry.checkCaller(request.headers.authorization);
+      body = await readBody(request, limits.bodyBytes);
     } catch (error) {
-      if (!(error instanceof RelayError)) throw error;
-      reply = buildProblem(toRefusal(error), toId<RequestId>('none'));
+      await refuseEarly(request, response, error);
+      return;
     }
+    const { method = 'GET', url: path = '/' } = request;
+    const headers = toPlainHeaders(request.headers);
+    const signal = createCloseSignal(response);
+    const reply: CallerReply = await entry.handle({ method, path, headers, body }, signal);
+    if (!server.listening) reply.headers.connection = 'close';
     response.writeHead(reply.status, reply.headers);
     await writeBody(response, reply.body);
   };
@@ -53,22 +59,41 @@
   const handleOperator = (request: IncomingMessage, response: ServerResponse): void => {
     if (!hasKey(operatorKeys, request.headers['x-relay-key'] as string | undefined)) {
       response.writeHead(401).end();
-    } else if (request.url === '/relay/timeline') {
-      response.end(JSON.stringify(listTimeline()));
-    } else {
-      response.writeHead(404).end();
+      return;
+    }
+    const pages: Record<string, () => unknown> = {
+      '/relay/timeline': listTimeline,
+      '/relay/metrics': listHistograms,
+    };
+    const list = pages[request.url ?? ''];
+    if (!list) response.writeHead(404).end();
+    else {
+      response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(list()));
     }
   };
 
-  return createServer((request, response) => {
-    if (request.url === '/health/live') {
-      response.writeHead(200).end('live');
-    } else if (request.url === '/health/ready') {
-      response.writeHead(isReady() ? 200 : 503).end(isReady() ? 'ready' : 'not ready');
-    } else if (request.url?.startsWith('/relay/')) {
-      handleOperator(request, response);
-    } else {
-      handleCaller(request, response).catch(() => response.destroy());
-    }
+  const server = createServer(
+    {
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.headersMs,
+      requestTimeout: limits.requestMs,
+      connectionsCheckingInterval: limits.checkPeriodMs,
+    },
+    (request, response) => {
+      if (request.url === '/health/live') {
+        response.writeHead(200).end('live');
+      } else if (request.url === '/health/ready') {
+        const isReady = entry.isReady();
+        response.writeHead(isReady ? 200 : 503).end(isReady ? 'ready' : 'not ready');
+      } else if (request.url?.startsWith('/relay/')) {
+        handleOperator(request, response);
+      } else {
+        handleCaller(request, response).catch(() => response.destroy());
+      }
+    },
+  );
+  server.on('clientError', (error, socket) => {
+    refuseMalformed(error, socket, entry.refuse).catch(() => socket.destroy());
   });
+  return server;
 }
--- a/packages/daemon/src/http/write-body.ts
+++ b/packages/daemon/src/http/write-body.ts
@@ -1,7 +1,13 @@
-import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
+import { waitForDrain } from './wait-for-drain.js';
 
-/** Writes a body with back pressure; breaks the connection off when the body throws. */
+/** A reader that takes nothing for this long is given up. */
+const slowReaderLimitMs = 60_000;
+
+/**
+ * Writes a body with back pressure. When the body throws, what was written is flushed and the
+ * connection is closed without the end of the answer, so that the reader sees that it broke off.
+ */
 export async function writeBody(
   response: ServerResponse,
   body: AsyncIterable<Uint8Array>,
@@ -9,11 +15,10 @@
   try {
     for await (const chunk of body) {
       if (response.destroyed) return;
-      if (!response.write(chunk))
-        await Promise.race([once(response, 'drain'), once(response, 'close')]);
+      if (!response.write(chunk)) await waitForDrain(response, slowReaderLimitMs);
     }
     response.end();
   } catch {
-    response.destroy();
+    response.socket?.destroySoon();
   }
 }
--- /dev/null
+++ b/packages/entry/__tests__/placement.test.ts
@@ -0,0 +1,135 @@
+import {
+  createHash,
+  findRendezvousFirst,
+  ResultCode,
+  sortByRendezvous,
+  type DispatchRequest,
+  type EndpointId,
+  type Refusal,
+} from '@vanillarelay/core';
+import { expect, it } from 'vitest';
+import { createFixture } from './create-fixture.js';
+
+const chat = { headers: { 'x-chat-id': 'chat-1' } };
+
+const createElsewhere = (holder: string): Refusal => ({
+  code: ResultCode.chatElsewhere,
+  message: 'elsewhere',
+  notRun: true,
+  holder: holder as EndpointId,
+});
+const busy: Refusal = { code: ResultCode.endpointBusy, message: 'busy', notRun: true };
+
+const sortAgents = async (count: number): Promise<string[]> =>
+  sortByRendezvous(
+    await createHash(),
+    'inspectors/chat-1',
+    Array.from({ length: count }, (_, index) => `agent-${index}`),
+  );
+
+type Fixture = Awaited<ReturnType<typeof createFixture>>;
+
+const listMoves = ({ dispatches }: Fixture) =>
+  dispatches.map(({ agent, request }) => `${agent}${request.takeOver ? ' takes over' : ''}`);
+
+// Guards against entry and agents that disagree about a chat's home.
+it('finds the first of the rendezvous order without sorting', async () => {
+  const hash = await createHash();
+  for (let key = 0; key < 200; key += 1) {
+    const nodes = Array.from({ length: 1 + (key % 20) }, (_, index) => `agent-${index}`);
+    expect(findRendezvousFirst(hash, `${key}`, nodes)).toBe(
+      sortByRendezvous(hash, `${key}`, nodes)[0],
+    );
+  }
+});
+
+// Guards against a returning chat that misses its cache although its holder has room.
+it('asks the home first and then the holder that it names', async () => {
+  const [home, , third] = await sortAgents(5);
+  const check = (agent: string) => (agent === home ? createElsewhere(third!) : undefined);
+  const fixture = await createFixture({ agents: 5, check });
+  expect((await fixture.ask(chat)).status).toBe(200);
+  expect(listMoves(fixture)).toEqual([home, third]);
+});
+
+// Guards against a chat that is stuck behind a busy holder.
+it('lets the less loaded of two take the chat over when the holder is busy', async () => {
+  const [home, second, third] = await sortAgents(3);
+  const check = (agent: string, request: DispatchRequest) => {
+    if (agent === home && !request.takeOver) return createElsewhere(third!);
+    return agent === third ? busy : undefined;
+  };
+  const fixture = await createFixture({ check });
+  const loads = new Map([
+    [home, 5],
+    [second, 1],
+  ]) as never;
+  fixture.view.current = { ...fixture.view.current, loads };
+  await fixture.ask(chat);
+  expect(listMoves(fixture)).toEqual([home, third, `${second} takes over`]);
+});
+
+// Guards against a lost pointer when the home is away: the second in the order has its copy.
+it('asks the second in the order when the home cannot be reached', async () => {
+  const [home, second, third] = await sortAgents(3);
+  const check = (agent: string) => (agent === second ? createElsewhere(third!) : undefined);
+  const fixture = await createFixture({ check });
+  fixture.fleet.get(home!)!.process.kill();
+  expect((await fixture.ask(chat)).status).toBe(200);
+  expect(listMoves(fixture)).toEqual([second, third]);
+});
+
+// Guards against two agents that each name the other as holder, around which a request would circle.
+it('ends a circle of pointers by taking the chat over', async () => {
+  const [home, second] = await sortAgents(2);
+  const check = (agent: string, { takeOver }: DispatchRequest) =>
+    takeOver ? undefined : createElsewhere(agent === home ? second! : home!);
+  const fixture = await createFixture({ agents: 2, check });
+  expect((await fixture.ask(chat)).status).toBe(200);
+  expect(fixture.dispatches.length).toBeLessThan(5);
+});
+
+// Guards against new work at endpoints that leave, drain, flap or stand in a data centre taken out.
+it('passes over endpoints that must get no new work', async () => {
+  const fixture = await createFixture({ agents: 6 });
+  const changes = [
+    { status: 'leaving' },
+    { damped: true },
+    { dataCentre: 'multan' },
+    {},
+    { service: 'reports' },
+    {},
+  ];
+  fixture.updateMembers(({ id }) => changes[Number(id.slice(-1))] as never);
+  const state = {
+    ...fixture.view.current.state!,
+    dataCentresOut: ['multan'],
+    draining: ['agent-3'],
+  };
+  fixture.view.current = { ...fixture.view.current, state: state as never };
+  for (let i = 0; i < 40; i += 1) await fixture.ask({ headers: { 'x-chat-id': `chat-${i}` } });
+  for (let i = 0; i < 40; i += 1) await fixture.ask();
+  expect([...new Set(listMoves(fixture))]).toEqual(['agent-5']);
+});
+
+// Guards against an entry that piles work on one endpoint between two load vectors.
+it('counts what it has in flight itself, and prefers endpoints with room', async () => {
+  const fixture = await createFixture({ agents: 4, runMs: 60_000 });
+  fixture.updateMembers(({ id }) => (id === ('agent-3' as never) ? { status: 'cold' } : undefined));
+  for (let i = 0; i < 13; i += 1) {
+    void fixture.send();
+    await fixture.virtual.run(10);
+  }
+  const counts: Record<string, number> = {};
+  fixture.dispatches.forEach(({ agent }) => {
+    counts[agent] = (counts[agent] ?? 0) + 1;
+  });
+  expect(counts).toMatchInlineSnapshot(`
+    {
+      "agent-0": 4,
+      "agent-1": 4,
+      "agent-2": 4,
+      "agent-3": 1,
+    }
+  `);
+});
--- /dev/null
+++ b/packages/entry/__tests__/retries.test.ts
@@ -0,0 +1,189 @@
+import { ResultCode, type Refusal } from '@vanillarelay/core';
+import { describe, expect, it } from 'vitest';
+import { createFixture } from './create-fixture.js';
+
+const notice = {
+  path: '/services/notices/notices/1',
+  headers: { 'idempotency-key': 'notice-1' },
+};
+const lookup = { path: '/services/notices/permits/1' };
+const photo = { path: '/services/notices/photos/1' };
+
+const busy: Refusal = { code: ResultCode.endpointBusy, message: 'busy', notRun: true };
+
+type Fixture = Awaited<ReturnType<typeof createFixture>>;
+
+const countRuns = ({ runs }: Fixture) => runs.get('notice-1') ?? 0;
+
+/** Runs one notice, doing `harm` at some time after it was sent, and checks what was answered. */
+async function runNotice(fixture: Fixture, harmAtMs: number, harm: () => void) {
+  const answer = fixture.send(notice).then(fixture.readReply);
+  await fixture.virtual.run(harmAtMs);
+  harm();
+  const broken = { status: 0, text: '', problem: undefined };
+  const reply = await fixture.virtual.runUntil(answer.catch(() => broken));
+  // Late work still on its way gets its chance to break the promise.
+  await fixture.virtual.run(30_000);
+  const runs = countRuns(fixture);
+  expect(runs).toBeLessThanOrEqual(1);
+  if (reply.status === 200) expect(runs).toBe(1);
+  if (reply.problem?.notRun) expect(runs).toBe(0);
+  return `${reply.status} ${reply.problem?.code ?? 'answered'} notRun=${String(reply.problem?.notRun)} runs=${runs}`;
+}
+
+describe('a request that must not run twice', () => {
+  // Guards against a second run, and an untrue "not run", at any moment at which the agent dies.
+  it('runs at most once when the agent is killed', async () => {
+    const outcomes = new Set<string>();
+    for (let ms = 0; ms <= 40; ms += 1) {
+      const fixture = await createFixture({ seed: ms + 1, claimMs: 10 });
+      const kill = () => {
+        const { agent } = fixture.dispatches[0] ?? { agent: 'agent-0' };
+        fixture.fleet.get(agent)!.process.kill();
+        fixture.removeMember(agent);
+      };
+      outcomes.add(await runNotice(fixture, ms, kill));
+    }
+    expect([...outcomes].sort().join('\n')).toMatchInlineSnapshot(`
+      "0 answered notRun=undefined runs=1
+      200 answered notRun=undefined runs=1
+      502 4000 notRun=false runs=0
+      502 4000 notRun=false runs=1"
+    `);
+  });
+
+  // Guards against a frozen agent that runs its claim after the entry has run the request elsewhere.
+  it('runs at most once when the agent is frozen and resumes late', async () => {
+    const outcomes = new Set<string>();
+    for (let ms = 0; ms <= 40; ms += 1) {
+      const fixture = await createFixture({ seed: ms + 1, claimMs: 10 });
+      const freeze = () => {
+        const { agent } = fixture.dispatches[0] ?? { agent: 'agent-0' };
+        const { process } = fixture.fleet.get(agent)!;
+        process.freeze();
+        fixture.removeMember(agent);
+        fixture.virtual.clock.startTimer(20_000, () => process.resume());
+      };
+      outcomes.add(await runNotice(fixture, ms, freeze));
+    }
+    expect([...outcomes].sort().join('\n')).toMatchInlineSnapshot(`
+      "200 answered notRun=undefined runs=1
+      502 4000 notRun=false runs=1"
+    `);
+  });
+
+  // Guards against taking a lost answer for a request that has not run.
+  it('tells an unknown outcome when the answer or the void is lost', async () => {
+    const outcomes = new Set<string>();
+    for (const cutControl of [false, true]) {
+      const fixture = await createFixture({ claimMs: 10, runMs: 200 });
+      const harm = () => {
+        fixture.network.cut('entry', fixture.dispatches[0]!.agent);
+        if (cutControl) fixture.network.cut('entry', 'control');
+      };
+      outcomes.add(await runNotice(fixture, 60, harm));
+    }
+    expect([...outcomes].join('\n')).toMatchInlineSnapshot(`"502 4000 notRun=false runs=1"`);
+  });
+
+  // Guards against a second run when the entry dies and the caller resends through another one.
+  it('runs at most once when the entry is killed and the request resent', async () => {
+    const outcomes = new Set<string>();
+    for (let ms = 0; ms <= 30; ms += 1) {
+      const fixture = await createFixture({ seed: ms + 1, claimMs: 10 });
+      void fixture
+        .send(notice)
+        .then(fixture.readReply)
+        .catch(() => {});
+      await fixture.virtual.run(ms);
+      fixture.entry.process.kill();
+      const other = fixture.openEntry('other');
+      const resent = fixture.send(notice, undefined, other).then(fixture.readReply);
+      const { status, problem } = await fixture.virtual.runUntil(resent);
+      await fixture.virtual.run(30_000);
+      outcomes.add(`${status} notRun=${String(problem?.notRun)} runs=${countRuns(fixture)}`);
+    }
+    expect([...outcomes].sort().join('\n')).toMatchInlineSnapshot(`
+      "200 notRun=undefined runs=1
+      502 notRun=false runs=1"
+    `);
+  });
+
+  // Guards against a retry under the attempt id that was voided, which could never be claimed.
+  it('uses a new attempt id after a granted void', async () => {
+    const fixture = await createFixture({ claimMs: 10 });
+    const outcome = await runNotice(fixture, 5, () => {
+      const { agent } = fixture.dispatches[0]!;
+      fixture.fleet.get(agent)!.process.kill();
+    });
+    const attempts = fixture.dispatches.map(({ request }) => request.attemptId);
+    expect([outcome, attempts.length, new Set(attempts).size]).toEqual([
+      '200 answered notRun=undefined runs=1',
+      2,
+      2,
+    ]);
+  });
+});
+
+describe('retries', () => {
+  // Guards against an idempotent request that fails with its agent although others could run it.
+  it('runs an idempotent request elsewhere when its agent dies', async () => {
+    const fixture = await createFixture({ runMs: 100 });
+    const answer = fixture.send(lookup).then(fixture.readReply);
+    await fixture.virtual.run(20);
+    fixture.fleet.get(fixture.dispatches[0]!.agent)!.process.kill();
+    expect((await fixture.virtual.runUntil(answer)).status).toBe(200);
+  });
+
+  // Guards against "not run" after a first attempt that may have run.
+  it('does not say "not run" when an earlier attempt may have run', async () => {
+    const fixture = await createFixture({ check: () => undefined, runMs: 100 });
+    const answer = fixture.send(lookup).then(fixture.readReply);
+    await fixture.virtual.run(20);
+    fixture.fleet.forEach(({ process }) => process.kill());
+    const { problem } = await fixture.virtual.runUntil(answer);
+    expect(problem?.notRun).toBe(false);
+  });
+
+  // Guards against a retry storm that multiplies the load on a fleet that is full.
+  it('stays within the retry budget when every endpoint is busy', async () => {
+    const fixture = await createFixture({ check: () => busy });
+    const requests = 400;
+    for (let i = 0; i < requests; i += 1) {
+      const { problem } = await fixture.ask(lookup);
+      expect([problem?.notRun, typeof problem?.retryAfterMs]).toEqual([true, 'number']);
+    }
+    // Three dispatches belong to the placement: one, and two moves on a refusal for load.
+    const retries = fixture.dispatches.length - requests * 3;
+    expect(retries).toBeLessThanOrEqual(
+      requests * 0.1 + 20 + fixture.virtual.clock.monotonic() / 1_000,
+    );
+  });
+
+  // Guards against must-arrive work that is dropped while there is no room, or spins without a pause.
+  it('waits with must-arrive work until there is room', async () => {
+    let isBusy = true;
+    const fixture = await createFixture({ check: () => (isBusy ? busy : undefined) });
+    const answer = fixture.send(photo).then(fixture.readReply);
+    await fixture.virtual.run(120_000);
+    const dispatches = fixture.dispatches.length;
+    isBusy = false;
+    expect((await fixture.virtual.runUntil(answer)).status).toBe(200);
+    expect(dispatches).toBeLessThan((120_000 / 1_000) * 3 + 30);
+  });
+
+  // Guards against must-arrive work that waits for ever, or ends without a word.
+  it('refuses must-arrive work at its deadline, truly not run', async () => {
+    const fixture = await createFixture({ check: () => busy });
+    const { status, problem } = await fixture.ask(photo);
+    expect([status, problem?.code, problem?.notRun]).toEqual([504, 2002, true]);
+  });
+
+  // Guards against a request that breaks endpoints one after the other.
+  it('stops after three endpoints that failed while running the request', async () => {
+    const failed = { code: ResultCode.endpointFailed, message: 'crash', notRun: false };
+    const fixture = await createFixture({ agents: 8, check: () => failed });
+    const { problem } = await fixture.ask(photo);
+    expect([problem?.code, problem?.notRun, fixture.dispatches.length]).toEqual([4001, false, 3]);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/attempts/handle-refusal.ts
@@ -0,0 +1,55 @@
+import { RelayError, ResultCode, type EndpointId, type Refusal } from '@vanillarelay/core';
+import type { ParsedRequest } from '../requests/parsed-request.js';
+import { isElsewhereUseful } from './is-elsewhere-useful.js';
+import { isLoadRefusal } from './is-load-refusal.js';
+import type { Progress } from './progress.js';
+
+interface Settlement {
+  request: ParsedRequest;
+  endpoint: EndpointId;
+  refusal: Refusal;
+  spendRetry: () => boolean;
+}
+
+/** Moves of the placement itself (home, holder, taking over), which are no retries. */
+const freeDispatches = 3;
+const highestRedirects = 2;
+/** A request that breaks its endpoints must not reach many of them. */
+const highestFailures = 3;
+const budgetRetryAfterMs = 1_000;
+
+/** Notes a refused attempt; throws when the request must not be tried again. */
+export function handleRefusal(progress: Progress, settlement: Settlement): void {
+  const { request, endpoint, refusal, spendRetry } = settlement;
+  if (!refusal.notRun) progress.failures += 1;
+  progress.last = refusal;
+  const isRetryable =
+    isElsewhereUseful(refusal.code) &&
+    (refusal.notRun || (request.idempotent && progress.failures < highestFailures));
+  if (!isRetryable) throw buildError(progress, refusal);
+  progress.dispatches += 1;
+  if (refusal.code === ResultCode.chatElsewhere && progress.redirects < highestRedirects) {
+    progress.redirects += 1;
+    progress.holder = refusal.holder;
+    progress.isHomeAsked = true;
+    return;
+  }
+  progress.tried.add(endpoint);
+  const isPlacement = isLoadRefusal(refusal.code) && refusal.notRun;
+  if (isPlacement) progress.isHomeAsked = true;
+  if (isPlacement && progress.dispatches < freeDispatches) return;
+  if (request.mustArrive || spendRetry()) return;
+  throw buildError(progress, {
+    ...refusal,
+    retryAfterMs: refusal.retryAfterMs ?? budgetRetryAfterMs,
+    code: ResultCode.retryBudgetSpent,
+    message: `retry budget is spent, last refusal: ${refusal.message}`,
+  });
+}
+
+function buildError(progress: Progress, { code, message, ...refusal }: Refusal): RelayError {
+  return new RelayError(code, message, {
+    ...refusal,
+    notRun: refusal.notRun && progress.failures === 0,
+  });
+}
--- a/packages/entry/src/build-problem.ts
+++ b/packages/entry/src/build-problem.ts
@@ -33,7 +33,10 @@
   if (code === ResultCode.unauthorized) return 401;
   if (code === ResultCode.serviceNotAllowed) return 403;
   if (code === ResultCode.unknownPath || code === ResultCode.unknownService) return 404;
+  if (code === ResultCode.streamUnknown) return 404;
+  if (code === ResultCode.slowCaller) return 408;
   if (code === ResultCode.bodyTooLarge) return 413;
+  if (code === ResultCode.headersTooLarge) return 431;
   if (code === ResultCode.idempotencyKeyReused) return 422;
   if (code < ResultCode.accountLimit) return 400;
   if (code === ResultCode.accountLimit) return 429;
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -1,158 +1,164 @@
 import {
-  hashBody,
   RelayError,
   ResultCode,
-  sortByRendezvous,
-  toId,
   toRefusal,
+  type AccountId,
   type AgentClient,
-  type AttemptId,
-  type ChatId,
   type Clock,
-  type DispatchRequest,
-  type EndpointId,
-  type Fingerprint,
+  type ControlClient,
+  type DaemonState,
   type Hash,
+  type Histograms,
   type Hlc,
   type Id,
+  type Random,
   type RequestId,
-  type ServiceId,
   type Timeline,
 } from '@vanillarelay/core';
 import type { Link } from '@vanillarelay/link';
+import { createAccountIndex } from './accounts/create-account-index.js';
+import { createAccountLimiter } from './accounts/create-account-limiter.js';
+import { createRunner } from './attempts/create-runner.js';
 import { buildProblem } from './build-problem.js';
 import type { CallerReply } from './caller-reply.js';
 import type { CallerRequest } from './caller-request.js';
-import { findAccount } from './find-account.js';
+import { placeReturningChat } from './placement/place-returning-chat.js';
+import type { Place } from './placement/place.js';
+import { parseRequest } from './requests/parse-request.js';
+import { createStreamHandlers } from './streams/create-stream-handlers.js';
+import { passAnswer } from './streams/pass-answer.js';
 
 interface EntryOptions {
   clock: Clock;
+  random: Random;
   hash: Hash;
   hlc: Hlc;
   timeline: Timeline;
+  histograms: Histograms;
   createId: <T extends Id<string>>() => T;
-  link: Link;
+  link: Pick<Link, 'readView' | 'readContact'>;
   openAgent: (address: string) => AgentClient;
+  propose: ControlClient['propose'];
+  /** How endpoints are chosen; a bench compares ways. */
+  place?: Place;
 }
 
-/** Makes an entry: it decides where a caller's request runs. */
-export function createEntry({ hash, hlc, timeline, createId, link, openAgent }: EntryOptions) {
-  const buildDispatch = (request: CallerRequest, requestId: RequestId): DispatchRequest => {
+const notReadyRetryAfterMs = 1_000;
+
+/** Makes an entry: it checks callers' requests and decides where they run. */
+export function createEntry({ place = placeReturningChat, ...options }: EntryOptions) {
+  const { clock, histograms, createId, link, openAgent } = options;
+  const accounts = createAccountIndex();
+  const limiter = createAccountLimiter({ clock });
+  const { run, flights } = createRunner({ ...options, place });
+  let isStopping = false;
+
+  const isReady = (): boolean =>
+    !isStopping && link.readView().state !== undefined && link.readContact() !== 'isolated';
+
+  const readState = (): DaemonState => {
     const { state } = link.readView();
-    if (!state || link.readContact() === 'isolated') {
-      throw new RelayError(ResultCode.notReady, 'entry is not ready', { notRun: true });
-    }
-    const account = findAccount(state.config, request.headers.authorization);
-    if (!account) throw new RelayError(ResultCode.unauthorized, 'unknown key', { notRun: true });
-    const target = readTarget(request);
-    const service = state.config.services[target.service];
-    if (!service) {
-      throw new RelayError(ResultCode.unknownService, `no service '${target.service}'`, {
-        notRun: true,
-      });
-    }
-    const kind = Object.entries(service.kinds).find(
-      ([, { methods, pathPrefix }]) =>
-        methods.includes(request.method) && target.path.startsWith(pathPrefix),
-    );
-    if (!kind)
-      throw new RelayError(ResultCode.unknownPath, 'no request kind matches', { notRun: true });
-    const bodyHash = hashBody(request.body);
-    return {
-      requestId,
-      attemptId: createId<AttemptId>(),
-      account,
-      service: target.service,
-      kind: kind[0],
-      idempotent: kind[1].idempotent,
-      mustArrive: kind[1].mustArrive,
-      priority: kind[1].priority,
-      remainingMs: kind[1].deadlineMs,
-      ...(target.chat ? { chat: target.chat } : {}),
-      resumable: false,
-      takeOver: false,
-      bodyHash,
-      fingerprint: toId<Fingerprint>(hashBody(`${account}\n${bodyHash}`)),
-      method: request.method,
-      path: target.path,
-      headers: { 'content-type': request.headers['content-type'] ?? 'application/json' },
-      body: request.body,
-      stateVersion: state.version,
-      at: hlc.read(),
-    };
+    if (state && link.readContact() !== 'isolated') return state;
+    throw new RelayError(ResultCode.notReady, 'entry has no contact with control', {
+      notRun: true,
+      retryAfterMs: notReadyRetryAfterMs,
+    });
   };
 
-  const listCandidates = (request: DispatchRequest): EndpointId[] => {
-    const { members, state } = link.readView();
-    const ids = [...members.values()]
-      .filter(
-        (member) =>
-          member.service === request.service &&
-          member.status !== 'leaving' &&
-          !state?.dataCentresOut.includes(member.dataCentre),
-      )
-      .map((member) => member.id);
-    return sortByRendezvous(hash, request.chat ?? request.requestId, ids);
+  /** The account of a bearer key; throws a refusal for an unknown one. */
+  const checkCaller = (authorization: string | undefined): AccountId => {
+    const account = accounts.find(readState().config, authorization);
+    if (account) return account;
+    throw new RelayError(ResultCode.unauthorized, 'missing or unknown bearer key', {
+      notRun: true,
+    });
   };
 
-  const run = async (
+  const streams = createStreamHandlers({
+    link,
+    openAgent,
+    wrapAnswer: (headers, body, requestId) =>
+      passAnswer({
+        clock,
+        requestId,
+        headers,
+        body,
+        needsFinalEvent: false,
+        recordChunk: () => {},
+        recordEnd: () => {},
+      }),
+  });
+
+  const runRequest = async (
     request: CallerRequest,
     requestId: RequestId,
     signal: AbortSignal,
   ): Promise<CallerReply> => {
-    const dispatch = buildDispatch(request, requestId);
-    let refusal = {
-      code: ResultCode.noEndpoint,
-      message: 'no endpoint',
-      notRun: true,
-    } as ReturnType<typeof toRefusal>;
-    for (const id of listCandidates(dispatch)) {
-      const member = link.readView().members.get(id);
-      if (!member) continue;
-      timeline.record('request.dispatched', { endpoint: id }, requestId);
-      const reply = await openAgent(member.address).dispatch(dispatch, signal);
-      hlc.receive(reply.at);
-      if (reply.type === 'answer') {
-        return {
-          status: reply.status,
-          headers: { ...reply.headers, 'x-request-id': requestId, 'x-endpoint': id },
-          body: reply.body,
-        };
-      }
-      refusal = reply.refusal;
-      if (!refusal.notRun) break;
-    }
-    return buildProblem(refusal, requestId);
+    const startedAt = clock.monotonic();
+    const account = checkCaller(request.headers.authorization);
+    const { config } = readState();
+    if (streams.isStreamRequest(request)) return streams.handle(request, requestId, signal);
+    const parsed = parseRequest({ request, requestId, account, config });
+    limiter.admit({ account, config, shares: link.readView().shares });
+    const { reply, flight } = await run(parsed, signal);
+    const { service } = parsed;
+    histograms.record('queue', service, flight.startedAt - startedAt);
+    const headers: Record<string, string> = {
+      ...reply.headers,
+      'x-request-id': requestId,
+      'x-endpoint': flight.member.id,
+    };
+    if (reply.streamId) headers['x-stream-id'] = `${flight.member.id}.${reply.streamId}`;
+    if (reply.replayed) headers['idempotent-replayed'] = 'true';
+    const body = passAnswer({
+      clock,
+      requestId,
+      headers: reply.headers,
+      body: reply.body,
+      needsFinalEvent: parsed.isCompletion && reply.status === 200,
+      recordChunk: (gapMs) => {
+        flight.seenAt = clock.monotonic();
+        if (gapMs === undefined) {
+          histograms.record('firstByte', service, flight.seenAt - startedAt);
+        } else histograms.record('gap', service, gapMs);
+      },
+      recordEnd: () => {
+        flights.remove(flight);
+        histograms.record('request', service, clock.monotonic() - startedAt);
+      },
+    });
+    return { status: reply.status, headers, body };
   };
 
+  /** A refusal as answer to a caller. */
+  const refuse = (error: unknown): CallerReply =>
+    buildProblem(toRefusal(error), createId<RequestId>());
+
   const handle = async (request: CallerRequest, signal: AbortSignal): Promise<CallerReply> => {
     const requestId = createId<RequestId>();
     try {
-      return await run(request, requestId, signal);
+      return await runRequest(request, requestId, signal);
     } catch (error) {
-      return buildProblem(toRefusal(error), requestId);
+      const refusal = toRefusal(error);
+      options.timeline.record(
+        'request.failed',
+        { code: refusal.code, notRun: refusal.notRun },
+        requestId,
+      );
+      return buildProblem(refusal, requestId);
     }
   };
 
-  const isReady = (): boolean =>
-    link.readView().state !== undefined && link.readContact() !== 'isolated';
-
-  return { handle, isReady };
-}
-
-function readTarget(request: CallerRequest): { service: ServiceId; path: string; chat?: ChatId } {
-  const plain = /^\/services\/([^/]+)(\/.*)$/.exec(request.path);
-  if (plain) return { service: toId<ServiceId>(plain[1] ?? ''), path: plain[2] ?? '/' };
-  if (!request.path.startsWith('/v1/')) {
-    throw new RelayError(ResultCode.unknownPath, `no path '${request.path}'`, { notRun: true });
-  }
-  const body = JSON.parse(Buffer.from(request.body).toString('utf8')) as {
-    model?: string;
-    chat_id?: string;
-  };
   return {
-    service: toId<ServiceId>(body.model ?? ''),
-    path: request.path,
-    ...(body.chat_id ? { chat: toId<ChatId>(body.chat_id) } : {}),
+    handle,
+    checkCaller,
+    refuse,
+    isReady,
+    /** Reports not ready from now on; requests are still served. */
+    stop: (): void => {
+      isStopping = true;
+    },
+    takeUsage: limiter.takeUsage,
+    countRunning: flights.countAll,
   };
 }
--- /dev/null
+++ b/packages/entry/src/placement/create-candidate-lists.ts
@@ -0,0 +1,43 @@
+import type { EndpointId, Member, ServiceId } from '@vanillarelay/core';
+import type { FleetView } from '@vanillarelay/link';
+import type { Candidates } from './candidates.js';
+
+const noCandidates: Candidates = { ids: [], members: new Map(), coldLimit: 1 };
+
+/** Makes the lists of usable endpoints by service; they are built once for each view. */
+export function createCandidateLists() {
+  let listed: FleetView | undefined;
+  let lists = new Map<ServiceId, Candidates>();
+
+  const read = (view: FleetView, service: ServiceId): Candidates => {
+    if (view !== listed) {
+      lists = buildLists(view);
+      listed = view;
+    }
+    return lists.get(service) ?? noCandidates;
+  };
+
+  return { read };
+}
+
+function buildLists({ state, members }: FleetView): Map<ServiceId, Candidates> {
+  const draining = new Set(state?.draining);
+  const outside = new Set(state?.dataCentresOut);
+  const byService = new Map<ServiceId, Map<EndpointId, Member>>();
+  members.forEach((member) => {
+    if (member.status === 'leaving' || member.damped) return;
+    if (draining.has(member.id) || outside.has(member.dataCentre)) return;
+    const list = byService.get(member.service) ?? new Map<EndpointId, Member>();
+    list.set(member.id, member);
+    byService.set(member.service, list);
+  });
+  const lists = new Map<ServiceId, Candidates>();
+  byService.forEach((list, service) =>
+    lists.set(service, {
+      ids: [...list.keys()].sort(),
+      members: list,
+      coldLimit: state?.config.services[service]?.coldLimit ?? 1,
+    }),
+  );
+  return lists;
+}
--- /dev/null
+++ b/packages/entry/src/requests/hash-content.ts
@@ -0,0 +1,20 @@
+import { createHash } from 'node:crypto';
+import { hashBody, toId, type AccountId, type ChatId, type Fingerprint } from '@vanillarelay/core';
+
+interface Content {
+  account: AccountId;
+  method: string;
+  path: string;
+  body: Uint8Array;
+  /** The chat id when it stands in the body. */
+  chatInBody?: ChatId;
+}
+
+/** Hash of the request under its idempotency key, and its fingerprint, which knows no chat id. */
+export function hashContent({ account, method, path, body, chatInBody }: Content) {
+  const bodyHash = createHash('sha256').update(`${method} ${path}\n`).update(body).digest('hex');
+  const content = chatInBody
+    ? Buffer.from(body).toString('utf8').replace(JSON.stringify(chatInBody), '""')
+    : bodyHash;
+  return { bodyHash, fingerprint: toId<Fingerprint>(hashBody(`${account}\n${content}`)) };
+}
--- /dev/null
+++ b/packages/entry/src/requests/parse-target.ts
@@ -0,0 +1,54 @@
+import { RelayError, ResultCode, toId, type ChatId, type ServiceId } from '@vanillarelay/core';
+import type { CallerRequest } from '../caller-request.js';
+import { checkPath } from './check-path.js';
+import { parseChatBody } from './parse-chat-body.js';
+
+interface Target {
+  service: ServiceId;
+  path: string;
+  resumable: boolean;
+  /** Whether the answer is a chat completion, whose event streams have a final event. */
+  isCompletion: boolean;
+  chat?: ChatId;
+  /** Set when the chat id stands in the body, which then differs between equal contents. */
+  isChatInBody?: boolean;
+}
+
+const completionsPath = '/v1/chat/completions';
+const longestChatId = 256;
+
+/** Finds the service, the path at the service and the chat of a request. */
+export function parseTarget(request: CallerRequest): Target {
+  const chat = request.headers['x-chat-id'];
+  if (chat !== undefined && (chat === '' || chat.length > longestChatId)) {
+    throw new RelayError(
+      ResultCode.malformedRequest,
+      `header x-chat-id has ${chat.length} characters, 1 to ${longestChatId} are allowed`,
+      { notRun: true },
+    );
+  }
+  const plain = /^\/services\/([^/?]+)(\/.*)?$/.exec(request.path);
+  if (plain) {
+    const path = plain[2] ?? '/';
+    checkPath(path);
+    return {
+      service: toId<ServiceId>(plain[1] ?? ''),
+      path,
+      resumable: request.headers['x-resumable'] === 'true',
+      isCompletion: false,
+      ...(chat ? { chat: toId<ChatId>(chat) } : {}),
+    };
+  }
+  if (request.path !== completionsPath) {
+    throw new RelayError(ResultCode.unknownPath, `no path '${request.path}'`, { notRun: true });
+  }
+  const body = parseChatBody(request.body);
+  const chatId = body.chat_id ?? chat;
+  return {
+    service: toId<ServiceId>(body.model),
+    path: completionsPath,
+    resumable: body.resumable ?? false,
+    isCompletion: true,
+    ...(chatId ? { chat: toId<ChatId>(chatId), isChatInBody: body.chat_id !== undefined } : {}),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/streams/format-error-event.ts
@@ -0,0 +1,13 @@
+import { findCodeName, type Refusal, type RequestId } from '@vanillarelay/core';
+
+/** An error as a server-sent event, in the shape in which OpenAI's clients expect it. */
+export function formatErrorEvent(refusal: Refusal, requestId: RequestId): Uint8Array {
+  const error = {
+    message: refusal.message,
+    type: findCodeName(refusal.code),
+    code: refusal.code,
+    notRun: false,
+    requestId,
+  };
+  return Buffer.from(`event: error\ndata: ${JSON.stringify({ error })}\n\n`);
+}
