--- a/packages/daemon/src/http/close-server.ts
+++ b/packages/daemon/src/http/close-server.ts
@@ -1,9 +1,15 @@
 import type { Server } from 'node:http';
 
-/** Resolves when the last answer is written; connections without a request are closed at once. */
+const idleCheckMs = 100;
+
+/** Accepts no more connections and resolves when the requests in progress have ended. */
 export function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
-    server.close(() => resolve());
+    const timer = setInterval(() => server.closeIdleConnections(), idleCheckMs);
+    server.close(() => {
+      clearInterval(timer);
+      resolve();
+    });
     server.closeIdleConnections();
   });
 }
