--- a/packages/control/src/hub/create-hub.ts
+++ b/packages/control/src/hub/create-hub.ts
@@ -149,6 +149,7 @@
       ...history.findPart(stateVersion),
       at: hlc.read(),
     }),
+    listEndpoints: () => members.listEndpoints(),
     listDaemons: () => daemons.list(clock.monotonic()),
     /** Accepted and in force, apart. */
     readRollout: () => daemons.readRollout(store.readState().daemon.version, clock.monotonic()),
--- a/packages/control/src/hub/create-member-table.ts
+++ b/packages/control/src/hub/create-member-table.ts
@@ -211,6 +211,12 @@
     buildDelta,
     readGeneration: () => generation,
     listRecords: () => records.values(),
+    /** All endpoints for operators. */
+    listEndpoints: () =>
+      [...records.values()].map((record) => ({
+        ...toMember(record),
+        running: record.announcement.running,
+      })),
   };
 }
 
--- a/packages/daemon/src/agent/run-agent.ts
+++ b/packages/daemon/src/agent/run-agent.ts
@@ -13,6 +13,7 @@
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
 import { waitForSignal } from '../platform/wait-for-signal.js';
+import { closeServer } from '../http/close-server.js';
 import { loadTrust } from '../trust/load-trust.js';
 import { createAgentOpener } from './create-agent-opener.js';
 import { createAgentServer } from './create-agent-server.js';
@@ -23,7 +24,6 @@
   const context = await createProcessContext(settings);
   const { clock, timeline } = context;
   const trust = await loadTrust(settings);
-  const { tls } = trust;
   const controls = settings.control.map(({ id, address }) => ({
     id: toId<DaemonId>(id),
     client: openControl(address, trust),
@@ -34,6 +34,7 @@
     dataCentre: toId<DataCentreId>(settings.dataCentre),
   };
   const service = toId<ServiceId>(settings.service);
+  const findPeer = createAgentOpener(trust);
   let link: Link;
   const agent = createAgent({
     ...context,
@@ -46,11 +47,12 @@
     endpoint: openEndpoint(settings.endpointAddress),
     control: { propose: createProposer({ ...context, controls }) },
     findLink: () => link,
+    openAgent: findPeer,
   });
   link = createLink({
     ...context,
     controls,
-    openPeer: createAgentOpener(trust),
+    openPeer: findPeer,
     buildReport: () => ({
       ...identity,
       daemon: toId<DaemonId>(settings.id),
@@ -64,16 +66,18 @@
   const server = createAgentServer({
     handlers: agent.handlers,
     peerKeys: settings.peerKeys,
-    tls,
+    tls: trust.tls,
     listTimeline: () => timeline.list(),
     reportStranger: (path) => timeline.record('stranger.refused', { path }),
   });
   await serveOn(server, settings.address);
   link.start();
+  agent.start();
   timeline.record('process.started', { role: 'agent', address: settings.address });
   await waitForSignal();
+  await agent.drain();
+  agent.stop();
   link.stop();
-  server.close();
-  server.closeIdleConnections();
+  await closeServer(server);
   controls.forEach(({ client }) => client.close());
 }
--- a/packages/daemon/src/control/create-control-router.ts
+++ b/packages/daemon/src/control/create-control-router.ts
@@ -5,8 +5,10 @@
   toRefusal,
   type Command,
   type CommandResult,
+  type ConfigChange,
   type DaemonState,
   type Frame,
+  type Member,
   type QuorumReport,
   type Refusal,
   type Report,
@@ -29,6 +31,8 @@
   readRollout(): Rollout;
   listDaemons(): DaemonEntry[];
   listTimeline(): TimelineEvent[];
+  listHistory(): ConfigChange[];
+  listEndpoints(): (Member & { running: number })[];
 }
 
 const defineObject = <T>() => z.custom<T>((value) => typeof value === 'object' && value !== null);
@@ -62,6 +66,8 @@
     readState: t.procedure.query(() => handlers.readState()),
     readRollout: t.procedure.query(() => handlers.readRollout()),
     listDaemons: t.procedure.query(() => handlers.listDaemons()),
+    listHistory: t.procedure.query(() => handlers.listHistory()),
+    listEndpoints: t.procedure.query(() => handlers.listEndpoints()),
     readTimeline: t.procedure.query(() => handlers.listTimeline()),
   });
 }
--- a/packages/daemon/src/control/create-control-server.ts
+++ b/packages/daemon/src/control/create-control-server.ts
@@ -25,7 +25,7 @@
   const { router, tls, reportStranger, reportRefusal } = options;
   const readRole = (request: IncomingMessage) =>
     findRole(options, request.headers[controlKeyHeader]);
-  const server = createHttpServer(tls, (_, response) => response.writeHead(404).end());
+  const server = createHttpServer({ tls }, (_, response) => response.writeHead(404).end());
   const webSockets = new WebSocketServer({
     noServer: true,
     maxPayload: messageLimits.payloadBytes,
--- a/packages/daemon/src/control/run-control.ts
+++ b/packages/daemon/src/control/run-control.ts
@@ -27,6 +27,8 @@
     readState: () => store.readState().daemon,
     readRollout: hub.readRollout,
     listDaemons: hub.listDaemons,
+    listHistory: () => store.readState().history,
+    listEndpoints: hub.listEndpoints,
     listTimeline: () => timeline.list(),
   });
   const server = createControlServer({
--- a/packages/link/__tests__/create-test-fleet.ts
+++ b/packages/link/__tests__/create-test-fleet.ts
@@ -9,7 +9,6 @@
   type DaemonId,
   type DataCentreId,
   type EndpointId,
-  type FleetConfig,
   type Report,
   type ServiceId,
   type VmId,
@@ -88,18 +87,24 @@
   };
 
   const findProcess = (id: string) => processes.get(id) as VirtualProcess;
+  const findTarget = <T extends object>(id: string, handlers: T) => {
+    const process = processes.get(id);
+    return process && { process, handlers };
+  };
   const findHub = (id: string) => hubs.get(id) as ReturnType<typeof createHub>;
   const openPeer = (from: string, to: string): HubPeer =>
-    network.open(findProcess(from), findProcess(to), () => ({
-      gossip: async (message) => findHub(to).gossip(structuredClone(message)),
-    }));
+    network.open<HubPeer>(findProcess(from), () =>
+      findTarget(to, { gossip: async (message) => findHub(to).gossip(structuredClone(message)) }),
+    );
   const openControl = (from: string, to: string): ControlClient =>
-    network.open(findProcess(from), findProcess(to), () => ({
-      exchange: async (report, signal) =>
-        structuredClone(await findHub(to).exchange(structuredClone(report), signal)),
-      readQuorum: async (version) => structuredClone(findHub(to).readQuorum(version)),
-      propose: async (command) => log.propose(command),
-    }));
+    network.open<ControlClient>(findProcess(from), () =>
+      findTarget(to, {
+        exchange: async (report, signal) =>
+          structuredClone(await findHub(to).exchange(structuredClone(report), signal)),
+        readQuorum: async (version) => structuredClone(findHub(to).readQuorum(version)),
+        propose: async (command) => log.propose(command),
+      }),
+    );
 
   const startControl = (id: string): void => {
     const base = createBase(id);
@@ -108,9 +113,7 @@
       .filter((other) => other !== id)
       .map((other) => ({
         id: toId<DaemonId>(other),
-        peer: {
-          gossip: (message, signal) => openPeer(id, other).gossip(message, signal),
-        },
+        peer: openPeer(id, other),
       }));
     const hub = createHub({ ...base, id: toId<DaemonId>(id), store, peers });
     hubs.set(id, hub);
@@ -152,12 +155,14 @@
         };
       },
       openPeer: (to) =>
-        network.open<Pick<AgentClient, 'readContact'>>(findProcess(id), findProcess(to), () => ({
-          readContact: async (version) => ({
-            ...structuredClone(findLink(to).buildContactReport(version)),
-            dataCentre: findDataCentre(to),
+        network.open<Pick<AgentClient, 'readContact'>>(findProcess(id), () =>
+          findTarget(to, {
+            readContact: async (version) => ({
+              ...structuredClone(findLink(to).buildContactReport(version)),
+              dataCentre: findDataCentre(to),
+            }),
           }),
-        })),
+        ),
     });
     links.set(id, link);
     link.start();
