--- a/packages/entry/__tests__/create-fixture.ts
+++ b/packages/entry/__tests__/create-fixture.ts
@@ -107,7 +107,10 @@
 
   const createAgent = (id: string) => {
     const process = virtual.createProcess(id);
-    const control = network.open(process, controlProcess, () => ({ propose }));
+    const control = network.open(process, () => ({
+      process: controlProcess,
+      handlers: { propose },
+    }));
     const head = { stateVersion: 1, at: '' as HlcTime };
     const dispatch = async (request: DispatchRequest, signal: AbortSignal) => {
       dispatches.push({ agent: id, request });
@@ -169,7 +172,10 @@
   const histograms = createHistograms();
   const openEntry = (id: string) => {
     const process = virtual.createProcess(id);
-    const control = network.open<Control>(process, controlProcess, () => ({ propose }));
+    const control = network.open<Control>(process, () => ({
+      process: controlProcess,
+      handlers: { propose },
+    }));
     const created = createEntry({
       clock: process.clock,
       random,
@@ -181,7 +187,7 @@
       link,
       openAgent: (address) => {
         const agent = fleet.get(address)!;
-        return network.open(process, agent.process, () => agent.handlers);
+        return network.open(process, () => agent);
       },
       propose: (command, signal) => control.propose(command, signal),
     });
--- a/packages/scenarios/src/fleet/fleet-context.ts
+++ b/packages/scenarios/src/fleet/fleet-context.ts
@@ -1,4 +1,5 @@
-import type { ControlClient, AgentClient, EndpointClient, Hash, Random } from '@vanillarelay/core';
+import type { createAgent } from '@vanillarelay/agent';
+import type { ControlClient, EndpointClient, Hash, Random } from '@vanillarelay/core';
 import type { createEntry } from '@vanillarelay/entry';
 import type { createFakeNetwork } from '../fakes/create-fake-network.js';
 import type { RunningProcess } from '../fakes/running-process.js';
@@ -11,7 +12,7 @@
   random: Random;
   hash: Hash;
   controls: Map<string, RunningProcess<ControlClient>>;
-  agents: Map<string, RunningProcess<AgentClient>>;
+  agents: Map<string, RunningProcess<ReturnType<typeof createAgent>['handlers']>>;
   endpoints: Map<string, RunningProcess<EndpointClient>>;
   entries: Map<string, RunningProcess<ReturnType<typeof createEntry>>>;
 }
--- a/packages/scenarios/src/fleet/start-agent.ts
+++ b/packages/scenarios/src/fleet/start-agent.ts
@@ -1,6 +1,7 @@
 import { createAgent } from '@vanillarelay/agent';
 import {
   createHlc,
+  createIdSource,
   createTimeline,
   toId,
   type DaemonId,
@@ -26,7 +27,7 @@
 
 /** Starts an agent and its endpoint in the in-process fleet. */
 export function startAgent(context: FleetContext, options: StartAgentOptions): void {
-  const { virtual, network, random } = context;
+  const { virtual, network, random, hash } = context;
   const { id, service, dataCentre, slots, createEndpoint } = options;
   const endpointProcess = virtual.createProcess(`endpoint-${id}`);
   context.endpoints.set(id, {
@@ -51,8 +52,11 @@
     incarnation,
     clock,
     random,
+    hash,
     hlc,
     timeline,
+    createId: createIdSource(random),
+    openAgent: (address) => network.open(process, () => context.agents.get(address)),
     endpoint: network.open(process, () => context.endpoints.get(id)),
     control: { propose: (command, signal) => controls[0]!.client.propose(command, signal) },
     findLink: () => link,
@@ -76,4 +80,5 @@
   });
   context.agents.set(id, { process, handlers: agent.handlers });
   link.start();
+  agent.start();
 }
--- a/packages/scenarios/src/fleet/start-entry.ts
+++ b/packages/scenarios/src/fleet/start-entry.ts
@@ -1,4 +1,5 @@
 import {
+  createHistograms,
   createHlc,
   createIdSource,
   createTimeline,
@@ -20,12 +21,13 @@
   const hlc = createHlc(clock);
   const vm = toId<VmId>(`vm-${id}`);
   const timeline = createTimeline({ hlc, process: toId<DaemonId>(id), vm, dataCentre });
+  const controls = openControls(context, process);
   const link = createLink({
     clock,
     random,
     hlc,
     timeline,
-    controls: openControls(context, process),
+    controls,
     buildReport: () => ({
       daemon: toId<DaemonId>(id),
       role: 'entry',
@@ -37,10 +39,13 @@
   });
   const entry = createEntry({
     clock,
+    random,
     hash,
     hlc,
     timeline,
     link,
+    histograms: createHistograms(),
+    propose: (command, signal) => controls[0]!.client.propose(command, signal),
     createId: createIdSource(random),
     openAgent: (address) => network.open(process, () => context.agents.get(address)),
   });
