--- a/packages/entry/__tests__/create-fixture.ts
+++ b/packages/entry/__tests__/create-fixture.ts
@@ -107,7 +107,7 @@
 
   const createAgent = (id: string) => {
     const process = virtual.createProcess(id);
-    const control = network.open<{ propose: typeof propose }>(process, () => ({
+    const control = network.open(process, () => ({
       process: controlProcess,
       handlers: { propose },
     }));
