--- a/packages/control/src/hub/create-daemon-table.ts
+++ b/packages/control/src/hub/create-daemon-table.ts
@@ -8,6 +8,8 @@
   seenAt: number;
   /** The hub that received it. */
   origin: DaemonId;
+  /** Monotonic time at which this hub learned of it. */
+  learnedAt: number;
 }
 
 /** A daemon that reported within this time counts for "in force". */
@@ -20,10 +22,15 @@
   const records = new Map<DaemonId, DaemonRecord>();
 
   /** Returns false for a report that is older than the last one. */
-  const receive = (row: DaemonRow, seenAt: number, origin: DaemonId): boolean => {
+  const receive = (
+    row: DaemonRow,
+    seenAt: number,
+    origin: DaemonId,
+    learnedAt: number = seenAt,
+  ): boolean => {
     const last = records.get(row.daemon)?.row;
     if (last && !isNewer(row, last)) return false;
-    records.set(row.daemon, { row, seenAt, origin });
+    records.set(row.daemon, { row, seenAt, origin, learnedAt });
     return true;
   };
 
--- a/packages/control/src/hub/create-gossip.ts
+++ b/packages/control/src/hub/create-gossip.ts
@@ -5,6 +5,7 @@
 import type { GossipMessage } from './gossip-message.js';
 import type { GossipReply } from './gossip-reply.js';
 import type { HubPeer } from './hub-peer.js';
+import type { MemberRecord } from './member-record.js';
 
 interface GossipOptions {
   id: DaemonId;
@@ -47,11 +48,15 @@
     /** What a third hub received is passed on only to a peer that does not hear it. */
     const isDue = (origin: DaemonId) =>
       isNew || origin === id || (origin !== to && !progress.hears.includes(origin));
+    const isNews = (record: { learnedAt: number; origin: DaemonId }) =>
+      isDue(record.origin) && (isNew || record.learnedAt > progress.sentAt);
     const records = [...members.listRecords()].filter(
-      ({ seenAt, changedIn, origin }) =>
-        isDue(origin) && (seenAt > progress.sentAt || changedIn > progress.generation),
+      (record) =>
+        isNews(record) || (isDue(record.origin) && record.changedIn > progress.generation),
     );
-    const isFull = ({ changedIn }: { changedIn: number }) => changedIn > progress.generation;
+    /** Loads alone are enough only for members that the peer certainly has from this hub. */
+    const isFull = ({ changedIn, origin, movedAt }: MemberRecord) =>
+      changedIn > progress.generation || origin !== id || movedAt > progress.sentAt;
     return {
       from: id,
       epoch,
@@ -72,7 +77,7 @@
           ageMs: now - seenAt,
         })),
       daemons: [...daemons.listRecords()]
-        .filter(({ origin, seenAt }) => isDue(origin) && seenAt > progress.sentAt)
+        .filter(isNews)
         .map(({ row, origin, seenAt }) => ({ row, origin, ageMs: now - seenAt })),
       usage: [
         { hub: id, rates: usage.buildTotals(), ageMs: 0 },
@@ -117,9 +122,11 @@
       members.receive(announcement, now - ageMs, origin, now),
     );
     message.loads.forEach(({ id: endpoint, origin, ageMs, ...load }) =>
-      members.receiveLoad(endpoint, load, now - ageMs, origin),
+      members.receiveLoad(endpoint, load, now - ageMs, origin, now),
+    );
+    message.daemons.forEach(({ row, origin, ageMs }) =>
+      daemons.receive(row, now - ageMs, origin, now),
     );
-    message.daemons.forEach(({ row, origin, ageMs }) => daemons.receive(row, now - ageMs, origin));
     message.usage.forEach(({ hub, rates, ageMs }) => usage.receiveTotals(hub, rates, now - ageMs));
     return { epoch, hears: listHeard(), at: hlc.read() };
   };
--- a/packages/control/src/hub/create-member-table.ts
+++ b/packages/control/src/hub/create-member-table.ts
@@ -71,6 +71,8 @@
       changedIn: isChanged ? generation : record.changedIn,
       seenAt: Math.max(seenAt, record?.seenAt ?? seenAt),
       origin,
+      learnedAt: now,
+      movedAt: record?.origin === origin ? record.movedAt : now,
       damping,
       damped: damping.isDamped(now),
       isContactPeer: record?.isContactPeer ?? false,
@@ -90,6 +92,7 @@
     load: Pick<Announcement, 'incarnation' | 'sequence' | 'running'>,
     seenAt: number,
     origin: DaemonId,
+    now: number,
   ): void => {
     const record = records.get(id);
     if (!record || record.announcement.incarnation !== load.incarnation) return;
@@ -97,6 +100,8 @@
     const { sequence, running } = load;
     record.announcement = { ...record.announcement, sequence, running };
     record.seenAt = Math.max(record.seenAt, seenAt);
+    record.learnedAt = now;
+    if (record.origin !== origin) record.movedAt = now;
     record.origin = origin;
   };
 
--- a/packages/control/src/hub/member-record.ts
+++ b/packages/control/src/hub/member-record.ts
@@ -12,6 +12,10 @@
   seenAt: number;
   /** The hub that received the last report. */
   origin: DaemonId;
+  /** Monotonic time at which this hub learned of the last report. */
+  learnedAt: number;
+  /** Monotonic time at which this hub learned of another origin. */
+  movedAt: number;
   damping: Damping;
   damped: boolean;
   /** Sent to daemons of other services too, which ask it when they lose control. */
