--- a/packages/daemon/src/control/open-control.ts
+++ b/packages/daemon/src/control/open-control.ts
@@ -29,6 +29,8 @@
 }
 
 const refusedCode = 'ECONNREFUSED';
+/** Status with which a server refuses to upgrade a connection without a valid key. */
+const strangerStatus = '401';
 const reconnectDelayMs = 100;
 /** A connection that was silent for longer during a call is dropped: its VM may be gone. */
 const silenceLimitMs = 1_400;
@@ -66,7 +68,13 @@
     const pending: PendingCall = { isSent: socket.isOpen(), fail: () => {} };
     const failed = new Promise<never>((_, reject) => {
       pending.fail = (code) => {
-        reject(createFailure(`${address}: ${code}`, true, code));
+        const message = `${address}: ${code}`;
+        const isStranger = code.endsWith(strangerStatus);
+        reject(
+          isStranger
+            ? new RelayError(ResultCode.strangerRefused, message, { notRun: true })
+            : createFailure(message, true, code),
+        );
         // Takes the message out of the client's queue, so that it is not sent later.
         controller.abort();
       };
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -18,6 +18,7 @@
 export { runEntry } from './entry/run-entry.js';
 export { openOperator } from './operator/open-operator.js';
 export type { OperatorClient } from './operator/operator-client.js';
+export { createSystemClock } from './platform/create-system-clock.js';
 export { createEndpointServer } from './stand-ins/create-endpoint-server.js';
 export { runFakeEngine } from './stand-ins/run-fake-engine.js';
 export { runFakeService } from './stand-ins/run-fake-service.js';
--- a/packages/link/__tests__/contact.test.ts
+++ b/packages/link/__tests__/contact.test.ts
@@ -171,3 +171,25 @@
   await fleet.virtual.run(6_000);
   expect(fleet.findLink(address).readContact()).toBe('isolated');
 });
+
+// Guards against work on a state that the sender of a request already knows to be old.
+it('fetches a version that a message carries when its hub does not send it', async () => {
+  const fleet = createTestFleet({ seed });
+  await fleet.start();
+  // Two hubs hear of nothing new for a while; their daemons find out by the third.
+  ['control-0', 'control-1'].forEach((id) => fleet.setQuorum(id, false));
+  await fleet.propose({
+    ...{ type: 'takeOutDataCentre', changeId: 'out', operator: 'test' },
+    dataCentre: 'multan',
+  });
+  const links = fleet.daemonIds.map(fleet.findLink);
+  const fetched = await fleet.virtual.runUntil(
+    Promise.all(links.map(({ receiveVersion }) => receiveVersion(2))),
+    1_200,
+  );
+  const versions = links.map(({ readView }) => readView().state?.version);
+  const unknown = await fleet.virtual.runUntil(links[0]!.receiveVersion(99));
+  expect({ fetched: [...new Set(fetched)], versions: [...new Set(versions)], unknown }).toEqual({
+    ...{ fetched: [true], versions: [2], unknown: false },
+  });
+});
