feat(agent): run non-idempotent requests at most once

Cause: the agent passed every request on; nothing kept a non-idempotent request from running twice, and nothing bounded or queued the load.

Ruled out: records kept by the agent (endpoint VMs have no disk); a claim for each poll of a resend at the same agent (a local wait costs no log entry); a refusal of a resend as "not run" after an earlier run was seen.

Chats and idempotency keys go to the endpoint with their account. A reused key is refused as not run also while the first run ends. `vitest run packages/agent`: 10 tests pass, 0 existed before.

--- /dev/null
+++ b/packages/agent/__tests__/at-most-once.test.ts
@@ -0,0 +1,177 @@
+import { expect, it } from 'vitest';
+import { createHarness } from './create-harness.js';
+
+const order = { idempotent: false, idempotencyKey: 'key-1' };
+
+// Guards against a resend that runs the order a second time instead of getting its answer.
+it('replays the stored answer to a resend', async () => {
+  const { ask, endpoint } = await createHarness();
+  expect([await ask(order), await ask(order), endpoint.runs.length]).toMatchInlineSnapshot(`
+    [
+      "200 /orders",
+      "200 /orders (replayed)",
+      1,
+    ]
+  `);
+});
+
+// Guards against two runs when a resend arrives while the first attempt is still running.
+it('lets a resend wait for the running execution', async () => {
+  const { dispatch, virtual, endpoint } = await createHarness();
+  const first = dispatch(order).reply;
+  const second = dispatch(order).reply;
+  const replies = await virtual.runUntil(Promise.all([first, second]));
+  expect([replies.sort(), endpoint.runs.length]).toMatchInlineSnapshot(`
+    [
+      [
+        "200 /orders",
+        "200 /orders (replayed)",
+      ],
+      1,
+    ]
+  `);
+});
+
+// Guards against answering one order with the outcome of another one.
+it('refuses the same key with another body, and an order without a key', async () => {
+  const { ask, endpoint } = await createHarness();
+  const replies = [
+    await ask(order),
+    await ask({ ...order, bodyHash: 'hash-2' }),
+    await ask({ idempotent: false }),
+  ];
+  expect([replies, endpoint.runs.length]).toMatchInlineSnapshot(`
+    [
+      [
+        "200 /orders",
+        "idempotencyKeyReused notRun=true",
+        "missingIdempotencyKey notRun=true",
+      ],
+      1,
+    ]
+  `);
+});
+
+// Guards against an order that runs although nobody knows whether its claim was granted, and
+// against one that is blocked by its own claim whose answer was lost.
+it('repeats a claim whose answer was lost under the same nonce', async () => {
+  const { ask, log, endpoint } = await createHarness();
+  log.faults.loseAnswers = 2;
+  const reply = await ask(order);
+  const nonces = log.commands.flatMap((command) =>
+    command.type === 'claim' ? [command.nonce] : [],
+  );
+  expect([reply, nonces.length, new Set(nonces).size, endpoint.runs.length]).toMatchInlineSnapshot(`
+    [
+      "200 /orders",
+      3,
+      1,
+      1,
+    ]
+  `);
+});
+
+// Guards against running an order whose claim control never confirmed.
+it('refuses as not run when control gives no answer, and frees the record later', async () => {
+  const { ask, log, endpoint, virtual } = await createHarness();
+  log.faults.loseAnswers = 1_000;
+  const refused = await ask(order);
+  log.faults.loseAnswers = 0;
+  await virtual.run(5_000);
+  expect([refused, log.records.size, endpoint.runs.length, await ask(order)])
+    .toMatchInlineSnapshot(`
+    [
+      "noQuorum notRun=true",
+      0,
+      0,
+      "200 /orders",
+    ]
+  `);
+});
+
+// Guards against a refusal "not run" that an attempt delivered twice makes untrue.
+it('runs an attempt that the network delivers twice once, and keeps a refused one refused', async () => {
+  const { dispatch, virtual, endpoint, network, view, ask } = await createHarness();
+  network.startDuplicates('entry-1', 'agent-1');
+  await virtual.runUntil(dispatch({ attemptId: 'twice' }).reply);
+  const runs = endpoint.runs.length;
+  view.state.dataCentresOut = ['lahore'] as never;
+  const refused = await ask({ attemptId: 'late' });
+  view.state.dataCentresOut = [];
+  expect([runs, refused, await ask({ attemptId: 'late' }), endpoint.runs.length])
+    .toMatchInlineSnapshot(`
+    [
+      1,
+      "dataCentreOut notRun=true",
+      "dataCentreOut notRun=true",
+      1,
+    ]
+  `);
+});
+
+// Guards against a run after the entry was told "not run": the attempt was voided while the
+// agent was frozen with the dispatch in hand.
+it('does not run a voided attempt after it wakes', async () => {
+  const { dispatch, virtual, process, log, endpoint } = await createHarness();
+  process.freeze();
+  const { reply } = dispatch({ ...order, attemptId: 'frozen' });
+  await virtual.run(2_000);
+  await virtual.runUntil(
+    log.propose({ type: 'void', account: 'account-1', key: 'key-1', attemptId: 'frozen' } as never),
+  );
+  process.resume();
+  expect([await virtual.runUntil(reply), endpoint.runs.length]).toMatchInlineSnapshot(`
+    [
+      "attemptVoided notRun=true",
+      0,
+    ]
+  `);
+});
+
+// Guards against a second run of an order whose agent was killed between claim and answer.
+it('answers a resend with unknown when the claiming agent is gone', async () => {
+  const { ask, log, endpoint, virtual } = await createHarness();
+  const executor = { endpoint: 'agent-9', incarnation: 1, nonce: 'n', attemptId: 'a' };
+  const record = { account: 'account-1', key: 'key-1', bodyHash: 'hash-1' };
+  await virtual.runUntil(log.propose({ type: 'claim', ...record, ...executor } as never));
+  expect([await ask({ ...order, remainingMs: 60_000 }), endpoint.runs.length])
+    .toMatchInlineSnapshot(`
+    [
+      "outcomeUnknown notRun=false",
+      0,
+    ]
+  `);
+});
+
+// Guards against an order that starts after its caller has given up.
+it('does not run an order whose deadline passed while claiming', async () => {
+  const { ask, log, endpoint, virtual } = await createHarness();
+  log.faults.delayMs = 400;
+  const refused = await ask({ ...order, remainingMs: 300 });
+  await virtual.run(3_000);
+  expect([refused, endpoint.runs.length, log.records.size]).toMatchInlineSnapshot(`
+    [
+      "deadlineExceeded notRun=true",
+      0,
+      0,
+    ]
+  `);
+});
+
+// Guards against an order cut in half by its caller's broken connection: a resend must learn
+// its outcome.
+it('runs an order to its end when the caller leaves', async () => {
+  const { dispatch, ask, virtual, endpoint } = await createHarness();
+  const { reply, controller } = dispatch(order);
+  reply.catch(() => {});
+  await virtual.run(50);
+  controller.abort();
+  await virtual.run(1_000);
+  expect([endpoint.runs.length, endpoint.cancelled, await ask(order)]).toMatchInlineSnapshot(`
+    [
+      1,
+      0,
+      "200 /orders (replayed)",
+    ]
+  `);
+});
--- a/packages/agent/src/admission/create-warm-up.ts
+++ b/packages/agent/src/admission/create-warm-up.ts
@@ -76,7 +76,15 @@
     else recordWarm(firstByteMs, expectedMs);
   };
 
+  /** Takes in that the endpoint refused a request for lack of room. */
+  const recordOverload = (startedInRound: number): void => {
+    if (startedInRound !== round) return;
+    if (isCold) startRound(Math.max(1, Math.floor(readColdLimit() / 2)));
+    else reset('overloaded');
+  };
+
   return {
+    recordOverload,
     readLimit: () => (isCold ? Math.min(slots, readColdLimit()) : slots),
     isCold: () => isCold,
     readRound: () => round,
--- a/packages/agent/src/create-handlers.ts
+++ b/packages/agent/src/create-handlers.ts
@@ -87,7 +87,7 @@
     importCache: async (transfer, cache) => {
       gate.checkOpen();
       if (transfer.service !== service) return;
-      await endpoint.importCache(transfer.engineChat, cache);
+      await endpoint.importCache(transfer.chat, cache);
       directory.receiveCache(transfer);
     },
   };
--- a/packages/agent/src/directory/create-chat-directory.ts
+++ b/packages/agent/src/directory/create-chat-directory.ts
@@ -96,7 +96,6 @@
     // The chat has moved away and comes back: the notes of the other holder are out of date.
     const isBack = pointer !== undefined && pointer.holder !== id;
     const next: HeldChat = {
-      engineChat: chat,
       tokens: Math.max(tokens, known?.tokens ?? 0),
       usedAt: clock.monotonic(),
       sequence: known && !isBack ? known.sequence : computeSequence(hlc.read()),
@@ -149,9 +148,8 @@
   };
 
   /** Takes over a chat whose cache was moved here. */
-  const receiveCache = ({ chat, engineChat, tokens }: CacheTransfer): void => {
+  const receiveCache = ({ chat, tokens }: CacheTransfer): void => {
     const next: HeldChat = {
-      engineChat,
       tokens,
       usedAt: clock.monotonic(),
       sequence: computeSequence(hlc.read()),
--- a/packages/agent/src/directory/create-chat-order.ts
+++ b/packages/agent/src/directory/create-chat-order.ts
@@ -37,6 +37,7 @@
   const isReady = (member: Member, { state }: FleetView): boolean =>
     member.service === service &&
     member.status !== 'leaving' &&
+    !member.damped &&
     !state?.dataCentresOut.includes(member.dataCentre) &&
     !state?.draining.includes(member.id);
 
--- a/packages/agent/src/directory/export-caches.ts
+++ b/packages/agent/src/directory/export-caches.ts
@@ -22,15 +22,12 @@
   const cancelTimer = clock.startTimer(moveLimitMs, () => giveUp.abort());
   let moved = 0;
 
-  const passCache = async ([
-    chat,
-    { engineChat, tokens },
-  ]: (typeof waiting)[number]): Promise<void> => {
+  const passCache = async ([chat, { tokens }]: (typeof waiting)[number]): Promise<void> => {
     const next = directory.findNext(chat);
     if (!next) return;
-    const cache = await endpoint.exportCache(engineChat);
+    const cache = await endpoint.exportCache(chat);
     if (!cache) return;
-    const transfer = { service, chat, engineChat, tokens };
+    const transfer = { service, chat, tokens };
     await openAgent(next.address).importCache(transfer, cache, giveUp.signal);
     directory.removeHeld(chat);
     moved += 1;
--- a/packages/agent/src/directory/held-chat.ts
+++ b/packages/agent/src/directory/held-chat.ts
@@ -1,7 +1,5 @@
 /** A chat whose prompt the engine holds in its cache. */
 export interface HeldChat {
-  /** The chat as the engine names it. */
-  engineChat: string;
   /** Prompt tokens in the cache. */
   tokens: number;
   /** Monotonic time of the last run. */
--- a/packages/agent/src/executor/create-executor.ts
+++ b/packages/agent/src/executor/create-executor.ts
@@ -53,6 +53,8 @@
   claim?: GrantedClaim;
 }
 
+/** An engine that is cold or full says so by this status. */
+const overloadStatus = 503;
 const abandonWaitMs = 2_000;
 const retryAfterMs = 500;
 
@@ -92,6 +94,7 @@
     try {
       const answer = await openAnswer(endpoint, request, controller.signal);
       signal.removeEventListener('abort', abort);
+      if (answer.status === overloadStatus) warmUp.recordOverload(start.round);
       const running = { ...execution, controller, flight, removeFlight, start };
       return passAnswer(running, answer);
     } catch (error) {
--- a/packages/agent/src/executor/create-once-runner.ts
+++ b/packages/agent/src/executor/create-once-runner.ts
@@ -157,10 +157,13 @@
   return `${account}\n${idempotencyKey}`;
 }
 
+/** Refusals that concern this attempt alone, whatever became of earlier ones. */
+const ownCodes: ResultCode[] = [ResultCode.attemptVoided, ResultCode.idempotencyKeyReused];
+
 /** A refusal of a resend: this attempt does not run, the request itself does or did. */
 function toRanError(error: unknown): unknown {
   if (!(error instanceof RelayError) || !error.notRun) return error;
-  if (error.code === ResultCode.attemptVoided) return error;
+  if (ownCodes.includes(error.code)) return error;
   const { code, message } = error;
   return new RelayError(code, message, { notRun: false, retryAfterMs, cause: error });
 }
--- a/packages/agent/src/executor/open-answer.ts
+++ b/packages/agent/src/executor/open-answer.ts
@@ -1,10 +1,11 @@
 import {
   RelayError,
   ResultCode,
+  type DispatchRequest,
   type EndpointAnswer,
   type EndpointClient,
-  type EndpointRequest,
 } from '@vanillarelay/core';
+import { buildEndpointRequest } from './build-endpoint-request.js';
 
 /**
  * Sends a request to the endpoint and resolves with the head of its answer; rejects with
@@ -13,7 +14,7 @@
  */
 export async function openAnswer(
   endpoint: EndpointClient,
-  { method, path, headers, body }: EndpointRequest,
+  request: DispatchRequest,
   signal: AbortSignal,
 ): Promise<EndpointAnswer> {
   const aborted = new Promise<never>((_, reject) => {
@@ -22,7 +23,7 @@
     signal.addEventListener('abort', abort, { once: true });
   });
   try {
-    return await Promise.race([endpoint.run({ method, path, headers, body }, signal), aborted]);
+    return await Promise.race([endpoint.run(buildEndpointRequest(request), signal), aborted]);
   } catch (cause) {
     if (signal.aborted && signal.reason instanceof RelayError) throw signal.reason;
     throw new RelayError(ResultCode.endpointFailed, (cause as Error).message, {
--- a/packages/daemon/src/agent/query-heads.ts
+++ b/packages/daemon/src/agent/query-heads.ts
@@ -22,7 +22,6 @@
   cache: z.strictObject({
     service: id,
     chat,
-    engineChat: chat,
     tokens: z.number().min(0),
   }) as unknown as z.ZodType<CacheTransfer>,
 };
