test(agent): bring about overload, cold starts and closed doors

Ruled out: a test of the queue through the agent alone (its turns would hang on timing).

Change: 7 tests, `vitest run packages/agent/__tests__/admission.test.ts`.

--- /dev/null
+++ b/packages/agent/__tests__/admission.test.ts
@@ -0,0 +1,234 @@
+import { expect, it } from 'vitest';
+import { computeLoadBound } from '../src/admission/compute-load-bound.js';
+import { createFairQueue } from '../src/admission/create-fair-queue.js';
+import { createHarness } from './create-harness.js';
+
+const count = (replies: string[]) => {
+  const counts: Record<string, number> = {};
+  replies.forEach((reply) => {
+    counts[reply] = (counts[reply] ?? 0) + 1;
+  });
+  return counts;
+};
+
+// Guards against an engine loaded beyond the multiple of the mean, and against one that gets no
+// work at all while the mean is 0.
+it('bounds the running requests by the mean of the last frame', async () => {
+  const { dispatch, virtual, endpoint, view } = await createHarness({ slots: 8, coldLimit: 8 });
+  view.means.orders = 1.2;
+  endpoint.runMs = 1_000;
+  const replies = Array.from({ length: 6 }, () => dispatch().reply);
+  const result = count(await virtual.runUntil(Promise.all(replies)));
+  expect([result, endpoint.highest, [0, 0.3, 1, 1.01].map((mean) => computeLoadBound(2, mean))])
+    .toMatchInlineSnapshot(`
+    [
+      {
+        "200 /orders": 3,
+        "endpointBusy notRun=true": 3,
+      },
+      3,
+      [
+        1,
+        1,
+        2,
+        3,
+      ],
+    ]
+  `);
+});
+
+// Guards against requests stuck in the queue when only a frame, and no ended request, makes room.
+it('admits waiting requests when the mean rises', async () => {
+  const { dispatch, virtual, endpoint, view } = await createHarness({ slots: 8, coldLimit: 8 });
+  view.means.orders = 0;
+  endpoint.runMs = 1_000;
+  const replies = [dispatch().reply, dispatch().reply, dispatch().reply];
+  await virtual.run(100);
+  const before = endpoint.highest;
+  view.means.orders = 2;
+  expect([before, count(await virtual.runUntil(Promise.all(replies)))]).toMatchInlineSnapshot(`
+    [
+      1,
+      {
+        "200 /orders": 3,
+      },
+    ]
+  `);
+});
+
+// Guards against a cold endpoint that gets full load, and against one that stays limited for ever.
+it('raises the cold limit with good answers and halves it when they are slow', async () => {
+  const { dispatch, virtual, endpoint, agent } = await createHarness({ slots: 6, coldLimit: 1 });
+  const limits: (number | string)[] = [];
+  const runLoad = async () => {
+    endpoint.highest = 0;
+    const load = Array.from({ length: 8 }, () => dispatch({ mustArrive: true }).reply);
+    await virtual.runUntil(Promise.all(load));
+    limits.push(endpoint.highest, agent.buildAnnouncement().status);
+  };
+  endpoint.runMs = 600;
+  await runLoad();
+  endpoint.runMs = 100;
+  await runLoad();
+  endpoint.runMs = 600;
+  await runLoad();
+  endpoint.runMs = 100;
+  for (let i = 0; i < 4; i += 1) await runLoad();
+  expect(limits).toMatchInlineSnapshot(`
+    [
+      1,
+      "cold",
+      3,
+      "cold",
+      4,
+      "cold",
+      3,
+      "cold",
+      4,
+      "cold",
+      5,
+      "ready",
+      6,
+      "ready",
+    ]
+  `);
+});
+
+// Guards against full load on an endpoint that turned cold without notice.
+it('treats an endpoint as cold again on another instance, its own word, and slow first bytes', async () => {
+  const { ask, virtual, endpoint, agent, timeline } = await createHarness({
+    slots: 2,
+    coldLimit: 1,
+  });
+  const warm = async () => {
+    for (let i = 0; i < 20; i += 1) await ask();
+    return agent.buildAnnouncement().status;
+  };
+  const statuses = [await warm()];
+  endpoint.instance = 'second';
+  await virtual.run(500);
+  statuses.push(agent.buildAnnouncement().status, await warm());
+  endpoint.cold = true;
+  await virtual.run(500);
+  endpoint.cold = false;
+  statuses.push(agent.buildAnnouncement().status, await warm());
+  endpoint.runMs = 2_000;
+  for (let i = 0; i < 3; i += 1) await ask();
+  statuses.push(agent.buildAnnouncement().status);
+  const reasons = timeline
+    .list()
+    .flatMap(({ name, details }) => (name === 'endpoint.cold' ? [details!.reason] : []));
+  expect([statuses, reasons]).toMatchInlineSnapshot(`
+    [
+      [
+        "ready",
+        "cold",
+        "ready",
+        "cold",
+        "ready",
+        "cold",
+      ],
+      [
+        "endpoint died",
+        "endpoint says so",
+        "slow first bytes",
+      ],
+    ]
+  `);
+});
+
+// Guards against new work in a data centre taken out, at a draining or leaving endpoint, without
+// contact, or without an endpoint; and against full load on a data centre that returns.
+it('refuses all new work where none is allowed', async () => {
+  const { ask, virtual, endpoint, view, status, agent } = await createHarness({
+    slots: 2,
+    coldLimit: 1,
+  });
+  for (let i = 0; i < 4; i += 1) await ask();
+  const replies: string[] = [agent.buildAnnouncement().status];
+  view.state.dataCentresOut = ['lahore'] as never;
+  replies.push(await ask());
+  await virtual.run(500);
+  view.state.dataCentresOut = [];
+  await virtual.run(500);
+  replies.push(agent.buildAnnouncement().status);
+  view.state.draining = ['agent-1'] as never;
+  replies.push(await ask(), agent.buildAnnouncement().status);
+  view.state.draining = [];
+  status.contact = 'isolated';
+  replies.push(await ask());
+  status.contact = 'attached';
+  endpoint.process.kill();
+  await virtual.run(500);
+  replies.push(await ask(), agent.buildAnnouncement().status);
+  expect([replies, endpoint.runs.length]).toMatchInlineSnapshot(`
+    [
+      [
+        "ready",
+        "dataCentreOut notRun=true",
+        "cold",
+        "endpointLeaving notRun=true",
+        "leaving",
+        "isolated notRun=true",
+        "notReady notRun=true",
+        "leaving",
+      ],
+      4,
+    ]
+  `);
+});
+
+// Guards against requests that are dropped although they must arrive, wait although their caller
+// left, or wait for ever.
+it('lets must-arrive requests wait for their deadline and others a short time', async () => {
+  const { dispatch, virtual, endpoint } = await createHarness({ slots: 1, coldLimit: 1 });
+  endpoint.runMs = 3_000;
+  const first = dispatch().reply;
+  await virtual.run(20);
+  const patient = dispatch({ mustArrive: true, path: '/patient' }).reply;
+  const late = dispatch({ mustArrive: true, remainingMs: 1_000 }).reply;
+  const left = dispatch({ mustArrive: true, path: '/left' });
+  left.reply.catch(() => {});
+  const hasty = dispatch().reply;
+  await virtual.run(500);
+  left.controller.abort();
+  const replies = await virtual.runUntil(Promise.all([first, patient, late, hasty]));
+  expect([replies, endpoint.runs]).toMatchInlineSnapshot(`
+    [
+      [
+        "200 /orders",
+        "200 /patient",
+        "deadlineExceeded notRun=true",
+        "endpointBusy notRun=true",
+      ],
+      [
+        "/orders",
+        "/patient",
+      ],
+    ]
+  `);
+});
+
+// Guards against one account that takes all turns or the whole queue, and against urgent requests
+// that wait behind others.
+it('serves by priority, then by turns over the accounts', () => {
+  const queue = createFairQueue({ limit: 7, accountLimit: 4 });
+  const push = (account: string, priority: number) =>
+    queue.push({ account, priority, exclusive: false, grant: () => {}, refuse: () => {} } as never);
+  const pushed = [
+    ...['big', 'big', 'big', 'big', 'big', 'small', 'small'].map((account) => push(account, 5)),
+    push('urgent', 0),
+    push('small', 5),
+  ];
+  const order: string[] = [];
+  for (let item = queue.findNext(); item; item = queue.findNext()) {
+    order.push(item.account);
+    queue.remove(item, true);
+  }
+  expect([pushed.join(' '), order.join(' ')]).toMatchInlineSnapshot(`
+    [
+      "true true true true false true true true false",
+      "urgent big small big small big big",
+    ]
+  `);
+});
