feat(bench): compare ways to place returning chats in one run

Cause: reuse and skew must be measured with the real entry and agent, beside baselines. Ruled out: a model of the router.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,3 +1,11 @@
 export type { ChatTurn } from './load/chat-turn.js';
 export { startTraffic } from './load/start-traffic.js';
 export type { TrafficOptions } from './load/traffic-options.js';
+export { createBenchFleet } from './measures/create-bench-fleet.js';
+export { createChatSender } from './measures/create-chat-sender.js';
+export { createSkewSampler } from './measures/create-skew-sampler.js';
+export { measureReuse } from './measures/measure-reuse.js';
+export type { ReuseOptions } from './measures/reuse-options.js';
+export type { ReuseResult } from './measures/reuse-result.js';
+export { listPolicies } from './policies/list-policies.js';
+export type { Policy } from './policies/policy.js';
--- /dev/null
+++ b/packages/bench/src/measures/create-bench-fleet.ts
@@ -0,0 +1,108 @@
+import {
+  hashBody,
+  toId,
+  type AccountId,
+  type ChangeId,
+  type DataCentreId,
+  type FleetConfig,
+  type ServiceId,
+} from '@vanillarelay/core';
+import {
+  createFleetContext,
+  startAgent,
+  startControl,
+  startEntry,
+  type FleetContext,
+} from '@vanillarelay/scenarios';
+import { createFakeEngine, type FakeEngine } from '@vanillarelay/stand-ins';
+import type { ReuseOptions } from './reuse-options.js';
+
+interface BenchFleet {
+  context: FleetContext;
+  engines: Map<string, FakeEngine>;
+}
+
+const service = toId<ServiceId>('chat');
+const dataCentre = toId<DataCentreId>('one');
+const accountKey = 'bench-account-key';
+const slots = 64;
+const engineTimes = { prefillMsPerToken: 0.5, tokenMs: 450, batchSlowdownMs: 2, answerTokens: 4 };
+/** About as many tokens as the chats that an engine serves hold on average. */
+const cacheTokens = 60_000;
+const settleMs = 2_000;
+
+/** Starts a fleet of fake engines on the virtual clock, with the policy in its entries. */
+export async function createBenchFleet(options: ReuseOptions): Promise<BenchFleet> {
+  const context = await createFleetContext({ seed: options.seed });
+  const engines = new Map<string, FakeEngine>();
+  startControl(context, 'control-0', dataCentre);
+  for (let index = 0; index < options.engines; index += 1) {
+    const id = `engine-${index}`;
+    startAgent(context, {
+      id,
+      service,
+      dataCentre,
+      slots,
+      createEndpoint: ({ clock }) => {
+        const engine = createFakeEngine({
+          ...engineTimes,
+          clock,
+          random: context.random,
+          instance: id,
+          cacheTokens,
+        });
+        engines.set(id, engine);
+        return engine;
+      },
+    });
+  }
+  const place = options.policy.createPlace({ engines, multiple: options.multiple });
+  for (let index = 0; index < options.entries; index += 1) {
+    startEntry(context, `entry-${index}`, dataCentre, place);
+  }
+  await applyConfig(context, options.policy.loadMultiple ?? options.multiple);
+  await context.virtual.run(settleMs);
+  return { context, engines };
+}
+
+async function applyConfig(context: FleetContext, loadMultiple: number): Promise<void> {
+  const operator = context.virtual.createProcess('operator');
+  const control = context.network.open(operator, () => context.controls.get('control-0'));
+  const config: FleetConfig = {
+    dataCentres: { [dataCentre]: { region: 'one' } },
+    services: {
+      [service]: {
+        type: 'model',
+        loadMultiple,
+        coldLimit: 4,
+        firstByteMs: 5_000,
+        kinds: {
+          chat: {
+            methods: ['POST'],
+            pathPrefix: '/v1/chat/completions',
+            idempotent: true,
+            mustArrive: false,
+            priority: 5,
+            deadlineMs: 30_000,
+          },
+        },
+      },
+    },
+    accounts: {
+      [toId<AccountId>('bench')]: {
+        keyHashes: [hashBody(accountKey)],
+        requestsPerSecond: 1_000_000,
+        services: [service],
+      },
+    },
+    concurrentLoads: 2,
+  };
+  const command = {
+    type: 'applyConfig',
+    changeId: toId<ChangeId>('bench'),
+    operator: 'bench',
+    expectedVersion: 0,
+    config,
+  } as const;
+  await context.virtual.runUntil(control.propose(command, new AbortController().signal));
+}
--- /dev/null
+++ b/packages/bench/src/measures/create-chat-sender.ts
@@ -0,0 +1,87 @@
+import type { FleetContext } from '@vanillarelay/scenarios';
+import { build, type Histogram } from 'hdr-histogram-js';
+import type { ChatTurn } from '../load/chat-turn.js';
+
+interface SenderTotals {
+  requests: number;
+  refused: number;
+  /** Answers that broke off. */
+  broken: number;
+  promptTokens: number;
+  cachedTokens: number;
+  firstByte: Histogram;
+}
+
+const accountKey = 'bench-account-key';
+
+/** Makes the callers: each request goes through a random entry; totals count while measuring. */
+export function createChatSender({ virtual, network, random, entries }: FleetContext) {
+  const caller = virtual.createProcess('caller');
+  const clients = [...entries.keys()].map((id) => network.open(caller, () => entries.get(id)));
+  const totals = createTotals();
+  let isMeasuring = false;
+
+  const send = async (turn: ChatTurn, signal: AbortSignal): Promise<string | undefined> => {
+    const client = clients[Math.floor(random() * clients.length)]!;
+    const startedAt = virtual.clock.monotonic();
+    let text = '';
+    let firstByteMs: number | undefined;
+    try {
+      const reply = await client.handle(buildRequest(turn), signal);
+      for await (const chunk of reply.body) {
+        firstByteMs ??= virtual.clock.monotonic() - startedAt;
+        text += Buffer.from(chunk).toString('utf8');
+      }
+      if (isMeasuring) recordTotals(totals, reply.status, text, firstByteMs ?? 0);
+      return reply.status === 200 ? readContent(text) : undefined;
+    } catch {
+      if (isMeasuring) totals.broken += 1;
+      return undefined;
+    }
+  };
+
+  return {
+    send,
+    totals,
+    start: (): void => {
+      isMeasuring = true;
+    },
+  };
+}
+
+function createTotals(): SenderTotals {
+  return {
+    requests: 0,
+    refused: 0,
+    broken: 0,
+    promptTokens: 0,
+    cachedTokens: 0,
+    firstByte: build(),
+  };
+}
+
+function buildRequest(turn: ChatTurn) {
+  const body = { model: 'chat', chat_id: turn.chat, stream: true, messages: turn.messages };
+  return {
+    method: 'POST',
+    path: '/v1/chat/completions',
+    headers: { authorization: `Bearer ${accountKey}`, 'content-type': 'application/json' },
+    body: Buffer.from(JSON.stringify(body)),
+  };
+}
+
+function recordTotals(totals: SenderTotals, status: number, text: string, ms: number): void {
+  totals.requests += 1;
+  const usage = /"prompt_tokens":(\d+).*"cached_tokens":(\d+)/.exec(text);
+  if (status !== 200 || !usage) {
+    totals.refused += 1;
+    return;
+  }
+  totals.promptTokens += Number(usage[1]);
+  totals.cachedTokens += Number(usage[2]);
+  totals.firstByte.recordValue(Math.max(1, Math.round(ms)));
+}
+
+function readContent(text: string): string {
+  return [...text.matchAll(/"content":"([^"]*)"/g)].map((match) => match[1]).join('');
+}
--- /dev/null
+++ b/packages/bench/src/measures/measure-reuse.ts
@@ -0,0 +1,64 @@
+import { toId, type AccountId } from '@vanillarelay/core';
+import { startTraffic } from '../load/start-traffic.js';
+import { createBenchFleet } from './create-bench-fleet.js';
+import { createChatSender } from './create-chat-sender.js';
+import { createSkewSampler } from './create-skew-sampler.js';
+import type { ReuseOptions } from './reuse-options.js';
+import type { ReuseResult } from './reuse-result.js';
+
+const chatsPerEngine = 40;
+const traffic = {
+  accounts: [{ id: toId<AccountId>('bench'), weight: 1 }],
+  pauseMs: 6_500,
+  longPause: { share: 0.1, factor: 4 },
+  turns: 20,
+  turnCharacters: [100, 900] as [number, number],
+};
+
+/** Runs returning chats through one policy while engines lose their caches one after another. */
+export async function measureReuse(options: ReuseOptions): Promise<ReuseResult> {
+  const { context, engines } = await createBenchFleet(options);
+  const { virtual, random } = context;
+  const { clock } = virtual;
+  const stop = new AbortController();
+  const sender = createChatSender(context);
+  const chats = chatsPerEngine * options.engines;
+  void startTraffic({ ...traffic, clock, random, chats, send: sender.send }, stop.signal);
+  await virtual.run(options.warmUpMs);
+  const sampler = createSkewSampler(clock, engines, options.multiple);
+  sender.start();
+  void sampler.run(stop.signal);
+  let next = 0;
+  for (let elapsed = 0; elapsed < options.durationMs; elapsed += options.churnMs) {
+    [...engines.values()][next % engines.size]?.crash();
+    next += 1;
+    await virtual.run(Math.min(options.churnMs, options.durationMs - elapsed));
+  }
+  const result = buildResult(options, sender.totals, sampler.sums);
+  stop.abort();
+  await virtual.run(0);
+  return result;
+}
+
+function buildResult(
+  { policy, engines, multiple }: ReuseOptions,
+  totals: ReturnType<typeof createChatSender>['totals'],
+  sums: ReturnType<typeof createSkewSampler>['sums'],
+): ReuseResult {
+  return {
+    policy: policy.name,
+    engines,
+    multiple,
+    requests: totals.requests,
+    refused: totals.refused,
+    broken: totals.broken,
+    reuse: totals.cachedTokens / Math.max(1, totals.promptTokens),
+    meanLoad: sums.mean / sums.samples,
+    skewMean: sums.skew / sums.samples,
+    skewWorst: sums.worst,
+    worstExcess: sums.excess,
+    firstByteP50: totals.firstByte.getValueAtPercentile(50),
+    firstByteP95: totals.firstByte.getValueAtPercentile(95),
+    firstByteP99: totals.firstByte.getValueAtPercentile(99),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/measures/reuse-result.ts
@@ -0,0 +1,22 @@
+/** What one run of the reuse and skew measure gave. */
+export interface ReuseResult {
+  policy: string;
+  engines: number;
+  multiple: number;
+  requests: number;
+  refused: number;
+  /** Answers that broke off, as they must when their engine restarts. */
+  broken: number;
+  /** Share of prompt tokens found in cache. */
+  reuse: number;
+  meanLoad: number;
+  /** Highest load over the mean, averaged over the samples, and at its worst moment. */
+  skewMean: number;
+  skewWorst: number;
+  /** Most requests above the bound, rounded up, at any sample. */
+  worstExcess: number;
+  /** Time to the first byte, in milliseconds. */
+  firstByteP50: number;
+  firstByteP95: number;
+  firstByteP99: number;
+}
--- /dev/null
+++ b/packages/bench/src/policies/list-policies.ts
@@ -0,0 +1,66 @@
+import { sortByRendezvous, type EndpointId } from '@vanillarelay/core';
+import type { Policy } from './policy.js';
+
+type Place = NonNullable<ReturnType<Policy['createPlace']>>;
+type Input = Parameters<Place>[0];
+
+/** Agents with this multiple never refuse for load; 100 is the highest allowed. */
+const unboundedMultiple = 100;
+
+const takeMember = (input: Input, id: EndpointId | undefined) => {
+  const member = id === undefined ? undefined : input.candidates.members.get(id);
+  return member && { member, takeOver: true };
+};
+
+const placeRandomly: Place = (input) => {
+  const ids = input.candidates.ids.filter((id) => !input.tried.has(id));
+  return takeMember(input, ids[Math.floor(input.random() * ids.length)]);
+};
+
+const placeByRendezvous: Place = (input) => {
+  const order = sortByRendezvous(input.hash, input.chatKey ?? '', input.candidates.ids);
+  return takeMember(
+    input,
+    order.find((id) => !input.tried.has(id)),
+  );
+};
+
+const createRoundRobin = (): Place => {
+  let next = 0;
+  return (input) => {
+    next += 1;
+    return takeMember(input, input.candidates.ids[next % input.candidates.ids.length]);
+  };
+};
+
+/** Sees every cache and every load as they are now, and keeps the same bound. */
+const createOmniscient: Policy['createPlace'] = ({ engines, multiple }) => {
+  const readLoad = (id: string) => engines.get(id)?.readStats().running ?? 0;
+  return (input) => {
+    const ids = input.candidates.ids.filter((id) => !input.tried.has(id));
+    const total = ids.reduce((sum, id) => sum + readLoad(id), 0);
+    const bound = Math.max(1, Math.ceil((multiple * (total + 1)) / ids.length));
+    const chat = input.chatKey?.split('/').slice(1).join('/') ?? '';
+    const ranked = ids
+      .map((id) => ({ id, load: readLoad(id), cached: engines.get(id)?.countCached(chat) ?? 0 }))
+      .filter(({ load }) => load + 1 <= bound)
+      .sort((a, b) => b.cached - a.cached || a.load - b.load);
+    return takeMember(input, ranked[0]?.id);
+  };
+};
+
+/** The ways that the bench compares; the last one is in force by default. */
+export function listPolicies(): Policy[] {
+  return [
+    { name: 'random', createPlace: () => placeRandomly, loadMultiple: unboundedMultiple },
+    { name: 'round robin', createPlace: createRoundRobin, loadMultiple: unboundedMultiple },
+    {
+      name: 'rendezvous, no bound',
+      createPlace: () => placeByRendezvous,
+      loadMultiple: unboundedMultiple,
+    },
+    { name: 'rendezvous, bounded', createPlace: () => placeByRendezvous },
+    { name: 'omniscient', createPlace: createOmniscient, loadMultiple: unboundedMultiple },
+    { name: 'home pointer', createPlace: () => undefined },
+  ];
+}
--- a/packages/scenarios/src/fleet/start-entry.ts
+++ b/packages/scenarios/src/fleet/start-entry.ts
@@ -14,7 +14,12 @@
 import { openControls } from './open-controls.js';
 
 /** Starts an entry of the in-process fleet. */
-export function startEntry(context: FleetContext, id: string, dataCentre: DataCentreId): void {
+export function startEntry(
+  context: FleetContext,
+  id: string,
+  dataCentre: DataCentreId,
+  place?: Parameters<typeof createEntry>[0]['place'],
+): void {
   const { virtual, network, random, hash } = context;
   const process = virtual.createProcess(id);
   const { clock } = process;
@@ -47,6 +52,7 @@
     histograms: createHistograms(),
     propose: (command, signal) => controls[0]!.client.propose(command, signal),
     createId: createIdSource(random),
+    ...(place ? { place } : {}),
     openAgent: (address) => network.open(process, () => context.agents.get(address)),
   });
   context.entries.set(id, { process, handlers: entry });
--- a/packages/stand-ins/src/engine/create-fake-engine.ts
+++ b/packages/stand-ins/src/engine/create-fake-engine.ts
@@ -1,5 +1,6 @@
 import { RelayError, ResultCode, type EndpointRequest, type EngineOrder } from '@vanillarelay/core';
 import { buildJsonAnswer } from '../http/build-json-answer.js';
+import { countTokens } from './count-tokens.js';
 import { createBatch } from './create-batch.js';
 import { createCacheEvents } from './create-cache-events.js';
 import { createCompletion } from './create-completion.js';
@@ -138,6 +139,7 @@
     listCacheEvents: events.list,
     listOrders: orders.list,
     readStats: () => ({ ...stats }),
+    countCached: (chat) => countTokens(cache.find(chat) ?? ''),
   };
 }
 
--- a/packages/stand-ins/src/engine/fake-engine.ts
+++ b/packages/stand-ins/src/engine/fake-engine.ts
@@ -14,4 +14,6 @@
   listCacheEvents(after: number): CacheEvent[];
   listOrders(): readonly EngineOrder[];
   readStats(): FakeEngineStats;
+  /** Tokens of a chat in the cache, without lag; for an omniscient baseline. */
+  countCached(chat: string): number;
 }
