--- a/packages/agent/__tests__/create-harness.ts
+++ b/packages/agent/__tests__/create-harness.ts
@@ -68,7 +68,7 @@
     createId: createIdSource(random),
     endpoint: network.open(process, () => endpoint),
     control: { propose: log.propose },
-    findLink: () => ({ readView: () => view, readContact: () => status.contact }),
+    findLink: () => ({ readView: () => ({ ...view }), readContact: () => status.contact }),
     openAgent: (address: string) => peers.get(address)!,
   } as never);
   agent.start();
@@ -87,6 +87,7 @@
   const ask = (fields?: Parameters<typeof dispatch>[0]) => virtual.runUntil(dispatch(fields).reply);
 
   return {
+    buildRequest,
     virtual,
     network,
     process,
--- /dev/null
+++ b/packages/agent/__tests__/suspects.test.ts
@@ -0,0 +1,157 @@
+import { RelayError, ResultCode, type CrashMark, type Fingerprint } from '@vanillarelay/core';
+import { expect, it } from 'vitest';
+import { createHarness } from './create-harness.js';
+
+/** An endpoint that dies when it runs the path `/poison`, and starts again after a second. */
+async function createFragile() {
+  const harness = await createHarness({ slots: 4, coldLimit: 4 });
+  const { endpoint, log } = harness;
+  const { answer } = endpoint;
+  const { readHealth } = endpoint.handlers;
+  let isDown = false;
+  let crashes = 0;
+  const running = new Set<() => void>();
+  endpoint.handlers.readHealth = async (signal) => {
+    if (!isDown) return readHealth(signal);
+    throw new RelayError(ResultCode.connectionFailed, 'refused', { notRun: true });
+  };
+  endpoint.answer = async (request, signal) => {
+    if (isDown) throw new RelayError(ResultCode.connectionFailed, 'refused', { notRun: true });
+    let breakOff = () => {};
+    const broken = new Promise<never>((_, reject) => {
+      breakOff = () => reject(new Error('connection reset'));
+    });
+    running.add(breakOff);
+    if (request.path === '/poison') {
+      crashes += 1;
+      endpoint.instance = `instance-${crashes}`;
+      isDown = true;
+      endpoint.process.clock.startTimer(1_000, () => {
+        isDown = false;
+      });
+      endpoint.process.clock.startTimer(1, () => running.forEach((end) => end()));
+    }
+    return Promise.race([answer(request, signal), broken]).finally(() => running.delete(breakOff));
+  };
+  const listReports = () =>
+    log.commands.flatMap((command) => {
+      if (command.type === 'reportCrash') return [command.fingerprints.join('+')];
+      return command.type === 'clearMark' ? [`clear ${command.fingerprint}`] : [];
+    });
+  return { ...harness, listReports };
+}
+
+const poison = { path: '/poison', fingerprint: 'poison', remainingMs: 20_000 };
+
+// Guards against a request that crashes one endpoint after another, and against suspicion of
+// requests that had nothing to do with the crash.
+it('reports the requests in progress, runs suspects alone, clears or convicts them', async () => {
+  const { ask, dispatch, virtual, listReports, endpoint } = await createFragile();
+  endpoint.runMs = 500;
+  const harmless = { path: '/harmless', fingerprint: 'harmless' };
+  const first = dispatch(harmless).reply;
+  await virtual.run(50);
+  const replies = await virtual.runUntil(Promise.all([dispatch(poison).reply, first]));
+  await virtual.run(2_000);
+  endpoint.highest = 0;
+  const others = [
+    dispatch().reply,
+    dispatch({ ...harmless, mustArrive: true }).reply,
+    dispatch({ mustArrive: true }).reply,
+  ];
+  await virtual.run(600);
+  const alone = endpoint.highest;
+  replies.push(...(await virtual.runUntil(Promise.all(others))));
+  await virtual.run(500);
+  replies.push(await ask(poison));
+  await virtual.run(2_000);
+  replies.push(await ask(poison), await ask(harmless));
+  await virtual.run(2_000);
+  expect([replies, alone, listReports(), endpoint.runs.filter((path) => path === '/poison').length])
+    .toMatchInlineSnapshot(`
+    [
+      [
+        "endpointFailed notRun=false",
+        "endpointFailed notRun=false",
+        "endpointBusy notRun=true",
+        "200 /harmless",
+        "200 /orders",
+        "endpointFailed notRun=false",
+        "crashConvicted notRun=true",
+        "200 /harmless",
+      ],
+      1,
+      [
+        "harmless+poison",
+        "clear harmless",
+        "poison",
+      ],
+      2,
+    ]
+  `);
+});
+
+// Guards against a second run of an order that was in progress when its endpoint died.
+it('does not run a non-idempotent suspect again, and tells what became of it', async () => {
+  const { ask, virtual, endpoint } = await createFragile();
+  const order = { ...poison, idempotent: false, idempotencyKey: 'key-1' };
+  const done = { ...order, path: '/harmless', idempotencyKey: 'key-0' };
+  const replies = [await ask(done), await ask(order)];
+  await virtual.run(2_000);
+  replies.push(await ask(done), await ask(order), await ask({ ...order, idempotencyKey: 'key-2' }));
+  expect([replies, endpoint.runs]).toMatchInlineSnapshot(`
+    [
+      [
+        "200 /harmless",
+        "endpointFailed notRun=false",
+        "200 /harmless (replayed)",
+        "outcomeUnknown notRun=false",
+        "crashSuspect notRun=true",
+      ],
+      [
+        "/harmless",
+        "/poison",
+      ],
+    ]
+  `);
+});
+
+// Guards against marks that other agents set being ignored, or outliving their end.
+it('follows the marks of the replicated state until they expire', async () => {
+  const { ask, view, virtual } = await createFragile();
+  const mark: CrashMark = {
+    fingerprint: 'marked' as Fingerprint,
+    status: 'convicted',
+    crashes: 2,
+    expiresAt: virtual.clock.now() + 5_000,
+  };
+  view.state.marks = [mark];
+  const replies = [await ask({ fingerprint: 'marked' })];
+  await virtual.run(6_000);
+  replies.push(await ask({ fingerprint: 'marked' }));
+  expect(replies).toMatchInlineSnapshot(`
+    [
+      "crashConvicted notRun=true",
+      "200 /orders",
+    ]
+  `);
+});
+
+// Guards against a frozen endpoint taken for a crashed one: its running work is not suspect.
+it('sends no new work to a silent endpoint and reports no crash', async () => {
+  const { ask, dispatch, virtual, endpoint, listReports } = await createFragile();
+  endpoint.runMs = 6_000;
+  const running = dispatch({ remainingMs: 60_000 }).reply;
+  await virtual.run(100);
+  endpoint.process.freeze();
+  await virtual.run(5_000);
+  const refused = await ask();
+  endpoint.process.resume();
+  expect([refused, await virtual.runUntil(running), listReports()]).toMatchInlineSnapshot(`
+    [
+      "notReady notRun=true",
+      "200 /orders",
+      [],
+    ]
+  `);
+});
--- a/packages/agent/src/streams/create-answer-stream.ts
+++ b/packages/agent/src/streams/create-answer-stream.ts
@@ -93,6 +93,7 @@
   };
 
   const stop = (error: RelayError | undefined): void => {
+    if (isEnded) return;
     failure ??= error;
     const last = failure && codec.encodeError(failure, buffer.readNext());
     if (last) append(last);
