--- /dev/null
+++ b/packages/control/__tests__/log-store.test.ts
@@ -0,0 +1,208 @@
+import { openLogStore, type LogStore } from '@vanillarelay/control';
+import { createFakeDisk, createSeededRandom } from '@vanillarelay/scenarios';
+import { expect, it } from 'vitest';
+
+const seed = 7;
+
+const buildEntry = (index: number, term = 1) => ({
+  term,
+  index,
+  at: index,
+  kind: 'command' as const,
+  data: JSON.stringify({ value: `entry ${index} of term ${term}` }),
+});
+
+const openStore = (fake: ReturnType<typeof createFakeDisk>, reportFailure = () => {}) =>
+  openLogStore({ disk: fake.disk, createDiskId: createDiskIds(), reportFailure });
+
+let diskIds = 0;
+const createDiskIds = () => () => {
+  diskIds += 1;
+  return `disk-${diskIds}`;
+};
+
+const group = { members: [] };
+
+/** A run over every kind of write; `accepted` holds what the store said was durable. */
+const runWrites = async (store: LogStore, accepted: { term: number; entries: number[] }) => {
+  const acceptEntry = async (index: number, term: number) => {
+    await store.append(buildEntry(index, term));
+    accepted.entries[index] = term;
+  };
+  await store.saveHardState({ term: 1, vote: 'a', incarnations: {} });
+  accepted.term = 1;
+  for (let index = 1; index <= 5; index += 1) await acceptEntry(index, 1);
+  await store.saveHardState({ term: 2, vote: 'b', incarnations: {} });
+  accepted.term = 2;
+  accepted.entries.length = 5;
+  await acceptEntry(5, 2);
+  await store.compact({ index: 4, term: 1, at: 4, group, parts: ['state 4'] });
+  await Promise.all([acceptEntry(6, 2), acceptEntry(7, 2)]);
+  await store.install({ index: 20, term: 2, at: 20, group, parts: ['state 20'] });
+  accepted.entries = [];
+  await acceptEntry(21, 2);
+};
+
+class CrashError extends Error {}
+
+// Guards against losing an acknowledged entry or vote when the VM loses power between two writes.
+it('recovers what it acknowledged after a crash at every disk operation', async () => {
+  const outcomes: string[] = [];
+  for (let crashAt = 1; ; crashAt += 1) {
+    let operations = 0;
+    const fake = createFakeDisk({
+      random: createSeededRandom(seed + crashAt),
+      observe: () => {
+        operations += 1;
+        if (operations >= crashAt && crashAt > 0) throw new CrashError('crash');
+      },
+    });
+    const accepted = { term: 0, entries: [] as number[] };
+    const hasCrashed = await openStore(fake)
+      .then((store) => runWrites(store, accepted))
+      .then(
+        () => false,
+        () => true,
+      );
+    if (!hasCrashed) break;
+    fake.crash();
+    // Recovery itself crashes as well, at another operation each time.
+    operations = crashAt - 1 - (crashAt % 9);
+    await openStore(fake).catch(() => fake.crash());
+    operations = Number.NEGATIVE_INFINITY;
+    const store = await openStore(fake);
+    expect(store.removalReason).toBeUndefined();
+    expect(store.readHardState().term).toBeGreaterThanOrEqual(accepted.term);
+    const base = store.memory.readBase().index;
+    accepted.entries.forEach((term, index) => {
+      const found = index <= base ? term : store.memory.findTerm(index);
+      expect(found, `crash at ${crashAt}, entry ${index}`).toBeGreaterThanOrEqual(term);
+    });
+    outcomes.push(`${store.readHardState().term}/${store.memory.readLast().index}`);
+  }
+  expect(outcomes.length).toBeGreaterThan(40);
+  // The last crash hits the sync of entry 21, which was not acknowledged.
+  expect(outcomes.at(-1)).toMatch(/^2\/2[01]$/);
+});
+
+// Guards against group commit falling back to one sync for each proposal.
+it('writes all entries that arrive during a sync with the next one', async () => {
+  let syncs = 0;
+  const fake = createFakeDisk({
+    random: createSeededRandom(seed),
+    observe: (operation) => {
+      if (operation === 'sync') syncs += 1;
+    },
+  });
+  const store = await openStore(fake);
+  const before = syncs;
+  const writes: Promise<void>[] = [];
+  for (let index = 1; index <= 100; index += 1) writes.push(store.append(buildEntry(index)));
+  await Promise.all(writes);
+  expect(syncs - before).toBe(1);
+});
+
+// Guards against treating a half-written last record as an entry, or as damage.
+it('cuts off a torn last record', async () => {
+  const fake = createFakeDisk({ random: createSeededRandom(seed) });
+  const store = await openStore(fake);
+  for (let index = 1; index <= 3; index += 1) await store.append(buildEntry(index));
+  const length = (await fake.disk.read('log'))?.length ?? 0;
+  for (const lost of [1, 20, 60]) {
+    await fake.disk.truncate('log', length - lost);
+    const reopened = await openStore(fake);
+    expect(reopened.removalReason).toBeUndefined();
+    expect(reopened.memory.readLast().index).toBe(2);
+    await reopened.append(buildEntry(3));
+    expect((await fake.disk.read('log'))?.length).toBe(length);
+  }
+});
+
+// Guards against voting or leading with a log in which the device changed a bit.
+it('begins empty with a new disk id after any flipped bit', async () => {
+  const write = async () => {
+    const fake = createFakeDisk({ random: createSeededRandom(seed) });
+    const store = await openStore(fake);
+    await store.saveHardState({ term: 3, vote: 'a', incarnations: {} });
+    for (let index = 1; index <= 4; index += 1) await store.append(buildEntry(index));
+    await store.compact({ index: 2, term: 1, at: 2, group, parts: ['state'] });
+    return { fake, diskId: store.identity.diskId };
+  };
+  const { fake: whole } = await write();
+  for (const name of ['log', 'snapshot', 'identity']) {
+    const length = (await whole.disk.read(name))?.length ?? 0;
+    expect(length).toBeGreaterThan(40);
+    for (let byte = 0; byte < length; byte += 7) {
+      const { fake, diskId } = await write();
+      fake.flipBit(name, byte);
+      const store = await openStore(fake);
+      expect(store.removalReason, `${name} at byte ${byte}`).toBeDefined();
+      expect(store.identity.diskId).not.toBe(diskId);
+      expect(store.readHardState().term).toBe(0);
+      expect(store.memory.readLast().index).toBe(0);
+      expect((await openStore(fake)).removalReason).toBeUndefined();
+    }
+  }
+});
+
+// Guards against a node that goes on as if a failed sync had succeeded.
+it('writes nothing after a failed sync', async () => {
+  let isFailing = false;
+  let writes = 0;
+  const fake = createFakeDisk({
+    random: createSeededRandom(seed),
+    observe: (operation) => {
+      if (isFailing && operation === 'append') writes += 1;
+      if (isFailing && operation === 'sync') throw new Error('input/output error');
+    },
+  });
+  const failures: string[] = [];
+  const store = await openLogStore({
+    disk: fake.disk,
+    createDiskId: createDiskIds(),
+    reportFailure: (error) => failures.push(error.message),
+  });
+  await store.append(buildEntry(1));
+  isFailing = true;
+  await expect(store.append(buildEntry(2))).rejects.toThrow('input/output error');
+  isFailing = false;
+  await expect(store.append(buildEntry(3))).rejects.toThrow('input/output error');
+  await expect(store.sync()).rejects.toThrow('input/output error');
+  expect(failures).toEqual(['input/output error']);
+  expect(writes).toBe(1);
+});
+
+// Guards against losing changes over many restarts with snapshots in between.
+it('holds hundreds of entries over restarts from snapshot and log', async () => {
+  const fake = createFakeDisk({ random: createSeededRandom(seed) });
+  let last = 0;
+  for (let restart = 0; restart < 12; restart += 1) {
+    const store = await openStore(fake);
+    expect(store.memory.readLast().index).toBe(last);
+    expect(store.identity.incarnation).toBe(restart + 1);
+    for (let index = last + 1; index <= last + 40; index += 1) {
+      await store.append(buildEntry(index));
+    }
+    last += 40;
+    if (restart % 3 === 1) {
+      const index = last - 5;
+      await store.compact({ index, term: 1, at: index, group, parts: [`state ${index}`] });
+    }
+    fake.crash();
+  }
+  const store = await openStore(fake);
+  expect(store.memory.readLast().index).toBe(480);
+  expect(store.readSnapshot()).toMatchInlineSnapshot(`
+    {
+      "at": 435,
+      "group": {
+        "members": [],
+      },
+      "index": 435,
+      "parts": [
+        "state 435",
+      ],
+      "term": 1,
+    }
+  `);
+});
--- /dev/null
+++ b/packages/control/src/log/create-log-writer.ts
@@ -0,0 +1,98 @@
+import type { Disk } from '@vanillarelay/core';
+import { FileName } from './file-name.js';
+import { writeWhole } from './write-whole.js';
+
+interface LogWriterOptions {
+  disk: Disk;
+  /** Called once, with the first failure; nothing is written after it. */
+  reportFailure: (error: Error) => void;
+}
+
+interface Batch {
+  bytes: Uint8Array[];
+  promise: Promise<void>;
+  resolve: () => void;
+  reject: (error: Error) => void;
+}
+
+/** Makes the one task that writes the log: all bytes that arrive during a sync share the next one. */
+export function createLogWriter({ disk, reportFailure }: LogWriterOptions) {
+  let waiting: Batch | undefined;
+  let writing: Batch | undefined;
+  let buildFile: (() => Uint8Array) | undefined;
+  let failure: Error | undefined;
+  let isRunning = false;
+
+  const run = async (): Promise<void> => {
+    while (waiting && !failure) {
+      // Lets every caller of this turn of the event loop join the batch.
+      await Promise.resolve();
+      const batch = waiting;
+      writing = batch;
+      waiting = undefined;
+      try {
+        await writeBatch(batch);
+        batch.resolve();
+      } catch (error) {
+        stop(error as Error);
+      }
+      writing = undefined;
+    }
+    isRunning = false;
+  };
+
+  const writeBatch = async ({ bytes }: Batch): Promise<void> => {
+    const build = buildFile;
+    buildFile = undefined;
+    if (build) {
+      // The whole file is built from memory, which holds the bytes of this batch as well.
+      await writeWhole(disk, FileName.log, build());
+      return;
+    }
+    await disk.append(FileName.log, Buffer.concat(bytes));
+    await disk.sync(FileName.log);
+  };
+
+  const stop = (error: Error): void => {
+    failure = error;
+    writing?.reject(error);
+    waiting?.reject(error);
+    reportFailure(error);
+  };
+
+  const push = (bytes: Uint8Array): Promise<void> => {
+    if (failure) return Promise.reject(failure);
+    waiting ??= createBatch();
+    waiting.bytes.push(bytes);
+    const { promise } = waiting;
+    if (!isRunning) {
+      isRunning = true;
+      void run();
+    }
+    return promise;
+  };
+
+  return {
+    push,
+    /** Resolves when everything pushed so far is durable. */
+    sync: (): Promise<void> => {
+      if (failure) return Promise.reject(failure);
+      return (waiting ?? writing)?.promise ?? Promise.resolve();
+    },
+    /** Replaces the whole file, in turn with the batches. */
+    rewrite: (build: () => Uint8Array): Promise<void> => {
+      buildFile = build;
+      return push(new Uint8Array());
+    },
+  };
+}
+
+function createBatch(): Batch {
+  const batch = { bytes: [] } as Partial<Batch>;
+  batch.promise = new Promise<void>((resolve, reject) => {
+    Object.assign(batch, { resolve, reject });
+  });
+  // Not every caller waits; failures are reported by `reportFailure` as well.
+  batch.promise.catch(() => {});
+  return batch as Batch;
+}
--- /dev/null
+++ b/packages/control/src/log/log-entry.ts
@@ -0,0 +1,11 @@
+/** One entry of the replicated log. */
+export interface LogEntry {
+  term: number;
+  index: number;
+  /** Leader's wall time in milliseconds since the epoch; never lower than that of the entry before. */
+  at: number;
+  /** `empty` starts a term, `group` changes the membership of the control group. */
+  kind: 'command' | 'group' | 'empty';
+  /** JSON, encoded once by the leader, so that every node decodes the same text. */
+  data: string;
+}
--- /dev/null
+++ b/packages/control/src/log/open-log-store.ts
@@ -0,0 +1,169 @@
+import type { Disk } from '@vanillarelay/core';
+import { createLogMemory } from './create-log-memory.js';
+import { createLogWriter } from './create-log-writer.js';
+import type { DiskIdentity } from './disk-identity.js';
+import { encodeEntry } from './encode-entry.js';
+import { encodeJsonFrame } from './encode-json-frame.js';
+import { encodeSnapshot } from './encode-snapshot.js';
+import { FileName } from './file-name.js';
+import { FrameKind } from './frame-kind.js';
+import type { HardState } from './hard-state.js';
+import type { LogEntry } from './log-entry.js';
+import { readDataFolder } from './read-data-folder.js';
+import type { Snapshot } from './snapshot.js';
+import { writeWhole } from './write-whole.js';
+
+interface LogStoreOptions {
+  disk: Disk;
+  createDiskId: () => string;
+  /** Called once when the device fails; the node must stop for good. */
+  reportFailure: (error: Error) => void;
+}
+
+/** Entries kept behind a snapshot, so that a follower a little behind needs no snapshot. */
+const keptEntries = 1_000;
+const keptBytes = 1024 * 1024;
+const emptyHardState: HardState = { term: 0, incarnations: {} };
+
+/** Opens the log of a node; a damaged or stale one is removed and the node begins empty. */
+export async function openLogStore({ disk, createDiskId, reportFailure }: LogStoreOptions) {
+  const found = await readDataFolder(disk);
+  const isUsable = found.status === 'whole' && !found.hardState?.isStale;
+  if (!isUsable) await removeAll(disk, found.status);
+  if (isUsable && found.isTorn) {
+    await disk.truncate(FileName.log, found.logBytes);
+    await disk.sync(FileName.log);
+  }
+  const identity = await writeIdentity(disk, isUsable ? found.identity : undefined, createDiskId);
+
+  let hardState = (isUsable && found.hardState) || emptyHardState;
+  let snapshot = isUsable ? found.snapshot : undefined;
+  let snapshotFile = snapshot && encodeSnapshot(snapshot);
+  let { logBytes } = found;
+  const entries = isUsable ? selectConnected(found.entries, snapshot) : [];
+  const base = findBase(entries, snapshot);
+  const memory = createLogMemory(base);
+  entries.filter(({ index }) => index > base.index).forEach((entry) => memory.add(entry));
+  const writer = createLogWriter({ disk, reportFailure });
+
+  const buildLogFile = (): Uint8Array =>
+    Buffer.concat([
+      encodeJsonFrame(FrameKind.hardState, hardState),
+      ...memory.list().map((entry) => encodeEntry(entry)),
+    ]);
+
+  const push = (bytes: Uint8Array): Promise<void> => {
+    logBytes += bytes.length;
+    return writer.push(bytes);
+  };
+
+  const writeSnapshot = async (next: Snapshot): Promise<void> => {
+    const file = encodeSnapshot(next);
+    try {
+      await writeWhole(disk, FileName.snapshot, file);
+    } catch (error) {
+      reportFailure(error as Error);
+      throw error;
+    }
+    snapshot = next;
+    snapshotFile = file;
+    logBytes = 0;
+  };
+
+  return {
+    identity,
+    /** Why the content of the disk was removed, if it was. */
+    removalReason: found.hardState?.isStale
+      ? 'peers know a newer state of this disk'
+      : found.reason,
+    memory,
+    readHardState: () => hardState,
+    /** Durable when the promise resolves; in force at once. */
+    saveHardState: (next: HardState): Promise<void> => {
+      hardState = next;
+      return push(encodeJsonFrame(FrameKind.hardState, next));
+    },
+    append: (entry: LogEntry): Promise<void> => {
+      memory.add(entry);
+      return push(encodeEntry(entry));
+    },
+    sync: writer.sync,
+    readSnapshot: () => snapshot,
+    readSnapshotFile: () => snapshotFile,
+    /** Bytes written to the log since the last snapshot. */
+    countLogBytes: () => logBytes,
+    /** Puts a snapshot of the applied state in place of the older entries. */
+    compact: async (next: Snapshot): Promise<void> => {
+      await writeSnapshot(next);
+      memory.removeUpTo(findCompactionIndex(memory.list(), next.index));
+      await writer.rewrite(buildLogFile);
+    },
+    /** Replaces log and state by the leader's snapshot. */
+    install: async (next: Snapshot): Promise<void> => {
+      await writer.sync();
+      await writeSnapshot(next);
+      if (memory.findTerm(next.index) === next.term) memory.removeUpTo(next.index);
+      else memory.reset({ index: next.index, term: next.term });
+      await writer.rewrite(buildLogFile);
+    },
+  };
+}
+
+/** Removes damaged content, since a node must not vote or lead with any of it. */
+async function removeAll(disk: Disk, status: 'empty' | 'whole' | 'damaged'): Promise<void> {
+  if (status === 'empty') return;
+  // The identity goes first: what is left without one counts as damaged at the next start.
+  const names = (await disk.list()).filter((name) => name !== FileName.identity);
+  if (await disk.read(FileName.identity)) names.unshift(FileName.identity);
+  for (const name of names) {
+    await disk.remove(name);
+    await disk.syncFolder();
+  }
+}
+
+async function writeIdentity(
+  disk: Disk,
+  last: DiskIdentity | undefined,
+  createDiskId: () => string,
+): Promise<DiskIdentity> {
+  if (!last) await writeWhole(disk, FileName.log, new Uint8Array());
+  const identity = last
+    ? { ...last, incarnation: last.incarnation + 1 }
+    : { diskId: createDiskId(), incarnation: 1 };
+  await writeWhole(disk, FileName.identity, encodeJsonFrame(FrameKind.identity, identity));
+  return identity;
+}
+
+/** Entries that continue the snapshot; those of a log that the snapshot replaced are left out. */
+function selectConnected(entries: LogEntry[], snapshot: Snapshot | undefined): LogEntry[] {
+  if (!snapshot) return entries;
+  const overlap = entries.find(({ index }) => index === snapshot.index);
+  const first = entries[0];
+  if (overlap) return overlap.term === snapshot.term ? entries : [];
+  return first?.index === snapshot.index + 1 ? entries : [];
+}
+
+function findBase(entries: LogEntry[], snapshot: Snapshot | undefined) {
+  const first = entries[0];
+  const start = { index: snapshot?.index ?? 0, term: snapshot?.term ?? 0 };
+  // The term before the first kept entry is not stored; the base is moved onto that entry.
+  if (!first || first.index === start.index + 1) return start;
+  return { index: first.index, term: first.term };
+}
+
+function findCompactionIndex(entries: readonly LogEntry[], snapshotIndex: number): number {
+  let index = snapshotIndex;
+  let bytes = 0;
+  let count = 0;
+  for (let at = entries.length - 1; at >= 0; at -= 1) {
+    const entry = entries[at];
+    if (!entry) break;
+    if (entry.index <= snapshotIndex) {
+      bytes += entry.data.length;
+      count += 1;
+      if (bytes > keptBytes || count > keptEntries) break;
+      index = entry.index - 1;
+    }
+  }
+  return index;
+}
--- /dev/null
+++ b/packages/control/src/log/read-data-folder.ts
@@ -0,0 +1,85 @@
+import type { Disk } from '@vanillarelay/core';
+import { decodeEntry } from './decode-entry.js';
+import { decodeFrames } from './decode-frames.js';
+import { decodeJsonFrame } from './decode-json-frame.js';
+import { decodeSnapshot } from './decode-snapshot.js';
+import type { DiskIdentity } from './disk-identity.js';
+import { FileName } from './file-name.js';
+import { FrameKind } from './frame-kind.js';
+import type { HardState } from './hard-state.js';
+import type { LogEntry } from './log-entry.js';
+import type { Snapshot } from './snapshot.js';
+
+interface DataFolder {
+  /** `empty`: a first start. `damaged`: the content must not be used. */
+  status: 'empty' | 'whole' | 'damaged';
+  reason?: string;
+  identity?: DiskIdentity;
+  hardState?: HardState;
+  snapshot?: Snapshot;
+  entries: LogEntry[];
+  /** Length of the log file without a torn last frame. */
+  logBytes: number;
+  isTorn: boolean;
+}
+
+const nothing = { entries: [], logBytes: 0, isTorn: false };
+
+/** Reads and checks what the last run of a node left on the disk. */
+export async function readDataFolder(disk: Disk): Promise<DataFolder> {
+  const identityFile = await disk.read(FileName.identity);
+  const logFile = await disk.read(FileName.log);
+  // The identity is written last at a first start; without it nothing was promised to anyone.
+  // Afterwards it stays, so a log without an identity means that no vote was ever given.
+  if (!identityFile) {
+    const hasHistory = (logFile && logFile.length > 0) || (await disk.read(FileName.snapshot));
+    return hasHistory ? refuse('the identity is missing') : { ...nothing, status: 'empty' };
+  }
+  if (!logFile) return refuse('the log is missing');
+  const identity = readIdentity(identityFile);
+  if (!identity) return refuse('the identity is damaged');
+  const log = decodeFrames(logFile);
+  if (log.isDamaged) return refuse(`the log is damaged at byte ${log.wholeBytes}`);
+  const snapshotFile = await disk.read(FileName.snapshot);
+  const snapshot = snapshotFile && decodeSnapshot(snapshotFile);
+  if (snapshotFile && !snapshot) return refuse('the snapshot is damaged');
+  const entries = readEntries(log.frames.flatMap((frame) => decodeEntry(frame) ?? []));
+  const first = entries[0];
+  if (first && first.index > (snapshot?.index ?? 0) + 1) {
+    return refuse(`entries ${snapshot?.index ?? 0} to ${first.index} are missing`);
+  }
+  const hardFrame = log.frames.filter(({ kind }) => kind === FrameKind.hardState).at(-1);
+  return {
+    status: 'whole',
+    identity,
+    ...(hardFrame ? { hardState: decodeJsonFrame<HardState>(hardFrame) } : {}),
+    ...(snapshot ? { snapshot } : {}),
+    entries,
+    logBytes: log.wholeBytes,
+    isTorn: log.wholeBytes < logFile.length,
+  };
+}
+
+function refuse(reason: string): DataFolder {
+  return { ...nothing, status: 'damaged', reason };
+}
+
+function readIdentity(file: Uint8Array): DiskIdentity | undefined {
+  const { frames, isDamaged, wholeBytes } = decodeFrames(file);
+  const frame = frames[0];
+  if (isDamaged || wholeBytes !== file.length || frame?.kind !== FrameKind.identity) {
+    return undefined;
+  }
+  return decodeJsonFrame<DiskIdentity>(frame);
+}
+
+/** Replays the entries in file order: an entry replaces the one at its index and all after it. */
+function readEntries(written: LogEntry[]): LogEntry[] {
+  const entries: LogEntry[] = [];
+  written.forEach((entry) => {
+    const first = entries[0]?.index ?? entry.index;
+    entries.length = Math.max(0, Math.min(entries.length, entry.index - first));
+    entries.push(entry);
+  });
+  return entries;
+}
--- /dev/null
+++ b/packages/control/src/raft/add-learner.ts
@@ -0,0 +1,17 @@
+import { appendEntry } from './append-entry.js';
+import type { GroupMember } from './group-member.js';
+import { isGroupSettled } from './is-group-settled.js';
+import type { RaftContext } from './raft-context.js';
+import type { Sender } from './sender.js';
+
+/** Makes a node that came back under its name with another disk a learner. @internal */
+export function addLearner(context: RaftContext, member: GroupMember, sender: Sender): void {
+  const { group } = context;
+  if (!group || !isGroupSettled(context) || sender.id !== member.id) return;
+  if (group.members.some(({ diskId }) => diskId === sender.diskId)) return;
+  const others = group.members.filter(({ id, role }) => id !== member.id || role === 'voter');
+  const learner = { ...member, diskId: sender.diskId, role: 'learner' as const };
+  const data = JSON.stringify({ members: [...others, learner] });
+  context.timeline.record('raft.learner', { node: member.id });
+  appendEntry(context, { kind: 'group', data }).catch(() => {});
+}
--- /dev/null
+++ b/packages/control/src/raft/append-entry.ts
@@ -0,0 +1,38 @@
+import type { CommandResult } from '@vanillarelay/core';
+import type { LogEntry } from '../log/log-entry.js';
+import type { Group } from './group.js';
+import type { RaftContext } from './raft-context.js';
+import { updateCommitIndex } from './update-commit-index.js';
+import { updatePeers } from './update-peers.js';
+import { wakePeers } from './wake-peers.js';
+
+/** Appends an entry as leader; resolves when it was applied, rejects when that is not certain. @internal */
+export function appendEntry(
+  context: RaftContext,
+  { kind, data }: Pick<LogEntry, 'kind' | 'data'>,
+): Promise<CommandResult> {
+  const { log, clock } = context;
+  const { term } = log.readHardState();
+  const index = log.memory.readLast().index + 1;
+  const at = Math.max(Math.floor(clock.now()), context.lastAt);
+  context.lastAt = at;
+  const answer = new Promise<CommandResult>((resolve, reject) => {
+    context.pending.set(index, { term, resolve, reject });
+  });
+  log.append({ term, index, at, kind, data }).then(
+    () => {
+      if (log.memory.findTerm(index) !== term) return;
+      context.durableIndex = Math.max(context.durableIndex, index);
+      updateCommitIndex(context);
+    },
+    // Failures of the disk are reported by the writer, which stops the node.
+    () => {},
+  );
+  if (kind === 'group') {
+    context.group = JSON.parse(data) as Group;
+    context.groupIndex = index;
+    updatePeers(context);
+  }
+  wakePeers(context);
+  return answer;
+}
--- /dev/null
+++ b/packages/control/src/raft/build-sender.ts
@@ -0,0 +1,18 @@
+import type { RaftContext } from './raft-context.js';
+import type { Sender } from './sender.js';
+
+/** Describes this node in a message. @internal */
+export function buildSender({
+  id,
+  log,
+  commitIndex,
+  durableIndex,
+  startIndex,
+}: RaftContext): Sender {
+  return {
+    id,
+    ...log.identity,
+    startIndex,
+    commitIndex: Math.min(commitIndex, durableIndex),
+  };
+}
--- /dev/null
+++ b/packages/control/src/raft/compute-majority-value.ts
@@ -0,0 +1,5 @@
+/** The highest value that a majority reaches; of no values minus infinity. */
+export function computeMajorityValue(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => b - a);
+  return sorted[Math.floor(sorted.length / 2)] ?? Number.NEGATIVE_INFINITY;
+}
--- /dev/null
+++ b/packages/control/src/raft/compute-quorum-seen-at.ts
@@ -0,0 +1,16 @@
+import { computeMajorityValue } from './compute-majority-value.js';
+import { listVoters } from './list-voters.js';
+import type { RaftContext } from './raft-context.js';
+
+/** Monotonic time at which a quorum was alive for certain. @internal */
+export function computeQuorumSeenAt(context: RaftContext): number {
+  if (context.role !== 'leader') return context.quorumSeenAt;
+  const { log, clock, progress } = context;
+  return computeMajorityValue(
+    listVoters(context).map(({ diskId }) =>
+      diskId === log.identity.diskId
+        ? clock.monotonic()
+        : (progress.get(diskId)?.answeredAt ?? Number.NEGATIVE_INFINITY),
+    ),
+  );
+}
--- /dev/null
+++ b/packages/control/src/raft/confirm-leadership.ts
@@ -0,0 +1,23 @@
+import { computeQuorumSeenAt } from './compute-quorum-seen-at.js';
+import type { RaftContext } from './raft-context.js';
+import { raftTiming } from './raft-timing.js';
+import { wakePeers } from './wake-peers.js';
+
+const pollMs = 10;
+
+/**
+ * Whether this node leads, proved by a quorum that answered after the call; its state then holds
+ * everything that was accepted before the call. @internal
+ */
+export async function confirmLeadership(context: RaftContext): Promise<boolean> {
+  const { clock } = context;
+  const askedAt = clock.monotonic();
+  wakePeers(context);
+  while (clock.monotonic() - askedAt <= raftTiming.electionTimeoutMinMs) {
+    if (context.role !== 'leader') return false;
+    const isConfirmed = computeQuorumSeenAt(context) >= askedAt;
+    if (isConfirmed && context.appliedIndex >= context.termStartIndex) return true;
+    await clock.wait(pollMs);
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/control/src/raft/create-raft-context.ts
@@ -0,0 +1,40 @@
+import { findGroup } from './find-group.js';
+import type { RaftContext } from './raft-context.js';
+import type { RaftOptions } from './raft-options.js';
+
+/** Makes the shared state of a node from what its log holds. @internal */
+export function createRaftContext(options: RaftOptions): RaftContext {
+  const { log, machine, clock } = options;
+  const snapshot = log.readSnapshot();
+  if (snapshot) machine.install(snapshot.parts);
+  const last = log.memory.readLast();
+  const { incarnations } = log.readHardState();
+  return {
+    ...options,
+    ...findGroup(log),
+    role: 'follower',
+    leader: undefined,
+    commitIndex: snapshot?.index ?? 0,
+    appliedIndex: snapshot?.index ?? 0,
+    lastAt: log.memory.list().at(-1)?.at ?? snapshot?.at ?? 0,
+    heardAt: clock.monotonic(),
+    leaderHeardAt: Number.NEGATIVE_INFINITY,
+    quorumSeenAt: Number.NEGATIVE_INFINITY,
+    marks: new Map(
+      Object.entries(incarnations).map(([diskId, incarnation]) => [
+        diskId,
+        { incarnation, commitIndex: 0 },
+      ]),
+    ),
+    progress: new Map(),
+    pending: new Map(),
+    durableIndex: last.index,
+    startIndex: last.index,
+    termStartIndex: Number.POSITIVE_INFINITY,
+    incoming: undefined,
+    isSnapshotBusy: false,
+    isInstalling: false,
+    office: new AbortController(),
+    failure: undefined,
+  };
+}
--- /dev/null
+++ b/packages/control/src/raft/create-raft-node.ts
@@ -0,0 +1,59 @@
+import type { CommandResult } from '@vanillarelay/core';
+import { buildSender } from './build-sender.js';
+import { checkRunning } from './check-running.js';
+import { computeQuorumAge } from './compute-quorum-age.js';
+import { confirmLeadership } from './confirm-leadership.js';
+import { createRaftContext } from './create-raft-context.js';
+import { handleAppend } from './handle-append.js';
+import { handleSnapshot } from './handle-snapshot.js';
+import { handleVote } from './handle-vote.js';
+import { proposeEntry } from './propose-entry.js';
+import type { RaftOptions } from './raft-options.js';
+import type { RaftPeer } from './raft-peer.js';
+import { releaseLeadership } from './release-leadership.js';
+import { replaceMember } from './replace-member.js';
+import { runElections } from './run-elections.js';
+import { stopNode } from './stop-node.js';
+
+/** Makes a Raft node over an opened log; `start` begins its tasks. */
+export function createRaftNode(options: RaftOptions) {
+  const context = createRaftContext(options);
+  const handlers: RaftPeer = {
+    requestVote: (request) => handleVote(context, request),
+    appendEntries: (request) => handleAppend(context, request),
+    installSnapshot: (request) => handleSnapshot(context, request),
+    readSender: async () => {
+      checkRunning(context);
+      return buildSender(context);
+    },
+  };
+  return {
+    handlers,
+    start: (): void => {
+      void runElections(context).catch((error: Error) => stopNode(context, error));
+    },
+    stop: (): void => {
+      releaseLeadership(context);
+      context.role = 'stopped';
+    },
+    /** Stops the node for good after a failure of its disk. */
+    abort: (error: Error): void => stopNode(context, error),
+    propose: (data: string): Promise<CommandResult> => proposeEntry(context, 'command', data),
+    confirmLeadership: () => confirmLeadership(context),
+    replaceMember: (replacement: Parameters<typeof replaceMember>[1]) =>
+      replaceMember(context, replacement),
+    readQuorumAgeMs: () => computeQuorumAge(context),
+    readStatus: () => ({
+      id: context.id,
+      role: context.role,
+      leader: context.leader,
+      term: context.log.readHardState().term,
+      lastIndex: context.log.memory.readLast().index,
+      commitIndex: context.commitIndex,
+      appliedIndex: context.appliedIndex,
+      diskId: context.log.identity.diskId,
+      incarnation: context.log.identity.incarnation,
+      members: context.group?.members ?? [],
+    }),
+  };
+}
--- /dev/null
+++ b/packages/control/src/raft/handle-append.ts
@@ -0,0 +1,80 @@
+import type { Group } from './group.js';
+import type { AppendReply } from './append-reply.js';
+import type { AppendRequest } from './append-request.js';
+import { applyCommitted } from './apply-committed.js';
+import { checkLeaderMessage } from './check-leader-message.js';
+import { buildReply } from './build-reply.js';
+import { findGroup } from './find-group.js';
+import type { RaftContext } from './raft-context.js';
+
+/** Answers entries or a heartbeat from the leader. @internal */
+export async function handleAppend(
+  context: RaftContext,
+  request: AppendRequest,
+): Promise<AppendReply> {
+  const { log, clock } = context;
+  const refusal = await checkLeaderMessage(context, request);
+  if (refusal) return refusal;
+  if (context.isInstalling) throw new Error('a snapshot is being installed');
+  updateQuorumSeenAt(context, request);
+  const retryIndex = findRetryIndex(context, request);
+  if (retryIndex === undefined) appendMissing(context, request);
+  const matched = request.previousIndex + request.entries.length;
+  await log.sync();
+  const isCurrent = log.readHardState().term === request.term;
+  if (retryIndex === undefined && isCurrent) {
+    if (log.memory.findTerm(matched) !== undefined) {
+      context.durableIndex = Math.max(context.durableIndex, matched);
+    }
+    context.commitIndex = Math.max(context.commitIndex, Math.min(request.commitIndex, matched));
+    applyCommitted(context);
+  }
+  return {
+    ...buildReply(context),
+    isMatched: retryIndex === undefined && isCurrent,
+    index: retryIndex ?? matched,
+    mark: clock.monotonic(),
+  };
+}
+
+/** Where the leader must go back to; undefined when the entries connect to this log. */
+function findRetryIndex({ log }: RaftContext, request: AppendRequest): number | undefined {
+  const { memory } = log;
+  const { previousIndex, previousTerm } = request;
+  const last = memory.readLast();
+  if (previousIndex > last.index) return last.index + 1;
+  const base = memory.readBase().index;
+  const term = memory.findTerm(previousIndex);
+  // Entries below the base are in a snapshot, so they are committed and equal to the leader's.
+  if (previousIndex < base || term === previousTerm) return undefined;
+  let index = previousIndex;
+  while (index > base + 1 && memory.findTerm(index - 1) === term) index -= 1;
+  return index;
+}
+
+function appendMissing(context: RaftContext, { entries }: AppendRequest): void {
+  const { log } = context;
+  const base = log.memory.readBase().index;
+  let isCut = false;
+  entries.forEach((entry) => {
+    if (entry.index <= base || log.memory.findTerm(entry.index) === entry.term) return;
+    if (entry.index <= context.commitIndex) {
+      throw new Error(`entry ${entry.index} is committed with another term`);
+    }
+    isCut ||= entry.index <= log.memory.readLast().index;
+    context.durableIndex = Math.min(context.durableIndex, entry.index - 1);
+    context.lastAt = entry.at;
+    log.append(entry).catch(() => {});
+    if (entry.kind === 'group') {
+      context.group = JSON.parse(entry.data) as Group;
+      context.groupIndex = entry.index;
+    }
+  });
+  if (isCut) Object.assign(context, findGroup(log));
+}
+
+function updateQuorumSeenAt(context: RaftContext, { echo, quorumAgeMs }: AppendRequest): void {
+  if (!echo || echo.incarnation !== context.log.identity.incarnation) return;
+  // The leader sent this after it got the echoed answer, so the quorum is at most this old.
+  context.quorumSeenAt = Math.max(context.quorumSeenAt, echo.mark - quorumAgeMs);
+}
--- /dev/null
+++ b/packages/control/src/raft/list-electorate.ts
@@ -0,0 +1,20 @@
+import { listVoters } from './list-voters.js';
+import type { RaftContext } from './raft-context.js';
+import type { Voter } from './voter.js';
+
+/**
+ * Who votes, and how many votes are needed: a majority of the membership in the log. Before there
+ * is one, all nodes of the settings, because nodes with emptied disks look like new ones. @internal
+ */
+export function listElectorate(context: RaftContext): { voters: Voter[]; needed: number } {
+  const { id, address, log, group, firstGroup } = context;
+  const { diskId } = log.identity;
+  if (!group) {
+    if (!firstGroup.some((node) => node.id === id)) return { voters: [], needed: 0 };
+    const others = firstGroup.filter((node) => node.id !== id);
+    return { voters: [{ id, address, diskId }, ...others], needed: firstGroup.length };
+  }
+  const voters = listVoters(context);
+  if (!voters.some((voter) => voter.diskId === diskId)) return { voters: [], needed: 0 };
+  return { voters, needed: Math.floor(voters.length / 2) + 1 };
+}
--- /dev/null
+++ b/packages/control/src/raft/receive-sender.ts
@@ -0,0 +1,22 @@
+import { isOlderDisk } from './is-older-disk.js';
+import type { RaftContext } from './raft-context.js';
+import type { Sender } from './sender.js';
+
+/** Takes note of a sender; returns false when it runs on an older copy of its disk. @internal */
+export function receiveSender(context: RaftContext, sender: Sender): boolean {
+  const mark = context.marks.get(sender.diskId);
+  if (isOlderDisk(mark, sender)) {
+    context.timeline.record('raft.olderDisk', { node: sender.id });
+    return false;
+  }
+  const commitIndex = Math.max(mark?.commitIndex ?? 0, sender.commitIndex);
+  const { incarnation, startIndex, diskId } = sender;
+  context.marks.set(diskId, { incarnation, startIndex, commitIndex });
+  if (mark?.incarnation !== incarnation) {
+    const hardState = context.log.readHardState();
+    const incarnations = { ...hardState.incarnations, [diskId]: incarnation };
+    // Failures of the disk are reported by the writer.
+    context.log.saveHardState({ ...hardState, incarnations }).catch(() => {});
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/control/src/raft/replace-member.ts
@@ -0,0 +1,112 @@
+import { RelayError, ResultCode, withDeadline } from '@vanillarelay/core';
+import type { GroupMember } from './group-member.js';
+import { isGroupSettled } from './is-group-settled.js';
+import { proposeEntry } from './propose-entry.js';
+import type { RaftContext } from './raft-context.js';
+import { raftTiming } from './raft-timing.js';
+
+interface Replacement {
+  /** The member that was lost. */
+  id: string;
+  /** The node that takes its place; it may have the same id and another disk. */
+  by: { id: string; address: string };
+}
+
+const pollMs = 50;
+const catchUpLimitMs = 60_000;
+
+/**
+ * Replaces a lost member: the new node first catches up as a learner, then the lost one is taken
+ * out, then the new one gets its vote. May be repeated after a failure at any step. @internal
+ */
+export async function replaceMember(
+  context: RaftContext,
+  { id, by }: Replacement,
+): Promise<GroupMember[]> {
+  const diskId = await readDiskId(context, by.address);
+  const findMember = () => readMembers(context).find((member) => member.diskId === diskId);
+  if (!findMember()) {
+    await updateGroup(context, (members) => [
+      ...members.filter((member) => member.id !== by.id || member.role === 'voter'),
+      { ...by, diskId, role: 'learner' },
+    ]);
+  }
+  if (findMember()?.role === 'voter') return readMembers(context);
+  await waitForCatchUp(context, diskId);
+  const isLost = (member: GroupMember) => member.id === id && member.diskId !== diskId;
+  if (readMembers(context).some(isLost)) {
+    checkRemaining(context, isLost);
+    await updateGroup(context, (members) => members.filter((member) => !isLost(member)));
+  }
+  await updateGroup(context, (members) =>
+    members.map((member) => (member.diskId === diskId ? { ...member, role: 'voter' } : member)),
+  );
+  return readMembers(context);
+}
+
+async function readDiskId(context: RaftContext, address: string): Promise<string> {
+  const client = context.openPeer(address);
+  const sender = await withDeadline(context.clock, raftTiming.callTimeoutMs, (signal) =>
+    client.readSender(signal),
+  );
+  return sender.diskId;
+}
+
+function readMembers({ group }: RaftContext): GroupMember[] {
+  return group?.members ?? [];
+}
+
+/** Proposes a changed membership once the one before is accepted. */
+async function updateGroup(
+  context: RaftContext,
+  change: (members: GroupMember[]) => GroupMember[],
+): Promise<void> {
+  const startedAt = context.clock.monotonic();
+  while (context.role === 'leader' && !isGroupSettled(context)) {
+    if (context.clock.monotonic() - startedAt > raftTiming.proposalTimeoutMs) break;
+    await context.clock.wait(pollMs);
+  }
+  if (context.role === 'leader' && !isGroupSettled(context)) {
+    throw new RelayError(ResultCode.noQuorum, 'an earlier change of the group is not accepted', {
+      notRun: true,
+    });
+  }
+  const members = change(readMembers(context));
+  await proposeEntry(context, 'group', JSON.stringify({ members }));
+}
+
+async function waitForCatchUp(context: RaftContext, diskId: string): Promise<void> {
+  const { clock } = context;
+  const startedAt = clock.monotonic();
+  while (clock.monotonic() - startedAt <= catchUpLimitMs) {
+    if (context.role !== 'leader') {
+      throw new RelayError(ResultCode.notLeader, 'the leader changed during the replacement', {
+        ...(context.leader === undefined ? {} : { leader: context.leader }),
+      });
+    }
+    if ((context.progress.get(diskId)?.matchIndex ?? 0) >= context.commitIndex) return;
+    await clock.wait(pollMs);
+  }
+  throw new RelayError(ResultCode.timeout, 'the new node does not catch up');
+}
+
+/** Refuses to take a member out when the others would be left without a quorum. */
+function checkRemaining(context: RaftContext, isLost: (member: GroupMember) => boolean): void {
+  const { log, progress, clock } = context;
+  const remaining = readMembers(context).filter(
+    (member) => member.role === 'voter' && !isLost(member),
+  );
+  const since = clock.monotonic() - raftTiming.electionTimeoutMinMs;
+  const live = remaining.filter(
+    ({ diskId }) =>
+      diskId === log.identity.diskId || (progress.get(diskId)?.answeredAt ?? -Infinity) >= since,
+  );
+  const isSelfLost = readMembers(context).some(
+    (member) => isLost(member) && member.diskId === log.identity.diskId,
+  );
+  if (isSelfLost || live.length <= remaining.length / 2) {
+    throw new RelayError(ResultCode.noQuorum, 'the other members are not a live quorum', {
+      notRun: true,
+    });
+  }
+}
--- /dev/null
+++ b/packages/control/src/raft/run-peer.ts
@@ -0,0 +1,88 @@
+import { addLearner } from './add-learner.js';
+import type { AppendReply } from './append-reply.js';
+import type { PeerProgress } from './peer-progress.js';
+import type { RaftContext } from './raft-context.js';
+import type { RaftPeer } from './raft-peer.js';
+import { raftTiming } from './raft-timing.js';
+import { receiveSender } from './receive-sender.js';
+import { sendEntries } from './send-entries.js';
+import { sendSnapshot } from './send-snapshot.js';
+import { stopStaleNode } from './stop-stale-node.js';
+import { updateCommitIndex } from './update-commit-index.js';
+import { updateTerm } from './update-term.js';
+
+/** The leader's task for one member: one message at a time, until the term of office ends. @internal */
+export async function runPeer(context: RaftContext, peer: PeerProgress): Promise<void> {
+  const client = context.openPeer(peer.member.address);
+  const { signal } = peer.controller;
+  while (!signal.aborted) {
+    try {
+      await sendRound(context, peer, client);
+    } catch {
+      if (!signal.aborted) await context.clock.wait(raftTiming.retryDelayMs, signal);
+      continue;
+    }
+    if (!signal.aborted && !hasWork(context, peer)) await waitForWork(context, peer);
+  }
+}
+
+async function sendRound(
+  context: RaftContext,
+  peer: PeerProgress,
+  client: RaftPeer,
+): Promise<void> {
+  peer.isRoundWanted = false;
+  const sentAt = context.clock.monotonic();
+  const { commitIndex } = context;
+  const isInMemory = context.log.memory.findTerm(peer.nextIndex - 1) !== undefined;
+  const send = isInMemory ? sendEntries : sendSnapshot;
+  const reply = await send(context, peer, client);
+  if (peer.controller.signal.aborted) return;
+  if (handleReply(context, peer, reply)) {
+    peer.answeredAt = sentAt;
+    peer.toldCommitIndex = commitIndex;
+    updateCommitIndex(context);
+  }
+}
+
+/** Takes an answer in; returns whether the member followed this leader. */
+function handleReply(context: RaftContext, peer: PeerProgress, reply: AppendReply): boolean {
+  if (reply.isStale) {
+    stopStaleNode(context);
+    return false;
+  }
+  if (reply.isOtherDisk || reply.from.diskId !== peer.member.diskId) {
+    addLearner(context, peer.member, reply.from);
+    throw new Error(`${peer.member.id} runs on another disk`);
+  }
+  if (!receiveSender(context, reply.from)) throw new Error(`${peer.member.id} has an older disk`);
+  if (reply.term > context.log.readHardState().term) {
+    updateTerm(context, reply.term);
+    return false;
+  }
+  peer.echo = { incarnation: reply.from.incarnation, mark: reply.mark };
+  if (reply.isMatched) {
+    peer.matchIndex = Math.max(peer.matchIndex, reply.index);
+    peer.nextIndex = Math.max(peer.nextIndex, reply.index + 1);
+  } else {
+    peer.nextIndex = Math.max(1, peer.matchIndex + 1, Math.min(peer.nextIndex - 1, reply.index));
+  }
+  return true;
+}
+
+function hasWork({ log, commitIndex }: RaftContext, peer: PeerProgress): boolean {
+  return (
+    peer.isRoundWanted ||
+    peer.nextIndex <= log.memory.readLast().index ||
+    peer.toldCommitIndex < commitIndex
+  );
+}
+
+async function waitForWork({ clock }: RaftContext, peer: PeerProgress): Promise<void> {
+  const waking = new AbortController();
+  const wake = () => waking.abort();
+  peer.wake = wake;
+  peer.controller.signal.addEventListener('abort', wake, { once: true });
+  await clock.wait(raftTiming.heartbeatMs, waking.signal);
+  peer.controller.signal.removeEventListener('abort', wake);
+}
--- /dev/null
+++ b/packages/control/src/raft/send-snapshot.ts
@@ -0,0 +1,42 @@
+import { withDeadline } from '@vanillarelay/core';
+import type { AppendReply } from './append-reply.js';
+import { buildSender } from './build-sender.js';
+import type { PeerProgress } from './peer-progress.js';
+import type { RaftContext } from './raft-context.js';
+import type { RaftPeer } from './raft-peer.js';
+import { raftTiming } from './raft-timing.js';
+
+const partBytes = 256 * 1024;
+
+/** Sends the snapshot in parts; resolves with the answer to the last part. @internal */
+export async function sendSnapshot(
+  context: RaftContext,
+  peer: PeerProgress,
+  client: RaftPeer,
+): Promise<AppendReply> {
+  const { log, clock } = context;
+  const file = log.readSnapshotFile();
+  const index = log.readSnapshot()?.index;
+  if (!file || index === undefined) throw new Error('there is no snapshot to send');
+  const { term } = log.readHardState();
+  for (let offset = 0; ; offset += partBytes) {
+    const request = {
+      from: buildSender(context),
+      toDisk: peer.member.diskId,
+      term,
+      index,
+      offset,
+      totalBytes: file.length,
+      data: Buffer.from(file.subarray(offset, offset + partBytes)).toString('base64'),
+    };
+    const sentAt = clock.monotonic();
+    const reply = await withDeadline(clock, raftTiming.snapshotCallTimeoutMs, (signal) =>
+      client.installSnapshot(request, signal),
+    );
+    const isLast = offset + partBytes >= file.length;
+    const isRefused = reply.isStale || reply.isOtherDisk || reply.term > term;
+    if (isLast || isRefused || peer.controller.signal.aborted) return reply;
+    if (reply.index !== offset + partBytes) throw new Error('a part of the snapshot was lost');
+    peer.answeredAt = sentAt;
+  }
+}
--- /dev/null
+++ b/packages/control/src/raft/sender.ts
@@ -0,0 +1,10 @@
+/** Who sent a Raft message; peers detect an emptied or an older disk by it. */
+export interface Sender {
+  id: string;
+  diskId: string;
+  incarnation: number;
+  /** Last index of the log at the start of this incarnation. */
+  startIndex: number;
+  /** Highest index that is committed and durable on the sender's own disk. */
+  commitIndex: number;
+}
--- /dev/null
+++ b/packages/control/src/raft/start-leading.ts
@@ -0,0 +1,50 @@
+import { appendEntry } from './append-entry.js';
+import { computeQuorumAge } from './compute-quorum-age.js';
+import type { RaftContext } from './raft-context.js';
+import { raftTiming } from './raft-timing.js';
+import { releaseLeadership } from './release-leadership.js';
+import { updatePeers } from './update-peers.js';
+import type { Voter } from './voter.js';
+
+/** Begins a term of office after an election that began at `startedAt`. @internal */
+export function startLeading(
+  context: RaftContext,
+  votes: Map<string, Voter>,
+  startedAt: number,
+): void {
+  const { log } = context;
+  context.role = 'leader';
+  context.leader = context.id;
+  context.office = new AbortController();
+  context.termStartIndex = log.memory.readLast().index + 1;
+  updatePeers(context);
+  const first = context.group
+    ? ({ kind: 'empty', data: '' } as const)
+    : ({ kind: 'group', data: buildFirstGroup(votes) } as const);
+  // Rejected when the term of office ends early; nobody waits for this entry.
+  appendEntry(context, first).catch(() => {});
+  context.progress.forEach((peer, diskId) => {
+    if (votes.has(diskId)) peer.answeredAt = startedAt;
+  });
+  void runOffice(context, context.office.signal);
+}
+
+/** Binds every node of the first group to the disk that voted. */
+function buildFirstGroup(votes: Map<string, Voter>): string {
+  const members = [...votes].map(([diskId, { id, address }]) => ({
+    id,
+    address,
+    diskId,
+    role: 'voter',
+  }));
+  return JSON.stringify({ members });
+}
+
+/** Steps down when no quorum has answered for an election timeout. */
+async function runOffice(context: RaftContext, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    await context.clock.wait(raftTiming.retryDelayMs, signal);
+    if (signal.aborted) return;
+    if (computeQuorumAge(context) > raftTiming.electionTimeoutMinMs) releaseLeadership(context);
+  }
+}
--- /dev/null
+++ b/packages/control/src/raft/update-commit-index.ts
@@ -0,0 +1,23 @@
+import { applyCommitted } from './apply-committed.js';
+import { computeMajorityValue } from './compute-majority-value.js';
+import { listVoters } from './list-voters.js';
+import type { RaftContext } from './raft-context.js';
+import { wakePeers } from './wake-peers.js';
+
+/** Commits what a quorum has synced, if the last of it is of the leader's own term. @internal */
+export function updateCommitIndex(context: RaftContext): void {
+  if (context.role !== 'leader') return;
+  const { log, progress } = context;
+  const index = computeMajorityValue(
+    listVoters(context).map(({ diskId }) =>
+      diskId === log.identity.diskId
+        ? context.durableIndex
+        : (progress.get(diskId)?.matchIndex ?? 0),
+    ),
+  );
+  if (index <= context.commitIndex) return;
+  if (log.memory.findTerm(index) !== log.readHardState().term) return;
+  context.commitIndex = index;
+  applyCommitted(context);
+  wakePeers(context);
+}
--- /dev/null
+++ b/packages/control/src/raft/update-peers.ts
@@ -0,0 +1,34 @@
+import type { RaftContext } from './raft-context.js';
+import { runPeer } from './run-peer.js';
+
+/** Starts a task for each new member and ends those of removed members. @internal */
+export function updatePeers(context: RaftContext): void {
+  const { group, progress, log, office } = context;
+  const members = group?.members.filter(({ diskId }) => diskId !== log.identity.diskId) ?? [];
+  progress.forEach((peer, diskId) => {
+    if (members.some((member) => member.diskId === diskId)) return;
+    peer.controller.abort();
+    progress.delete(diskId);
+  });
+  members.forEach((member) => {
+    const running = progress.get(member.diskId);
+    if (running) {
+      running.member = member;
+      return;
+    }
+    const controller = new AbortController();
+    office.signal.addEventListener('abort', () => controller.abort(), { once: true });
+    const peer = {
+      member,
+      nextIndex: log.memory.readLast().index + 1,
+      matchIndex: 0,
+      answeredAt: Number.NEGATIVE_INFINITY,
+      toldCommitIndex: 0,
+      isRoundWanted: true,
+      controller,
+      wake: () => {},
+    };
+    progress.set(member.diskId, peer);
+    void runPeer(context, peer);
+  });
+}
--- /dev/null
+++ b/packages/control/src/raft/write-snapshot.ts
@@ -0,0 +1,33 @@
+import type { RaftContext } from './raft-context.js';
+
+const defaultSnapshotBytes = 4 * 1024 * 1024;
+
+/**
+ * Takes a snapshot when the log has grown by more than the size of the last one, so that the cost of
+ * snapshots stays in proportion to that of the log. @internal
+ */
+export async function writeSnapshot(context: RaftContext): Promise<void> {
+  const { log, machine, appliedIndex, snapshotBytes = defaultSnapshotBytes } = context;
+  const limit = Math.max(snapshotBytes, log.readSnapshotFile()?.length ?? 0);
+  if (context.isSnapshotBusy || context.role === 'stopped' || log.countLogBytes() <= limit) return;
+  const entries = log.memory.list();
+  const last = entries[appliedIndex - log.memory.readBase().index - 1];
+  if (!last || appliedIndex <= (log.readSnapshot()?.index ?? 0)) return;
+  const group = findGroupAt(context, appliedIndex);
+  if (!group) return;
+  context.isSnapshotBusy = true;
+  try {
+    const { index, term, at } = last;
+    await log.compact({ index, term, at, group, parts: machine.encode() });
+    context.timeline.record('raft.snapshot', { index });
+  } finally {
+    context.isSnapshotBusy = false;
+  }
+}
+
+/** The membership as of an applied index. */
+function findGroupAt({ log, group, groupIndex }: RaftContext, index: number) {
+  if (groupIndex <= index) return group;
+  const entry = log.memory.list().findLast((one) => one.kind === 'group' && one.index <= index);
+  return entry ? (JSON.parse(entry.data) as typeof group) : log.readSnapshot()?.group;
+}
--- /dev/null
+++ b/packages/control/src/state/apply-change.ts
@@ -0,0 +1,115 @@
+import { ResultCode, type Command, type CommandResult, type DaemonState } from '@vanillarelay/core';
+import { buildRefusal } from './build-refusal.js';
+import type { FleetState } from './fleet-state.js';
+import type { Stamp } from './stamp.js';
+import { formatChange } from './format-change.js';
+
+type Change = Extract<Command, { changeId: unknown }>;
+
+/** Answers and history entries that are kept; the oldest are dropped. */
+const keptChanges = 10_000;
+
+/** Applies an operator's change; a change that was sent before gets its first answer. */
+export function applyChange(state: FleetState, change: Change, stamp: Stamp): CommandResult {
+  const earlier = state.changes.get(change.changeId);
+  if (earlier) return earlier;
+  const result = applyNewChange(state, change, stamp);
+  state.changes.set(change.changeId, result);
+  for (const changeId of state.changes.keys()) {
+    if (state.changes.size <= keptChanges) break;
+    state.changes.delete(changeId);
+  }
+  return result;
+}
+
+function applyNewChange(state: FleetState, change: Change, stamp: Stamp): CommandResult {
+  const { daemon } = state;
+  const refusal = checkChange(state, change);
+  if (refusal) return refusal;
+  const next = buildNext(daemon, change, stamp);
+  const isChanged = next !== daemon;
+  if (isChanged) state.daemon = { ...next, version: stamp.index };
+  if (change.type === 'liftMark') state.crashReports.delete(change.fingerprint);
+  const { configVersion, version } = state.daemon;
+  state.history.push({
+    index: stamp.index,
+    changeId: change.changeId,
+    operator: change.operator,
+    at: stamp.at,
+    configVersion,
+    type: change.type,
+    summary: formatChange(daemon.config, change),
+  });
+  if (state.history.length > keptChanges) state.history.shift();
+  return { ok: true, index: stamp.index, value: { configVersion, version } };
+}
+
+function checkChange({ daemon, history }: FleetState, change: Change): CommandResult | undefined {
+  switch (change.type) {
+    case 'applyConfig': {
+      if (change.expectedVersion === daemon.configVersion) return undefined;
+      const winner = history.findLast(({ type }) => type === 'applyConfig');
+      const { changeId, operator } = winner ?? {};
+      return buildRefusal(
+        ResultCode.versionConflict,
+        `expected version ${change.expectedVersion}, current version is ${daemon.configVersion}${
+          winner ? `, from change '${changeId}' of ${operator}` : ''
+        }`,
+        { configVersion: daemon.configVersion, ...(winner ? { winner } : {}) },
+      );
+    }
+    case 'takeOutDataCentre':
+    case 'bringBackDataCentre': {
+      const { dataCentre } = change;
+      const isKnown = dataCentre in daemon.config.dataCentres;
+      if (isKnown || daemon.dataCentresOut.includes(dataCentre)) return undefined;
+      const known = Object.keys(daemon.config.dataCentres).sort();
+      return buildRefusal(
+        ResultCode.unknownTarget,
+        `data centre '${dataCentre}' is not configured; known: ${known.join(', ') || 'none'}`,
+      );
+    }
+    case 'liftMark': {
+      if (daemon.marks.some(({ fingerprint }) => fingerprint === change.fingerprint)) {
+        return undefined;
+      }
+      return buildRefusal(ResultCode.unknownTarget, `there is no mark '${change.fingerprint}'`);
+    }
+    default:
+      return undefined;
+  }
+}
+
+/** The daemons' state after a change; the same object when nothing changes. */
+function buildNext(daemon: DaemonState, change: Change, { index }: Stamp): DaemonState {
+  switch (change.type) {
+    case 'applyConfig':
+      return { ...daemon, config: change.config, configVersion: daemon.configVersion + 1 };
+    case 'takeOutDataCentre':
+    case 'bringBackDataCentre': {
+      const isOut = change.type === 'takeOutDataCentre';
+      const dataCentresOut = updateList(daemon.dataCentresOut, change.dataCentre, isOut);
+      return dataCentresOut ? { ...daemon, dataCentresOut } : daemon;
+    }
+    case 'drainEndpoint': {
+      const draining = updateList(daemon.draining, change.endpoint, change.draining);
+      return draining ? { ...daemon, draining } : daemon;
+    }
+    case 'liftMark': {
+      const marks = daemon.marks.filter(({ fingerprint }) => fingerprint !== change.fingerprint);
+      return { ...daemon, marks };
+    }
+    default: {
+      const { endpoint, action, target } = change;
+      const others = daemon.orders.filter((order) => order.endpoint !== endpoint);
+      // The index grows with every order, also across leaders, so it serves as fencing token.
+      return { ...daemon, orders: [...others, { endpoint, action, target, fencingToken: index }] };
+    }
+  }
+}
+
+/** The list with or without an item; undefined when that is what it already was. */
+function updateList<T>(list: T[], item: T, isWanted: boolean): T[] | undefined {
+  if (list.includes(item) === isWanted) return undefined;
+  return isWanted ? [...list, item] : list.filter((one) => one !== item);
+}
--- a/packages/control/src/state/apply-command.ts
+++ b/packages/control/src/state/apply-command.ts
@@ -1,53 +1,31 @@
-import { ResultCode, type Command, type CommandResult } from '@vanillarelay/core';
+import type { Command, CommandResult } from '@vanillarelay/core';
+import { applyChange } from './apply-change.js';
+import { applyEndpointCommand } from './apply-endpoint-command.js';
+import { applyRecordCommand } from './apply-record-command.js';
+import { removeExpired } from './remove-expired.js';
 import type { FleetState } from './fleet-state.js';
 
 /** Changes the state by a committed command; the same on every node. */
-export function applyCommand(state: FleetState, command: Command, index: number): CommandResult {
-  if (!('changeId' in command)) {
-    return {
-      ok: false,
-      code: ResultCode.unknownTarget,
-      message: `unknown command ${command.type}`,
-    };
-  }
-  const earlier = state.changes.get(command.changeId);
-  if (earlier) return earlier;
-  const result = applyOperatorCommand(state, command, index);
-  state.changes.set(command.changeId, result);
-  return result;
-}
-
-function applyOperatorCommand(
+export function applyCommand(
   state: FleetState,
-  command: Extract<Command, { changeId: unknown }>,
+  command: Command,
   index: number,
+  at = state.at,
 ): CommandResult {
-  const { daemon } = state;
+  const stamp = { index, at };
+  removeExpired(state, stamp);
   switch (command.type) {
-    case 'applyConfig':
-      if (command.expectedVersion !== daemon.configVersion) {
-        return {
-          ok: false,
-          code: ResultCode.versionConflict,
-          message: `expected version ${command.expectedVersion}, current version is ${daemon.configVersion}`,
-        };
-      }
-      daemon.config = command.config;
-      daemon.configVersion += 1;
-      break;
-    case 'takeOutDataCentre':
-      daemon.dataCentresOut = [...new Set([...daemon.dataCentresOut, command.dataCentre])];
-      break;
-    case 'bringBackDataCentre':
-      daemon.dataCentresOut = daemon.dataCentresOut.filter((id) => id !== command.dataCentre);
-      break;
+    case 'claim':
+    case 'complete':
+    case 'abandon':
+    case 'void':
+      return applyRecordCommand(state, command, stamp);
+    case 'reportCrash':
+    case 'clearMark':
+    case 'takePermit':
+    case 'releasePermit':
+      return applyEndpointCommand(state, command, stamp);
     default:
-      return {
-        ok: false,
-        code: ResultCode.unknownTarget,
-        message: `unknown command ${command.type}`,
-      };
+      return applyChange(state, command, stamp);
   }
-  daemon.version = index;
-  return { ok: true, index, value: { configVersion: daemon.configVersion } };
 }
--- /dev/null
+++ b/packages/control/src/state/change-entry.ts
@@ -0,0 +1,15 @@
+import type { ChangeId } from '@vanillarelay/core';
+
+/** One accepted change in the history that operators read. */
+export interface ChangeEntry {
+  /** Log index of the change. */
+  index: number;
+  changeId: ChangeId;
+  operator: string;
+  /** Wall time of the leader in milliseconds since the epoch. */
+  at: number;
+  /** Version of the configuration after the change. */
+  configVersion: number;
+  type: string;
+  summary: string;
+}
--- a/packages/control/src/state/create-fleet-state.ts
+++ b/packages/control/src/state/create-fleet-state.ts
@@ -13,5 +13,12 @@
       orders: [],
     },
     changes: new Map(),
+    history: [],
+    records: new Map(),
+    tombstones: new Map(),
+    incarnations: new Map(),
+    crashReports: new Map(),
+    permits: new Map(),
+    at: 0,
   };
 }
--- /dev/null
+++ b/packages/control/src/state/request-record.ts
@@ -0,0 +1,17 @@
+/** What the log keeps of one non-idempotent request. */
+export interface RequestRecord {
+  /** `open`: nothing runs and nothing ran; kept because attempts or nonces were closed. */
+  status: 'open' | 'running' | 'done' | 'unkept' | 'unknown';
+  /** Time of the last change of the status. */
+  at: number;
+  bodyHash?: string;
+  endpoint?: string;
+  incarnation?: number;
+  nonce?: string;
+  attemptId?: string;
+  answer?: { status: number; contentType: string; body: string };
+  /** Attempts whose claims are refused. */
+  voided?: string[];
+  /** Nonces whose claims were refused or given up, so that a repeated claim is refused again. */
+  closedNonces?: string[];
+}
--- /dev/null
+++ b/packages/control/src/state/update-incarnation.ts
@@ -0,0 +1,11 @@
+import type { EndpointId } from '@vanillarelay/core';
+import type { FleetState } from './fleet-state.js';
+
+/** Takes note of an agent's incarnation; claims of an earlier one have an unknown outcome. */
+export function updateIncarnation(
+  { incarnations }: FleetState,
+  endpoint: EndpointId,
+  incarnation: number,
+): void {
+  if (incarnation > (incarnations.get(endpoint) ?? 0)) incarnations.set(endpoint, incarnation);
+}
--- a/packages/core/src/errors/refusal.ts
+++ b/packages/core/src/errors/refusal.ts
@@ -11,4 +11,6 @@
   retryAfterMs?: number;
   /** The endpoint that holds the chat, when another one does. */
   holder?: EndpointId;
+  /** Id of the control node that leads, when another one does. */
+  leader?: string;
 }
--- a/packages/core/src/errors/relay-error.ts
+++ b/packages/core/src/errors/relay-error.ts
@@ -13,6 +13,8 @@
 
   readonly holder: Refusal['holder'];
 
+  readonly leader: Refusal['leader'];
+
   constructor(code: ResultCode, message: string, options: RelayErrorOptions = {}) {
     super(message, options.cause === undefined ? undefined : { cause: options.cause });
     this.name = 'RelayError';
@@ -20,5 +22,6 @@
     this.notRun = options.notRun ?? false;
     this.retryAfterMs = options.retryAfterMs;
     this.holder = options.holder;
+    this.leader = options.leader;
   }
 }
--- a/packages/core/src/errors/result-code.ts
+++ b/packages/core/src/errors/result-code.ts
@@ -38,6 +38,7 @@
   answerNotKept: 4006,
   recordExpired: 4007,
   attemptVoided: 4008,
+  alreadyDone: 4009,
   // 5000: control
   notLeader: 5000,
   noQuorum: 5001,
--- a/packages/core/src/errors/to-refusal.ts
+++ b/packages/core/src/errors/to-refusal.ts
@@ -11,6 +11,7 @@
       notRun: error.notRun,
       ...(error.retryAfterMs === undefined ? {} : { retryAfterMs: error.retryAfterMs }),
       ...(error.holder === undefined ? {} : { holder: error.holder }),
+      ...(error.leader === undefined ? {} : { leader: error.leader }),
     };
   }
   const message = error instanceof Error ? error.message : String(error);
--- a/packages/core/src/messages/command.ts
+++ b/packages/core/src/messages/command.ts
@@ -46,7 +46,14 @@
   );
 
 type EndpointCommand =
-  | { type: 'reportCrash'; endpoint: EndpointId; incarnation: number; fingerprints: Fingerprint[] }
+  | {
+      type: 'reportCrash';
+      endpoint: EndpointId;
+      incarnation: number;
+      fingerprints: Fingerprint[];
+      /** Fresh for each crash; a report that is sent again counts once. */
+      crashId?: string;
+    }
   | { type: 'clearMark'; fingerprint: Fingerprint }
   | { type: 'takePermit'; endpoint: EndpointId; leaseMs: number }
   | { type: 'releasePermit'; endpoint: EndpointId };
--- a/packages/scenarios/src/fakes/create-fake-disk.ts
+++ b/packages/scenarios/src/fakes/create-fake-disk.ts
@@ -33,16 +33,17 @@
   const disk: Disk = {
     read: async (name) => {
       observe('read', name);
-      return names.get(name)?.content.slice();
+      const content = names.get(name)?.content;
+      return content && new Uint8Array(content);
     },
     append: async (name, bytes) => {
       observe('append', name);
       const file = findOrAdd(name);
-      file.content = Buffer.concat([file.content, bytes]);
+      file.content = new Uint8Array(Buffer.concat([file.content, bytes]));
     },
     write: async (name, bytes) => {
       observe('write', name);
-      findOrAdd(name).content = Buffer.from(bytes);
+      findOrAdd(name).content = new Uint8Array(bytes);
     },
     truncate: async (name, length) => {
       observe('truncate', name);
--- /dev/null
+++ b/packages/scenarios/src/fakes/wrap-process-disk.ts
@@ -0,0 +1,32 @@
+import type { Clock, Disk } from '@vanillarelay/core';
+import type { VirtualProcess } from './virtual-process.js';
+
+interface ProcessDiskOptions {
+  process: VirtualProcess;
+  disk: Disk;
+  /** Time of one sync in milliseconds. */
+  syncMs?: number;
+}
+
+/** A disk as one virtual process sees it: a killed process reaches it no more, a sync takes time. */
+export function wrapProcessDisk({ process, disk, syncMs = 1 }: ProcessDiskOptions): Disk {
+  const { clock }: { clock: Clock } = process;
+  const wrap =
+    <Args extends unknown[], T>(run: (...args: Args) => Promise<T>, waitMs = 0) =>
+    async (...args: Args): Promise<T> => {
+      if (waitMs > 0) await clock.wait(waitMs);
+      await process.waitUntilRunning();
+      return run(...args);
+    };
+  return {
+    read: wrap(disk.read),
+    append: wrap(disk.append),
+    write: wrap(disk.write),
+    truncate: wrap(disk.truncate),
+    sync: wrap(disk.sync, syncMs),
+    rename: wrap(disk.rename),
+    syncFolder: wrap(disk.syncFolder, syncMs),
+    remove: wrap(disk.remove),
+    list: wrap(disk.list),
+  };
+}
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -4,3 +4,4 @@
 export { createVirtualClock } from './fakes/create-virtual-clock.js';
 export type { VirtualClock } from './fakes/virtual-clock.js';
 export type { VirtualProcess } from './fakes/virtual-process.js';
+export { wrapProcessDisk } from './fakes/wrap-process-disk.js';
