--- a/packages/bench/src/measures/create-chat-sender.ts
+++ b/packages/bench/src/measures/create-chat-sender.ts
@@ -5,6 +5,8 @@
 interface SenderTotals {
   requests: number;
   refused: number;
+  /** Refusals by result code. */
+  codes: Record<string, number>;
   /** Answers that broke off. */
   broken: number;
   promptTokens: number;
@@ -53,6 +55,7 @@
   return {
     requests: 0,
     refused: 0,
+    codes: {},
     broken: 0,
     promptTokens: 0,
     cachedTokens: 0,
@@ -75,6 +78,8 @@
   const usage = /"prompt_tokens":(\d+).*"cached_tokens":(\d+)/.exec(text);
   if (status !== 200 || !usage) {
     totals.refused += 1;
+    const code = /"code":(\d+)/.exec(text)?.[1] ?? String(status);
+    totals.codes[code] = (totals.codes[code] ?? 0) + 1;
     return;
   }
   totals.promptTokens += Number(usage[1]);
--- a/packages/control/src/state/create-fleet-state.ts
+++ b/packages/control/src/state/create-fleet-state.ts
@@ -14,5 +14,11 @@
     },
     history: [],
     changes: new Map(),
+    records: new Map(),
+    tombstones: new Map(),
+    incarnations: new Map(),
+    crashReports: new Map(),
+    permits: new Map(),
+    at: 0,
   };
 }
--- a/packages/daemon/src/control/run-control.ts
+++ b/packages/daemon/src/control/run-control.ts
@@ -9,6 +9,7 @@
 import { waitForSignal } from '../platform/wait-for-signal.js';
 import { hasKey } from '../trust/has-key.js';
 import type { ControlContext } from './control-context.js';
+import { listConfigChanges } from './list-config-changes.js';
 import { createControlRouter } from './create-control-router.js';
 
 /** Runs a control process until a signal ends it. */
@@ -21,7 +22,7 @@
     propose: store.propose,
     readState: () => store.readState().daemon,
     listDaemons: hub.listDaemons,
-    listHistory: () => store.readState().history,
+    listHistory: () => listConfigChanges(store.readState().history),
     listEndpoints: hub.listEndpoints,
     listTimeline: () => context.timeline.list(),
   });
