feat(config): generate the fleet configuration from teams' questionnaires

Cause: the configuration of a fleet was written by hand, in terms that a newly acquired team does not use.

Ruled out: asking for priorities; teams call everything urgent, so the priority follows from how long a caller waits and whether doing it twice is harmful.

Change: questionnaire with schema, 'questionnaire check|generate' over several teams, 'settings generate' from a plan of processes, examples of both deployments at their sizes (15 and 17 processes). A test compares the committed files with the generators.

Conclusion: a team's answers give a configuration that control accepts.

--- a/packages/cli/src/context/create-cli-context.ts
+++ b/packages/cli/src/context/create-cli-context.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
-import { readFile, writeFile } from 'node:fs/promises';
+import { mkdir, readFile, writeFile } from 'node:fs/promises';
+import { dirname } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
 import { RelayError, ResultCode, toId, type ChangeId } from '@vanillarelay/core';
 import { openOperator } from '@vanillarelay/daemon';
@@ -11,7 +12,7 @@
     openOperator,
     print: (text) => console.log(text),
     loadText,
-    writeText: (path, text) => writeFile(path, text),
+    writeText,
     createChangeId: () => toId<ChangeId>(randomUUID()),
     wait: async (ms) => {
       await wait(ms);
@@ -30,3 +31,8 @@
     );
   }
 }
+
+async function writeText(path: string, text: string): Promise<void> {
+  await mkdir(dirname(path), { recursive: true });
+  await writeFile(path, text);
+}
--- a/packages/cli/src/create-main-command.ts
+++ b/packages/cli/src/create-main-command.ts
@@ -3,12 +3,15 @@
 import { createApplyCommand } from './commands/apply-config.js';
 import { createBringBackCommand } from './commands/bring-back-data-centre.js';
 import { createDrainCommand } from './commands/drain-endpoint.js';
+import { createGenerateCommand } from './commands/generate-config.js';
+import { createGenerateSettingsCommand } from './commands/generate-settings.js';
 import { createLiftMarkCommand } from './commands/lift-mark.js';
 import { createOrderCommand } from './commands/order-engine.js';
 import { createTakeOutCommand } from './commands/take-out-data-centre.js';
 import type { CliContext } from './context/cli-context.js';
 import { createProcessCommand } from './processes/create-process-command.js';
 import { createStandInCommands } from './processes/create-stand-in-commands.js';
+import { createCheckQuestionnaireQuery } from './queries/check-questionnaires.js';
 import { createCheckSettingsQuery } from './queries/check-settings-files.js';
 import { createDiffConfigQuery } from './queries/diff-config.js';
 import { createExplainQuery } from './queries/explain-request.js';
@@ -30,8 +33,13 @@
       agent: createProcessCommand(context, 'agent', runAgent),
       ...createStandInCommands(),
       settings: createGroup('settings', 'Settings of processes', {
+        generate: createGenerateSettingsCommand(context),
         check: createCheckSettingsQuery(context),
       }),
+      questionnaire: createGroup('questionnaire', 'Questionnaires of the teams', {
+        check: createCheckQuestionnaireQuery(context),
+        generate: createGenerateCommand(context),
+      }),
       config: createGroup('config', 'The fleet configuration', {
         apply: createApplyCommand(context),
         show: createShowConfigQuery(context),
--- a/packages/cli/src/queries/check-settings-files.ts
+++ b/packages/cli/src/queries/check-settings-files.ts
@@ -1,8 +1,8 @@
 import { checkAllSettings, checkSettings } from '@vanillarelay/config';
-import { RelayError, ResultCode } from '@vanillarelay/core';
 import { defineCommand } from 'citty';
 import type { CliContext } from '../context/cli-context.js';
 import { loadJson } from '../context/load-json.js';
+import { withSource } from '../context/with-source.js';
 
 /** Makes the query `settings check`. */
 export function createCheckSettingsQuery(context: CliContext) {
@@ -33,13 +33,3 @@
     },
   });
 }
-
-function withSource<T>(source: string, run: () => T): T {
-  try {
-    return run();
-  } catch (error) {
-    if (!(error instanceof RelayError)) throw error;
-    const message = error.message.replace(/^/gm, `${source}: `);
-    throw new RelayError(ResultCode.invalidSettings, message, { notRun: true, cause: error });
-  }
-}
--- a/packages/config/src/format-issues.ts
+++ b/packages/config/src/format-issues.ts
@@ -54,7 +54,7 @@
     case 'invalid_value':
       return issue.values.map((value) => JSON.stringify(value)).join(', ');
     case 'too_small':
-      return `at least ${issue.minimum}${formatUnit(issue.origin)}`;
+      return `${issue.inclusive === false ? 'more than' : 'at least'} ${issue.minimum}${formatUnit(issue.origin)}`;
     case 'too_big':
       return `at most ${issue.maximum}${formatUnit(issue.origin)}`;
     case 'invalid_union':
--- /dev/null
+++ b/packages/config/src/plan/generate-settings.ts
@@ -0,0 +1,27 @@
+import { ResultCode } from '@vanillarelay/core';
+import { checkAllSettings } from '../check-all-settings.js';
+import { checkSettings } from '../check-settings.js';
+import { checkValue } from '../check-value.js';
+import type { Settings } from '../settings.js';
+import { FleetPlan } from './fleet-plan.js';
+
+/** The settings of each process of a plan; throws a `RelayError` when they do not fit together. */
+export function generateSettings(value: unknown): Settings[] {
+  const plan = checkValue(FleetPlan, value, ResultCode.invalidSettings);
+  const { peerKeys, operatorKeys } = plan;
+  const control = plan.control.map(({ id, address }) => ({ id, address }));
+  const keys = { peerKeys, operatorKeys };
+  const all = [
+    ...plan.control.map((place) => ({
+      role: 'control',
+      ...place,
+      ...keys,
+      dataFolder: `${plan.dataFolder}/${place.id}`,
+      group: control,
+    })),
+    ...plan.entries.map((place) => ({ role: 'entry', ...place, ...keys, control })),
+    ...plan.agents.map((place) => ({ role: 'agent', ...place, ...keys, control })),
+  ].map((settings) => checkSettings(settings));
+  checkAllSettings(all.map((settings) => ({ source: settings.id, settings })));
+  return all;
+}
--- /dev/null
+++ b/packages/config/src/questionnaire/build-account.ts
@@ -0,0 +1,19 @@
+import { toId, type AccountConfig, type ServiceId } from '@vanillarelay/core';
+import type { Questionnaire } from './questionnaire.js';
+
+const secondsPerMinute = 60;
+/** Room above the busiest known minute, so that an ordinary peak is not refused. */
+const peakFactor = 2;
+const requestsPerSecondBySize = { 'few people': 5, office: 25, 'large firm': 120 };
+
+/** The limits and rights of a client account. */
+export function buildAccount(answers: Questionnaire['accounts'][number]): AccountConfig {
+  const { size, busiestMinute, uses, keyHashes } = answers;
+  return {
+    keyHashes,
+    requestsPerSecond: busiestMinute
+      ? Math.ceil((busiestMinute * peakFactor) / secondsPerMinute)
+      : requestsPerSecondBySize[size],
+    services: uses.map((service) => toId<ServiceId>(service)),
+  };
+}
