--- a/packages/cli/__tests__/cli.test.ts
+++ b/packages/cli/__tests__/cli.test.ts
@@ -54,6 +54,7 @@
   result: CommandResult = { ok: true, index: 17, value: { configVersion: 3 } },
 ) => {
   const proposed: Command[] = [];
+  const attached = { dataCentre: 'lahore', contact: 'attached', silentMs: 100 } as const;
   const printed: string[] = [];
   const client: OperatorClient = {
     propose: async (command) => {
@@ -63,8 +64,8 @@
     readState: async () => state,
     listHistory: async () => history,
     listDaemons: async () => [
-      { daemon: 'entry-1', address: '10.0.0.2:7200', version: 17 },
-      { daemon: 'reports-1', address: '10.0.0.1:7300', version: 16 },
+      { daemon: 'entry-1', address: '10.0.0.2:7200', version: 17, role: 'entry', ...attached },
+      { daemon: 'reports-1', address: '10.0.0.1:7300', version: 16, role: 'agent', ...attached },
     ],
     listEndpoints: async () => [endpoint],
     listControls: async () => [
--- a/packages/daemon/src/entry/run-entry.ts
+++ b/packages/daemon/src/entry/run-entry.ts
@@ -1,19 +1,14 @@
 import type { EntrySettings } from '@vanillarelay/config';
-import {
-  toId,
-  type AgentClient,
-  type DaemonId,
-  type DataCentreId,
-  type VmId,
-} from '@vanillarelay/core';
+import { toId, type DaemonId, type DataCentreId, type VmId } from '@vanillarelay/core';
 import { createEntry } from '@vanillarelay/entry';
-import { createLink } from '@vanillarelay/link';
-import { openAgent } from '../agent/open-agent.js';
+import { createLink, createProposer } from '@vanillarelay/link';
+import { createAgentOpener } from '../agent/create-agent-opener.js';
 import { openControl } from '../control/open-control.js';
 import { closeServer } from '../http/close-server.js';
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
 import { waitForSignal } from '../platform/wait-for-signal.js';
+import { loadTrust } from '../trust/load-trust.js';
 import { createEntryServer } from './create-entry-server.js';
 
 /** Time in which the balancer notices that the entry is not ready, while it still serves. */
@@ -24,20 +19,16 @@
   const context = await createProcessContext(settings);
   const { clock, timeline, histograms } = context;
   const incarnation = Math.floor(clock.now());
-  const key = settings.peerKeys[0] ?? '';
+  const trust = await loadTrust(settings);
   const controls = settings.control.map(({ id, address }) => ({
     id: toId<DaemonId>(id),
-    client: openControl(address, key),
+    client: openControl(address, trust),
   }));
-  const agents = new Map<string, AgentClient>();
-  const findAgent = (address: string): AgentClient => {
-    const agent = agents.get(address) ?? openAgent(address, key);
-    agents.set(address, agent);
-    return agent;
-  };
+  const findAgent = createAgentOpener(trust);
   const link = createLink({
     ...context,
     controls,
+    openPeer: findAgent,
     buildReport: () => ({
       daemon: toId<DaemonId>(settings.id),
       role: 'entry',
@@ -52,11 +43,12 @@
     ...context,
     link,
     openAgent: findAgent,
-    propose: (command, signal) => controls[0]!.client.propose(command, signal),
+    propose: createProposer({ ...context, controls }),
   });
   const server = createEntryServer({
     entry,
     operatorKeys: settings.operatorKeys,
+    tls: trust.tls,
     listTimeline: () => timeline.list(),
     listHistograms: () => histograms.list(),
   });
--- a/packages/daemon/src/operator/open-operator.ts
+++ b/packages/daemon/src/operator/open-operator.ts
@@ -6,8 +6,10 @@
   type TimelineEvent,
 } from '@vanillarelay/core';
 import { createTRPCClient, createWSClient, wsLink } from '@trpc/client';
-import { WebSocket } from 'ws';
 import type { ControlRouter } from '../control/control-router.js';
+import { createControlSocket } from '../control/create-control-socket.js';
+import type { DaemonEntry } from '../control/daemon-entry.js';
+import type { Trust } from '../trust/trust.js';
 import type { OperatorClient } from './operator-client.js';
 import { requestTimeline } from './request-timeline.js';
 
@@ -22,7 +24,7 @@
 
 /** Opens an operator's client of the control nodes; each call tries them in turn. */
 export function openOperator({ operatorKey, control }: OperatorOptions): OperatorClient {
-  const nodes = control.map((address) => openNode(address, operatorKey));
+  const nodes = control.map((address) => openNode(address, { key: operatorKey }));
   type Node = (typeof nodes)[number];
   type Caller = Node['client'];
 
@@ -70,13 +72,12 @@
         call(node, (client, signal) => client.listDaemons.query(undefined, { signal })),
       ),
     );
-    const newest = new Map<string, { daemon: string; address: string; version: number }>();
+    const newest = new Map<string, DaemonEntry & { version: number }>();
     answers.forEach((answer) => {
       if (answer.status === 'rejected') return;
-      answer.value.forEach(({ daemon, address, version }) => {
-        if ((newest.get(daemon)?.version ?? -1) < version) {
-          newest.set(daemon, { daemon, address, version });
-        }
+      answer.value.forEach((entry) => {
+        if ((newest.get(entry.daemon)?.silentMs ?? Infinity) <= entry.silentMs) return;
+        newest.set(entry.daemon, { ...entry, version: entry.stateVersion });
       });
     });
     return [...newest.values()].sort((a, b) => (a.daemon < b.daemon ? -1 : 1));
@@ -136,11 +137,11 @@
   };
 }
 
-function openNode(address: string, key: string) {
+function openNode(address: string, trust: Trust) {
+  const { Constructor } = createControlSocket(trust, { open: () => {}, fail: () => {} });
   const socket = createWSClient({
-    url: `ws://${address}`,
-    WebSocket: WebSocket as unknown as typeof globalThis.WebSocket,
-    connectionParams: { key },
+    url: `${trust.tls ? 'wss' : 'ws'}://${address}`,
+    WebSocket: Constructor as unknown as typeof globalThis.WebSocket,
   });
   const client = createTRPCClient<ControlRouter>({ links: [wsLink({ client: socket })] });
   const close = (): void => {
--- a/packages/scenarios/src/fleet/start-control.ts
+++ b/packages/scenarios/src/fleet/start-control.ts
@@ -25,7 +25,9 @@
   const hub = createHub({ id: toId<DaemonId>(id), clock, hlc, timeline, store });
   const handlers: ControlClient = {
     exchange: hub.exchange,
+    readQuorum: async (stateVersion) => hub.readQuorum(stateVersion),
     propose: (command) => store.propose(command),
   };
+  hub.start();
   context.controls.set(id, { process, handlers });
 }
