--- a/packages/agent/src/create-handlers.ts
+++ b/packages/agent/src/create-handlers.ts
@@ -68,15 +68,10 @@
     }
   };
 
-  const readContact = async (stateVersion: number): Promise<ContactReport> => {
-    const { state } = findLink().readView();
-    return {
-      contact: findLink().readContact(),
-      dataCentre,
-      quorumAgeMs: 0,
-      ...(state && state.version > stateVersion ? { state } : {}),
-    };
-  };
+  const readContact = async (stateVersion: number): Promise<ContactReport> => ({
+    ...findLink().buildContactReport(stateVersion),
+    dataCentre,
+  });
 
   return {
     dispatch,
--- a/packages/bench/src/measures/measure-reuse.ts
+++ b/packages/bench/src/measures/measure-reuse.ts
@@ -51,6 +51,7 @@
     multiple,
     requests: totals.requests,
     refused: totals.refused,
+    codes: totals.codes,
     broken: totals.broken,
     reuse: totals.cachedTokens / Math.max(1, totals.promptTokens),
     meanLoad: sums.mean / sums.samples,
--- a/packages/bench/src/measures/reuse-result.ts
+++ b/packages/bench/src/measures/reuse-result.ts
@@ -5,6 +5,8 @@
   multiple: number;
   requests: number;
   refused: number;
+  /** Refusals by result code. */
+  codes: Record<string, number>;
   /** Answers that broke off, as they must when their engine restarts. */
   broken: number;
   /** Share of prompt tokens found in cache. */
--- a/packages/daemon/src/agent/create-agent-server.ts
+++ b/packages/daemon/src/agent/create-agent-server.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import {
   toRefusal,
   type AgentPeer,
@@ -6,9 +6,11 @@
   type TimelineEvent,
 } from '@vanillarelay/core';
 import { createCloseSignal } from '../http/create-close-signal.js';
+import { createHttpServer } from '../http/create-http-server.js';
 import { readBody } from '../http/read-body.js';
 import { writeBody } from '../http/write-body.js';
 import { hasKey } from '../trust/has-key.js';
+import type { TlsFiles } from '../trust/tls-files.js';
 import { DispatchHead } from './dispatch-head.js';
 import { dispatchHeaders } from './dispatch-headers.js';
 import { encodeHead } from './encode-head.js';
@@ -18,6 +20,8 @@
 interface AgentServerOptions {
   handlers: AgentPeer;
   peerKeys: readonly string[];
+  /** Plain HTTP when absent. */
+  tls?: TlsFiles | undefined;
   listTimeline: () => TimelineEvent[];
   /** Called when a request presents no valid key. */
   reportStranger: (path: string) => void;
@@ -96,7 +100,7 @@
     }
   };
 
-  return createServer({ maxHeaderSize }, (request, response) => {
+  return createHttpServer({ maxHeaderSize, tls: options.tls }, (request, response) => {
     handle(request, response).catch(() => response.destroy());
   });
 }
--- a/packages/daemon/src/agent/open-agent.ts
+++ b/packages/daemon/src/agent/open-agent.ts
@@ -8,6 +8,7 @@
 import { Pool, type Dispatcher } from 'undici';
 import { isNotConnected } from '../http/is-not-connected.js';
 import { wrapBody } from '../http/wrap-body.js';
+import type { Trust } from '../trust/trust.js';
 import { dispatchHeaders } from './dispatch-headers.js';
 import { encodeHead } from './encode-head.js';
 
@@ -17,8 +18,9 @@
 const firstFailedStatus = 500;
 
 /** Opens an HTTP client of an agent. */
-export function openAgent(address: string, key: string): AgentPeer {
-  const pool = new Pool(`http://${address}`, {
+export function openAgent(address: string, { key, tls }: Trust): AgentPeer {
+  const pool = new Pool(`${tls ? 'https' : 'http'}://${address}`, {
+    ...(tls ? { connect: { ca: tls.ca } } : {}),
     connections: 256,
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/packages/daemon/src/operator/operator-client.ts
+++ b/packages/daemon/src/operator/operator-client.ts
@@ -2,6 +2,7 @@
   Command,
   CommandResult,
   ConfigChange,
+  Contact,
   DaemonState,
   Member,
   RequestId,
@@ -14,6 +15,11 @@
   address: string;
   /** Version of the state in force at the daemon. */
   version: number;
+  role: 'entry' | 'agent';
+  dataCentre: string;
+  contact: Contact;
+  /** Milliseconds since its last report. */
+  silentMs: number;
 }
 
 /** The fleet as operators see it. Calls reject with a `RelayError`. */
--- a/scripts/local-fleet/sample.mjs
+++ b/scripts/local-fleet/sample.mjs
@@ -83,6 +83,15 @@
   concurrentLoads: 2,
 };
 
+const waitForControl = async (client) => {
+  for (let i = 0; i < 100; i += 1) {
+    const answer = await client.readQuorum(0, AbortSignal.timeout(1_000)).catch(() => undefined);
+    if (answer) return;
+    await wait(100);
+  }
+  throw new Error('control did not get ready');
+};
+
 const waitForReady = async (url) => {
   for (let i = 0; i < 100; i += 1) {
     const answer = await fetch(url).catch(() => undefined);
@@ -93,8 +102,8 @@
 };
 
 try {
-  await wait(1_000);
-  const client = openControl(control[0].address, peerKey);
+  const client = openControl(control[0].address, { key: peerKey });
+  await waitForControl(client);
   const applied = await client.propose(
     { type: 'applyConfig', changeId: 'first', operator: 'local', expectedVersion: 0, config },
     AbortSignal.timeout(5_000),
