--- a/packages/daemon/src/control/run-control.ts
+++ b/packages/daemon/src/control/run-control.ts
@@ -4,6 +4,7 @@
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
 import { waitForSignal } from '../platform/wait-for-signal.js';
+import { listConfigChanges } from './list-config-changes.js';
 import { loadTrust } from '../trust/load-trust.js';
 import { createControlRouter } from './create-control-router.js';
 import { createControlServer } from './create-control-server.js';
@@ -27,7 +28,7 @@
     readState: () => store.readState().daemon,
     readRollout: hub.readRollout,
     listDaemons: hub.listDaemons,
-    listHistory: () => store.readState().history,
+    listHistory: () => listConfigChanges(store.readState().history),
     listEndpoints: hub.listEndpoints,
     listTimeline: () => timeline.list(),
   });
--- a/packages/scenarios/src/fleet/start-entry.ts
+++ b/packages/scenarios/src/fleet/start-entry.ts
@@ -14,7 +14,12 @@
 import { openControls } from './open-controls.js';
 
 /** Starts an entry of the in-process fleet. */
-export function startEntry(context: FleetContext, id: string, dataCentre: DataCentreId): void {
+export function startEntry(
+  context: FleetContext,
+  id: string,
+  dataCentre: DataCentreId,
+  place?: Parameters<typeof createEntry>[0]['place'],
+): void {
   const { virtual, network, random, hash } = context;
   const process = virtual.createProcess(id);
   const { clock } = process;
@@ -49,6 +54,7 @@
     timeline,
     link,
     createId: createIdSource(random),
+    ...(place ? { place } : {}),
     random,
     histograms: createHistograms(),
     propose: createProposer({ clock, random, controls }),
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -11,3 +11,4 @@
 export { startAgent } from './fleet/start-agent.js';
 export { startControl } from './fleet/start-control.js';
 export { startEntry } from './fleet/start-entry.js';
+export { wrapProcessDisk } from './fakes/wrap-process-disk.js';
