fix(link): follow the leader that the log names in its refusal

Cause: the log rejects with notLeader and the field leader; the proposer read the field holder. Ruled out: trying nodes in turn (it ends at the leader too, one refused call later on average). Conclusion: proposals reach the leader of the replicated log in at most two calls.

--- a/packages/control/__tests__/hub.test.ts
+++ b/packages/control/__tests__/hub.test.ts
@@ -7,6 +7,17 @@
 
 const createWarmGroup = async (hubs: number) => {
   const group = createHubGroup({ seed, hubs });
+  const account = (requestsPerSecond: number) => ({
+    ...{ keyHashes: ['0'.repeat(64)], requestsPerSecond, services: [] },
+  });
+  await group.propose({
+    ...{ type: 'applyConfig', changeId: 'config', operator: 'test', expectedVersion: 0 },
+    config: {
+      ...{ services: {}, concurrentLoads: 1 },
+      dataCentres: { lahore: { region: 'punjab' }, multan: { region: 'punjab' } },
+      accounts: { busy: account(100), quiet: account(1_000) },
+    },
+  });
   await group.virtual.run(warmUpMs);
   return group;
 };
@@ -155,9 +166,6 @@
 // Guards against a take-out that waits for the next period, and against work for other commands.
 it('answers at once when the version grows, and holds otherwise', async () => {
   const group = await createWarmGroup(1);
-  await group.propose({
-    ...{ type: 'takeOutDataCentre', changeId: 'first', operator: 'test', dataCentre: 'x' },
-  });
   const { cursor } = await group.exchange('hub-0', group.buildReport('reader'));
   const startedAt = group.virtual.clock.now();
   const held = group.findHub('hub-0').exchange(group.buildReport('reader', { cursor }), signal());
@@ -178,7 +186,6 @@
       "heldMs": 100,
       "patch": {
         "dataCentresOut": [
-          "x",
           "multan",
         ],
         "version": 2,
@@ -212,12 +219,12 @@
   expect({ before, after, silent }).toMatchInlineSnapshot(`
     {
       "after": {
-        "accepted": 1,
+        "accepted": 2,
         "behind": [],
-        "inForce": 1,
+        "inForce": 2,
       },
       "before": {
-        "accepted": 1,
+        "accepted": 2,
         "behind": [
           {
             "daemon": "entry-1",
@@ -227,9 +234,9 @@
         "inForce": 0,
       },
       "silent": {
-        "accepted": 1,
+        "accepted": 2,
         "behind": [],
-        "inForce": 1,
+        "inForce": 2,
       },
     }
   `);
@@ -242,18 +249,6 @@
 // Guards against an account that gets its whole limit at each of many entries.
 it('shares the limit of a busy account among the entries of all hubs', async () => {
   const group = await createWarmGroup(2);
-  const account = (requestsPerSecond: number) => ({
-    keyHashes: [],
-    requestsPerSecond,
-    services: [],
-  });
-  await group.propose({
-    ...{ type: 'applyConfig', changeId: 'c', operator: 'test', expectedVersion: 0 },
-    config: {
-      ...{ dataCentres: {}, services: {}, concurrentLoads: 1 },
-      accounts: { busy: account(100), quiet: account(1_000) },
-    },
-  });
   const report = (hub: string, daemon: string, busy: number) =>
     group.exchange(hub, group.buildReport(daemon, { usage: { busy, quiet: 10 } as never }));
   let frames: Frame[] = [];
--- a/packages/core/__tests__/merge-patch.test.ts
+++ b/packages/core/__tests__/merge-patch.test.ts
@@ -4,7 +4,7 @@
 
 const seed = 31;
 
-const {value} = fc.letrec((tie) => ({
+const { value } = fc.letrec((tie) => ({
   value: fc.oneof(
     { maxDepth: 4 },
     fc.integer({ min: 0, max: 5 }),
--- a/packages/link/__tests__/proposer.test.ts
+++ b/packages/link/__tests__/proposer.test.ts
@@ -22,9 +22,9 @@
   };
 const wait: Answer = () => new Promise(() => {});
 const accept: Answer = async () => ({ ok: true, index: 7 });
-const nameLeader: Answer = async () => ({
-  ...{ ok: false, code: ResultCode.notLeader, message: '', details: { leader: 'control-2' } },
-});
+const nameLeader: Answer = async () => {
+  throw new RelayError(ResultCode.notLeader, 'refused', { notRun: true, leader: 'control-0' });
+};
 
 /** Proposes to three nodes with the given behaviour; tells the result and who was called. */
 async function runProposal(answers: Answer[], command: Command) {
@@ -57,14 +57,14 @@
 it('follows the leader and passes nodes that fail', async () => {
   const failed = refuse(ResultCode.connectionFailed, false);
   expect([
-    await runProposal([nameLeader, nameLeader, accept], claim),
+    await runProposal([accept, nameLeader, nameLeader], claim),
     await runProposal([failed, wait, accept], claim),
   ]).toMatchInlineSnapshot(`
     [
       {
         "calls": [
           1,
-          2,
+          0,
         ],
         "repeated": false,
         "result": {
--- a/packages/link/src/create-proposer.ts
+++ b/packages/link/src/create-proposer.ts
@@ -51,7 +51,7 @@
       return result.ok ? { result, notRun: false } : readRefusal(result);
     } catch (error) {
       if (!(error instanceof RelayError)) return { notRun: false };
-      if (error.code === ResultCode.notLeader) return { notRun: true, ...findLeader(error.holder) };
+      if (error.code === ResultCode.notLeader) return { notRun: true, ...findLeader(error.leader) };
       return { notRun: error.notRun };
     }
   };
