feat(link): carry state versions on dispatch in both directions

Cause: agents and entries exchanged their state versions and did nothing with them. Ruled out: a fetch inside agent and entry (both would repeat it); the wrappers sit in link and are used by the processes and by the in-process fleet.

--- a/packages/daemon/src/agent/run-agent.ts
+++ b/packages/daemon/src/agent/run-agent.ts
@@ -8,7 +8,7 @@
   type ServiceId,
   type VmId,
 } from '@vanillarelay/core';
-import { createLink, createProposer, type Link } from '@vanillarelay/link';
+import { createLink, createProposer, wrapAgentHandlers, type Link } from '@vanillarelay/link';
 import { openControl } from '../control/open-control.js';
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
@@ -64,7 +64,7 @@
     }),
   });
   const server = createAgentServer({
-    handlers: agent.handlers,
+    handlers: wrapAgentHandlers(agent.handlers, { ...context, findLink: () => link }),
     peerKeys: settings.peerKeys,
     tls: trust.tls,
     listTimeline: () => timeline.list(),
--- a/packages/daemon/src/entry/run-entry.ts
+++ b/packages/daemon/src/entry/run-entry.ts
@@ -1,7 +1,7 @@
 import type { EntrySettings } from '@vanillarelay/config';
 import { toId, type DaemonId, type DataCentreId, type VmId } from '@vanillarelay/core';
 import { createEntry } from '@vanillarelay/entry';
-import { createLink, createProposer } from '@vanillarelay/link';
+import { createLink, createProposer, wrapAgentClient } from '@vanillarelay/link';
 import { createAgentOpener } from '../agent/create-agent-opener.js';
 import { openControl } from '../control/open-control.js';
 import { closeServer } from '../http/close-server.js';
@@ -42,7 +42,7 @@
   const entry = createEntry({
     ...context,
     link,
-    openAgent: findAgent,
+    openAgent: (address) => wrapAgentClient(findAgent(address), () => link),
     propose: createProposer({ ...context, controls }),
   });
   const server = createEntryServer({
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -7,3 +7,5 @@
 export { createProposer } from './create-proposer.js';
 export type { FleetView } from './fleet-view.js';
 export type { Link } from './link.js';
+export { wrapAgentClient } from './wrap-agent-client.js';
+export { wrapAgentHandlers } from './wrap-agent-handlers.js';
--- /dev/null
+++ b/packages/link/src/wrap-agent-client.ts
@@ -0,0 +1,20 @@
+import type { AgentClient } from '@vanillarelay/core';
+import type { Link } from './link.js';
+
+/** Lets an entry fetch the state that an agent's reply shows to be newer than its own. */
+export function wrapAgentClient<T extends AgentClient>(
+  client: T,
+  findLink: () => Pick<Link, 'receiveVersion'>,
+): AgentClient {
+  return {
+    dispatch: async (request, signal) => {
+      const reply = await client.dispatch(request, signal);
+      void findLink().receiveVersion(reply.stateVersion);
+      return reply;
+    },
+    resume: (streamId, after, signal) => client.resume(streamId, after, signal),
+    cancel: (streamId) => client.cancel(streamId),
+    notePlacement: (note) => client.notePlacement(note),
+    readContact: (stateVersion, signal) => client.readContact(stateVersion, signal),
+  };
+}
--- a/packages/scenarios/src/fleet/start-agent.ts
+++ b/packages/scenarios/src/fleet/start-agent.ts
@@ -11,7 +11,7 @@
   type ServiceId,
   type VmId,
 } from '@vanillarelay/core';
-import { createLink, createProposer, type Link } from '@vanillarelay/link';
+import { createLink, createProposer, wrapAgentHandlers, type Link } from '@vanillarelay/link';
 import type { VirtualProcess } from '../fakes/virtual-process.js';
 import type { FleetContext } from './fleet-context.js';
 import { openControls } from './open-controls.js';
@@ -80,7 +80,8 @@
       announcement: agent.buildAnnouncement(),
     }),
   });
-  context.agents.set(id, { process, handlers: agent.handlers });
+  const handlers = wrapAgentHandlers(agent.handlers, { hlc, findLink: () => link });
+  context.agents.set(id, { process, handlers });
   link.start();
   agent.start();
 }
--- a/packages/scenarios/src/fleet/start-entry.ts
+++ b/packages/scenarios/src/fleet/start-entry.ts
@@ -9,7 +9,7 @@
   type VmId,
 } from '@vanillarelay/core';
 import { createEntry } from '@vanillarelay/entry';
-import { createLink, createProposer } from '@vanillarelay/link';
+import { createLink, createProposer, wrapAgentClient } from '@vanillarelay/link';
 import type { FleetContext } from './fleet-context.js';
 import { openControls } from './open-controls.js';
 
@@ -58,7 +58,7 @@
     random,
     histograms: createHistograms(),
     propose: createProposer({ clock, random, controls }),
-    openAgent,
+    openAgent: (address) => wrapAgentClient(openAgent(address), () => link),
   });
   context.entries.set(id, { process, handlers: entry });
   link.start();
