fix(hub): answer a fleet that joins at once, with membership in parts

Cause: at 570 entries and 1,600 endpoints no daemon stayed attached: the hub summed the usage of all entries in each exchange, and each timed-out daemon asked for the whole membership again. Ruled out: the size of the frames alone (100 entries with 300 endpoints already took 2.9 ms of the hub for an exchange, agents with the same membership 0.5 ms).

--- a/packages/control/src/hub/create-hub.ts
+++ b/packages/control/src/hub/create-hub.ts
@@ -9,7 +9,6 @@
   type QuorumReport,
   type Random,
   type Report,
-  type ServiceId,
   type Timeline,
 } from '@vanillarelay/core';
 import type { StateStore } from '../state-store.js';
@@ -36,6 +35,8 @@
 /** A hub that has just started sends no membership before it has heard most daemons. */
 const warmUpMs = 1_200;
 const refreshIntervalMs = 500;
+/** Ends the cursor of a daemon that has not got all changes. */
+const moreMark = '#more';
 
 /** Makes the hub: it collects the daemons' reports and answers with frames. */
 export function createHub(options: HubOptions) {
@@ -66,20 +67,20 @@
   });
 
   const buildFrame = (report: Report, heldMs: number): Frame => {
-    members.update(clock.monotonic());
+    const now = clock.monotonic();
+    members.update(now);
     const state = store.readState().daemon;
+    const { generation, ...delta } = members.buildDelta(readCursor(report.cursor), report.services);
     return {
       hub: id,
       heldMs,
       quorumAgeMs: store.readQuorumAgeMs(),
       stateVersion: state.version,
       ...history.findPart(report.stateVersion),
-      cursor: `${epoch}#${members.readGeneration()}`,
-      ...members.buildDelta(readCursor(report.cursor), report.services),
+      cursor: `${epoch}#${generation}${delta.more ? moreMark : ''}`,
+      ...delta,
       shares:
-        report.role === 'entry'
-          ? usage.buildShares(report.daemon, state.config.accounts, usage.readAll())
-          : {},
+        report.role === 'entry' ? usage.buildShares(report.daemon, state.config.accounts, now) : {},
       at: hlc.read(),
     };
   };
@@ -108,14 +109,14 @@
       throw new RelayError(ResultCode.notReady, 'the hub has just started', { notRun: true });
     }
     const isBehind = store.readState().daemon.version > report.stateVersion;
-    if (!isBehind && report.cursor !== '') await waitForChange(findPeriod(report), signal);
+    const isIncomplete = report.cursor === '' || report.cursor.endsWith(moreMark);
+    if (!isBehind && !isIncomplete) await waitForChange(findPeriod(report), signal);
     return buildFrame(report, clock.monotonic() - receivedAt);
   };
 
   const findPeriod = (report: Report): number => {
     members.update(clock.monotonic());
-    const { loads, means } = members.buildDelta(members.readGeneration(), report.services);
-    return computePeriod(countBytes(loads) + countBytes(means));
+    return computePeriod(members.countLoadBytes(report.services));
   };
 
   const waitForChange = async (periodMs: number, signal: AbortSignal): Promise<void> => {
@@ -164,7 +165,3 @@
     },
   };
 }
-
-function countBytes(values: Record<ServiceId, string | number>): number {
-  return JSON.stringify(values).length;
-}
--- a/packages/control/src/hub/create-member-table.ts
+++ b/packages/control/src/hub/create-member-table.ts
@@ -25,7 +25,10 @@
   damping: Damping;
 }
 
-type MemberDelta = Pick<Frame, 'whole' | 'members' | 'removed' | 'loads' | 'means'>;
+type MemberDelta = Pick<Frame, 'whole' | 'more' | 'members' | 'removed' | 'loads' | 'means'> & {
+  /** Cursor that the daemon has reached with it. */
+  generation: number;
+};
 
 /** An endpoint that no hub has heard for this long is dropped. */
 const silenceLimitMs = 3_000;
@@ -36,6 +39,10 @@
 const tombstoneKeepMs = 120_000;
 const contactPeersPerDataCentre = 3;
 const highestLoad = 255;
+/** About 50 KB of JSON. */
+const membersPerFrame = 250;
+/** Names, quotes and the mean of a service in a frame. */
+const serviceOverheadBytes = 16;
 
 /** Makes the hub's table of endpoints: soft state from the agents' reports to all hubs. */
 export function createMemberTable({ isServing = () => true }: MemberTableOptions = {}) {
@@ -49,6 +56,8 @@
   let isDirty = false;
   let loads: Record<ServiceId, string> = {};
   let means: Record<ServiceId, number> = {};
+  const loadBytes = new Map<ServiceId, number>();
+  let totalLoadBytes = 0;
 
   const receive = (
     announcement: Announcement,
@@ -110,6 +119,7 @@
       if (now - record.seenAt <= silenceLimitMs) return;
       const { incarnation, sequence, service } = record.announcement;
       generation += 1;
+      isDirty = true;
       records.delete(id);
       slots.remove(service, record.slot);
       const { damping } = record;
@@ -168,7 +178,6 @@
   const update = (now: number): void => {
     const pauseMs = now - refreshedAt;
     if (pauseMs < refreshIntervalMs && !isDirty) return;
-    isDirty = false;
     // Silence counts only while this hub was able to hear.
     if (pauseMs > pauseLimitMs && Number.isFinite(pauseMs)) {
       records.forEach((record) => {
@@ -177,43 +186,63 @@
     }
     refreshedAt = now;
     removeSilent(now);
-    markContactPeers();
+    if (isDirty) markContactPeers();
+    isDirty = false;
     updateDamped(now);
     means = computeMeans();
     loads = {};
+    loadBytes.clear();
     const readLoad = (id: EndpointId) =>
       Math.min(highestLoad, records.get(id)?.announcement.running ?? 0);
     slots.buildVectors(readLoad).forEach((vector, service) => {
-      loads[service] = Buffer.from(vector).toString('base64');
+      const text = Buffer.from(vector).toString('base64');
+      loads[service] = text;
+      loadBytes.set(service, text.length + 2 * service.length + serviceOverheadBytes);
     });
+    totalLoadBytes = [...loadBytes.values()].reduce((sum, bytes) => sum + bytes, 0);
   };
 
-  /** Changes since a cursor, for a daemon that follows `services`, or all when absent. */
+  /**
+   * Changes since a cursor, oldest first, for a daemon that follows `services`, or all when absent.
+   * Many changes are split, so that a hub which many daemons join at once answers all of them.
+   */
   const buildDelta = (since: number, services?: readonly ServiceId[]): MemberDelta => {
     const whole = since <= 0 || since > generation || since < oldestCursor;
     const wanted = services && new Set(services);
-    const members: Frame['members'] = [];
-    records.forEach((record) => {
-      if (!whole && record.changedIn <= since) return;
-      const isWanted = !wanted || wanted.has(record.announcement.service);
-      if (!isWanted && !record.isContactPeer) return;
-      members.push({ member: toMember(record), slot: record.slot });
-    });
-    const removed = [...tombstones].filter(([, { removedIn }]) => removedIn > since);
+    const changed = [...records.values()].filter(
+      ({ announcement, changedIn, isContactPeer }) =>
+        (whole || changedIn > since) &&
+        (!wanted || isContactPeer || wanted.has(announcement.service)),
+    );
+    const more = changed.length > membersPerFrame;
+    if (more) changed.sort((a, b) => a.changedIn - b.changedIn).length = membersPerFrame;
+    const until = more ? (changed.at(-1)?.changedIn ?? generation) : generation;
+    const removed = [...tombstones].filter(
+      ([, { removedIn }]) => removedIn > since && removedIn <= until,
+    );
     return {
       whole,
-      members,
+      more,
+      generation: until,
+      members: changed.map((record) => ({ member: toMember(record), slot: record.slot })),
       removed: whole ? [] : removed.map(([id]) => id),
-      loads: selectServices(loads, services),
-      means: selectServices(means, services),
+      loads: more ? {} : selectServices(loads, services),
+      means: more ? {} : selectServices(means, services),
     };
   };
 
+  /** Size of the loads and means for a daemon, which each of its frames carries. */
+  const countLoadBytes = (services?: readonly ServiceId[]): number =>
+    services
+      ? services.reduce((sum, service) => sum + (loadBytes.get(service) ?? 0), 0)
+      : totalLoadBytes;
+
   return {
     receive,
     receiveLoad,
     update,
     buildDelta,
+    countLoadBytes,
     readGeneration: () => generation,
     listRecords: () => records.values(),
     /** All endpoints for operators. */
--- a/packages/control/src/hub/create-usage-table.ts
+++ b/packages/control/src/hub/create-usage-table.ts
@@ -17,10 +17,16 @@
 const nearLimit = 0.5;
 /** Rates below this, in requests a second, are not worth a message. */
 const negligibleRate = 0.05;
+/** The list of accounts near their limit is made anew at most this often. */
+const nearIntervalMs = 100;
 const shareDigits = 1_000;
 
 /** Makes the hub's sums of account usage over all entries. */
 export function createUsageTable({ id, findOrigin }: UsageTableOptions) {
+  /** Sums over `entries`, kept up with each report: the entries are many and their accounts too. */
+  const totals: Rates = {};
+  let near: { account: AccountId; total: number }[] = [];
+  let nearAt = Number.NEGATIVE_INFINITY;
   const entries = new Map<DaemonId, { rates: Rates; seenAt: number }>();
   const hubs = new Map<DaemonId, { rates: Rates; seenAt: number }>();
 
@@ -37,6 +43,8 @@
       const rate = (count / intervalMs) * 1_000;
       rates[account] = (rates[account] ?? 0) + rate * (1 - decay);
     });
+    addRates(totals, last?.rates ?? {}, -1);
+    addRates(totals, rates);
     entries.set(entry, { rates, seenAt: now });
   };
 
@@ -46,8 +54,10 @@
   };
 
   const removeSilent = (now: number): void => {
-    entries.forEach(({ seenAt }, entry) => {
-      if (now - seenAt > silenceLimitMs || findOrigin(entry) !== id) entries.delete(entry);
+    entries.forEach(({ rates, seenAt }, entry) => {
+      if (now - seenAt <= silenceLimitMs && findOrigin(entry) === id) return;
+      entries.delete(entry);
+      addRates(totals, rates, -1);
     });
     hubs.forEach(({ seenAt }, hub) => {
       if (now - seenAt > silenceLimitMs) hubs.delete(hub);
@@ -56,22 +66,36 @@
 
   /** Requests a second by account, over the entries that report to this hub. */
   const buildTotals = (): Rates => {
-    const totals: Rates = {};
-    entries.forEach(({ rates }) => addRates(totals, rates));
-    Object.entries(totals).forEach(([account, rate]) => {
-      totals[account as AccountId] = Math.round(rate * 100) / 100;
+    const rounded: Rates = {};
+    Object.entries(totals).forEach(([key, rate]) => {
+      const account = key as AccountId;
+      if (rate > negligibleRate) rounded[account] = Math.round(rate * 100) / 100;
+      // Differences of floating-point numbers leave a rest behind.
+      else delete totals[account];
+    });
+    return rounded;
+  };
+
+  /** Accounts that use more than half of their limit over all entries. */
+  const listNear = (accounts: FleetConfig['accounts'], now: number) => {
+    if (now - nearAt < nearIntervalMs) return near;
+    nearAt = now;
+    const sums = buildTotals();
+    hubs.forEach(({ rates }) => addRates(sums, rates));
+    near = [];
+    Object.entries(sums).forEach(([key, total]) => {
+      const account = key as AccountId;
+      const limit = accounts[account]?.requestsPerSecond;
+      if (limit !== undefined && total > limit * nearLimit) near.push({ account, total });
     });
-    return totals;
+    return near;
   };
 
   /** An entry's shares of the accounts that use more than half of their limit. */
-  const buildShares = (entry: DaemonId, accounts: FleetConfig['accounts'], totals: Rates) => {
+  const buildShares = (entry: DaemonId, accounts: FleetConfig['accounts'], now: number) => {
     const own = entries.get(entry)?.rates ?? {};
     const shares: Record<AccountId, number> = {};
-    Object.entries(totals).forEach(([key, total]) => {
-      const account = key as AccountId;
-      const limit = accounts[account]?.requestsPerSecond;
-      if (limit === undefined || total <= limit * nearLimit) return;
+    listNear(accounts, now).forEach(({ account, total }) => {
       const share = Math.min(1, (own[account] ?? 0) / total);
       shares[account] = Math.round(share * shareDigits) / shareDigits;
     });
@@ -85,18 +109,12 @@
     buildTotals,
     buildShares,
     listHubs: () => [...hubs].map(([hub, { rates, seenAt }]) => ({ hub, rates, seenAt })),
-    /** Requests a second by account, over all entries. */
-    readAll(): Rates {
-      const totals = buildTotals();
-      hubs.forEach(({ rates }) => addRates(totals, rates));
-      return totals;
-    },
   };
 }
 
-function addRates(sums: Rates, rates: Rates): void {
+function addRates(sums: Rates, rates: Rates, sign = 1): void {
   Object.entries(rates).forEach(([key, rate]) => {
     const account = key as AccountId;
-    sums[account] = (sums[account] ?? 0) + rate;
+    sums[account] = (sums[account] ?? 0) + sign * rate;
   });
 }
--- a/packages/core/src/messages/frame.ts
+++ b/packages/core/src/messages/frame.ts
@@ -20,8 +20,10 @@
   patch?: unknown;
   /** To be sent back with the next report. */
   cursor: string;
-  /** True when `members` replaces the daemon's membership. */
+  /** True when `members` begins a membership that replaces the daemon's. */
   whole: boolean;
+  /** True when further members follow at once; loads and means come with the last of these frames. */
+  more: boolean;
   /** Changed members with their position in their service's `loads`. */
   members: { member: Member; slot: number }[];
   removed: EndpointId[];
--- a/packages/link/__tests__/versions-on-dispatch.test.ts
+++ b/packages/link/__tests__/versions-on-dispatch.test.ts
@@ -5,7 +5,7 @@
 
 const { clock } = createVirtualClock();
 const hlc = createHlc(clock);
-const {signal} = new AbortController();
+const { signal } = new AbortController();
 const request = { stateVersion: 7 } as DispatchRequest;
 
 // Guards against a request that runs under a state which its entry knows to be old.
--- a/packages/link/src/create-link.ts
+++ b/packages/link/src/create-link.ts
@@ -34,6 +34,8 @@
 /** The hub holds an exchange for at most 1 s. */
 const exchangeTimeoutMs = 1_500;
 const retryDelayMs = 200;
+/** Lets an overloaded hub recover; short enough that a daemon tries again within the lease of 3 s. */
+const maxRetryDelayMs = 1_000;
 /** Above the age that frames of a hub with a period of 1 s and heartbeats of 250 ms reach. */
 const surveyAfterMs = 1_400;
 const surveyIntervalMs = 150;
@@ -56,6 +58,7 @@
   let hub = controls[Math.floor(random() * controls.length)];
   let interrupt = new AbortController();
   let cursor = '';
+  let failures = 0;
   /** Usage of reports that no hub has acknowledged. */
   let unsentUsage: Record<AccountId, number> = {};
 
@@ -120,7 +123,9 @@
     const seenAt = sentAt + heldMs - frame.quorumAgeMs;
     evidence.quorumSeenAt = Math.max(evidence.quorumSeenAt, seenAt);
     const isFresh = clock.monotonic() - seenAt <= contactLimits.quorumFreshMs;
-    if (isFresh && store.readVersion() >= frame.stateVersion) evidence.isConfirmed = true;
+    const isComplete = !frame.more && store.readVersion() >= frame.stateVersion;
+    if (isFresh && isComplete) evidence.isConfirmed = true;
+    failures = 0;
     readContact();
   };
 
@@ -134,8 +139,9 @@
         readContact();
         if (hub === node) {
           replaceHub(chooseOther(controls, node, random));
-          cursor = '';
-          await clock.wait(retryDelayMs * (0.5 + random()), stopping.signal);
+          const delayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2 ** failures);
+          failures += 1;
+          await clock.wait(delayMs * (0.5 + random()), stopping.signal);
         }
       }
     }
--- a/packages/link/src/create-view-store.ts
+++ b/packages/link/src/create-view-store.ts
@@ -6,7 +6,8 @@
   type Frame,
   type Member,
 } from '@vanillarelay/core';
-import { applyFrame } from './apply-frame.js';
+import { applyMembers } from './apply-members.js';
+import { buildLoads } from './build-loads.js';
 import type { FleetView } from './fleet-view.js';
 
 interface StatePart {
@@ -17,7 +18,9 @@
 
 /** Makes the daemon's view of the fleet. Its state never goes back to an older version. */
 export function createViewStore() {
-  const table = { members: new Map<EndpointId, Member>(), slots: new Map<EndpointId, number>() };
+  let table = createTable();
+  /** A new membership that is not complete yet; the old one stays in use until it is. */
+  let incoming: ReturnType<typeof createTable> | undefined;
   const { stream, push } = createSource<FleetView>();
   let view: FleetView = {
     state: undefined,
@@ -44,6 +47,21 @@
     if (patched.version === stateVersion) replaceState(patched);
   };
 
+  const receiveMembers = (frame: Frame): void => {
+    if (frame.whole) incoming = createTable();
+    const isChanged = applyMembers(incoming ?? table, frame) || incoming !== undefined;
+    if (frame.more) return;
+    table = incoming ?? table;
+    incoming = undefined;
+    view = {
+      state: view.state,
+      members: isChanged ? new Map(table.members) : view.members,
+      loads: buildLoads(table.members, table.slots, frame.loads),
+      means: frame.means,
+      shares: frame.shares,
+    };
+  };
+
   return {
     views: stream,
     readView: (): FleetView => view,
@@ -55,9 +73,13 @@
       if (readVersion() !== version) push(view);
     },
     updateByFrame: (frame: Frame, askedVersion: number): void => {
-      view = applyFrame(view, table, frame);
+      receiveMembers(frame);
       applyPart(frame, askedVersion);
       push(view);
     },
   };
 }
+
+function createTable() {
+  return { members: new Map<EndpointId, Member>(), slots: new Map<EndpointId, number>() };
+}
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,4 +1,3 @@
-export { applyFrame } from './apply-frame.js';
 export { computeContact } from './compute-contact.js';
 export type { ContactEvidence } from './contact-evidence.js';
 export type { Contact } from './contact.js';
