test(control): run random fault schedules against a checker of configuration changes

Cause: consensus had no test. Ruled out: checking only the final state (a refusal that took effect, or a conflict with a version of the past, would not be seen). Change: a control group on virtual time in the scenarios package, a checker of the history of changes, schedules of random faults. Seen failing first: a node on an older copy of its disk went on as a follower, since only the leader knew; it now reads that from the leader's marks.

--- a/packages/control/src/raft/check-leader-message.ts
+++ b/packages/control/src/raft/check-leader-message.ts
@@ -1,10 +1,13 @@
 import type { AppendReply } from './append-reply.js';
 import type { AppendRequest } from './append-request.js';
 import { buildReply } from './build-reply.js';
+import { buildSender } from './build-sender.js';
 import { checkRunning } from './check-running.js';
 import type { DiskMark } from './disk-mark.js';
+import { isOlderDisk } from './is-older-disk.js';
 import type { RaftContext } from './raft-context.js';
 import { receiveSender } from './receive-sender.js';
+import { stopStaleNode } from './stop-stale-node.js';
 import { updateTerm } from './update-term.js';
 
 type LeaderMessage = Pick<AppendRequest, 'from' | 'toDisk' | 'term'> &
@@ -29,6 +32,10 @@
   };
   if (toDisk !== log.identity.diskId) return refuse({ isOtherDisk: true });
   if (!receiveSender(context, from)) return refuse({ isStale: true });
+  if (isOlderDisk(marks[toDisk], buildSender(context))) {
+    stopStaleNode(context);
+    return refuse();
+  }
   if (term < log.readHardState().term) return refuse();
   updateTerm(context, term);
   if (context.role === 'candidate') context.role = 'follower';
--- /dev/null
+++ b/packages/scenarios/src/control/create-control-group.ts
@@ -0,0 +1,206 @@
+import { openReplicatedStore, type RaftPeer, type ReplicatedStore } from '@vanillarelay/control';
+import { RelayError, ResultCode, type Command, type CommandResult } from '@vanillarelay/core';
+import { createFakeDisk } from '../fakes/create-fake-disk.js';
+import { createFakeNetwork } from '../fakes/create-fake-network.js';
+import { createSeededRandom } from '../fakes/create-seeded-random.js';
+import { createVirtualClock } from '../fakes/create-virtual-clock.js';
+import type { VirtualProcess } from '../fakes/virtual-process.js';
+import { wrapProcessDisk } from '../fakes/wrap-process-disk.js';
+
+interface ControlGroupOptions {
+  seed: number;
+  ids?: string[];
+  snapshotBytes?: number;
+  syncMs?: number;
+}
+
+interface ControlNode {
+  id: string;
+  disk: ReturnType<typeof createFakeDisk>;
+  process: VirtualProcess;
+  store?: ReplicatedStore;
+  failure?: Error;
+}
+
+/** Makes a control group on virtual time, with disks and connections that fail on demand. */
+export function createControlGroup({
+  seed,
+  ids = ['control-1', 'control-2', 'control-3'],
+  snapshotBytes,
+  syncMs = 1,
+}: ControlGroupOptions) {
+  const random = createSeededRandom(seed);
+  const virtual = createVirtualClock();
+  const network = createFakeNetwork({ virtual, random });
+  const nodes = new Map<string, ControlNode>();
+  const firstGroup = ids.map((id) => ({ id, address: id }));
+  const events: string[] = [];
+  let diskIds = 0;
+
+  const findNode = (id: string): ControlNode => {
+    const node = nodes.get(id) ?? {
+      id,
+      disk: createFakeDisk({ random }),
+      process: virtual.createProcess(id),
+    };
+    nodes.set(id, node);
+    return node;
+  };
+
+  const readStore = ({ store, id }: ControlNode): ReplicatedStore => {
+    if (!store) throw new Error(`${id} has not opened its store`);
+    return store;
+  };
+
+  /** Calls one method of a node through the network, as JSON both ways. */
+  const call = async <T>(
+    from: VirtualProcess,
+    to: string,
+    callStore: (store: ReplicatedStore) => Promise<T>,
+    signal?: AbortSignal,
+  ): Promise<T> => {
+    const node = findNode(to);
+    const run = async () => {
+      if (!node.store) throw buildRefusal(to);
+      return toJsonCopy(await callStore(node.store));
+    };
+    const client = network.open<{ run(signal?: AbortSignal): Promise<T> }>(
+      from,
+      node.process,
+      () => ({ run }),
+    );
+    return client.run(...(signal ? [signal] : []));
+  };
+
+  const openPeer =
+    (from: VirtualProcess) =>
+    (address: string): RaftPeer => ({
+      requestVote: (request, signal) =>
+        call(from, address, (s) => s.handlers.requestVote(toJsonCopy(request), signal), signal),
+      appendEntries: (request, signal) => {
+        const copy = toJsonCopy(request);
+        return call(from, address, (s) => s.handlers.appendEntries(toJsonCopy(copy), signal), signal);
+      },
+      installSnapshot: (request, signal) =>
+        call(from, address, (s) => s.handlers.installSnapshot(request, signal), signal),
+      readSender: (signal) => call(from, address, (s) => s.handlers.readSender(signal), signal),
+    });
+
+  const open = async (node: ControlNode): Promise<void> => {
+    const { process, id } = node;
+    const store = await openReplicatedStore({
+      id,
+      address: id,
+      clock: process.clock,
+      random,
+      timeline: { record: (name) => events.push(`${id} ${name}`) },
+      disk: wrapProcessDisk({ process, disk: node.disk.disk, syncMs }),
+      createDiskId: () => {
+        diskIds += 1;
+        return `disk-${diskIds}`;
+      },
+      firstGroup,
+      openPeer: openPeer(process),
+      ...(snapshotBytes === undefined ? {} : { snapshotBytes }),
+      reportFailure: (error) => {
+        node.failure = error;
+        process.kill();
+      },
+    });
+    node.store = store;
+    store.start();
+  };
+
+  /** Starts a node, or starts it again after a kill, on what its disk kept. */
+  const start = (id: string): void => {
+    const node = findNode(id);
+    node.process = virtual.createProcess(id);
+    delete node.store;
+    delete node.failure;
+    void open(node).catch((error: Error) => {
+      node.failure = error;
+    });
+  };
+
+  const kill = (id: string): void => {
+    const node = findNode(id);
+    node.process.kill();
+    node.disk.crash();
+  };
+
+  const listOthers = (id: string) => [...nodes.keys()].filter((other) => other !== id);
+
+  /** The node that leads the highest term, if it runs. */
+  const findLeader = (): string | undefined =>
+    [...nodes.values()]
+      .filter(({ process, store }) => process.isAlive() && store?.readStatus().role === 'leader')
+      .sort((a, b) => readStore(b).readStatus().term - readStore(a).readStatus().term)[0]?.id;
+
+  const waitForLeader = async (limitMs = 20_000): Promise<string> => {
+    for (let waited = 0; waited <= limitMs; waited += 50) {
+      const leader = findLeader();
+      if (leader && readStore(findNode(leader)).readQuorumAgeMs() < 900) return leader;
+      await virtual.run(50);
+    }
+    throw new Error(`no leader within ${limitMs} ms (seed ${seed})`);
+  };
+
+  /** Sends a command to a node and then to the leader that it names, until it is answered. */
+  const propose = async (
+    client: VirtualProcess,
+    command: Command,
+    isFinal: (error: RelayError) => boolean = () => false,
+  ): Promise<CommandResult> => {
+    const all = [...nodes.keys()];
+    let target = all[Math.floor(random() * all.length)] ?? '';
+    for (;;) {
+      const controller = new AbortController();
+      const cancel = client.clock.startTimer(3_000, () => controller.abort());
+      try {
+        const to = target;
+        return await call(client, to, (s) => s.propose(toJsonCopy(command)), controller.signal);
+      } catch (error) {
+        if (!(error instanceof RelayError)) throw error;
+        if (isFinal(error)) throw error;
+        target = error.leader ?? all[Math.floor(random() * all.length)] ?? '';
+        await client.clock.wait(50);
+      } finally {
+        cancel();
+      }
+    }
+  };
+
+  ids.forEach((id) => start(id));
+
+  return {
+    virtual,
+    network,
+    events,
+    seed,
+    start,
+    kill,
+    findLeader,
+    waitForLeader,
+    propose,
+    createClient: (id: string) => virtual.createProcess(id),
+    readStore: (id: string) => readStore(findNode(id)),
+    readFailure: (id: string) => findNode(id).failure,
+    isAlive: (id: string) => findNode(id).process.isAlive(),
+    freeze: (id: string) => findNode(id).process.freeze(),
+    resume: (id: string) => findNode(id).process.resume(),
+    /** Empties the disk of a killed node. */
+    wipe: (id: string) => findNode(id).disk.wipe(),
+    findDisk: (id: string) => findNode(id).disk,
+    /** Loses all messages between a node and the other nodes. */
+    cutOff: (id: string) => listOthers(id).forEach((other) => network.cut(id, other)),
+    clearCuts: (id: string) => listOthers(id).forEach((other) => network.clearCut(id, other)),
+  };
+}
+
+function buildRefusal(id: string): RelayError {
+  return new RelayError(ResultCode.connectionFailed, `${id} is not up yet`, { notRun: true });
+}
+
+function toJsonCopy<T>(value: T): T {
+  return value === undefined ? value : (JSON.parse(JSON.stringify(value)) as T);
+}
--- a/packages/scenarios/src/fakes/wrap-process-disk.ts
+++ b/packages/scenarios/src/fakes/wrap-process-disk.ts
@@ -19,14 +19,14 @@
       return run(...args);
     };
   return {
-    read: wrap(disk.read),
-    append: wrap(disk.append),
-    write: wrap(disk.write),
-    truncate: wrap(disk.truncate),
-    sync: wrap(disk.sync, syncMs),
-    rename: wrap(disk.rename),
-    syncFolder: wrap(disk.syncFolder, syncMs),
-    remove: wrap(disk.remove),
-    list: wrap(disk.list),
+    read: wrap((name: string) => disk.read(name)),
+    append: wrap((name: string, bytes: Uint8Array) => disk.append(name, bytes)),
+    write: wrap((name: string, bytes: Uint8Array) => disk.write(name, bytes)),
+    truncate: wrap((name: string, length: number) => disk.truncate(name, length)),
+    sync: wrap((name: string) => disk.sync(name), syncMs),
+    rename: wrap((from: string, to: string) => disk.rename(from, to)),
+    syncFolder: wrap(() => disk.syncFolder(), syncMs),
+    remove: wrap((name: string) => disk.remove(name)),
+    list: wrap(() => disk.list()),
   };
 }
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -1,3 +1,7 @@
+export type { ChangeOperation } from './checkers/change-operation.js';
+export { verifyChanges } from './checkers/verify-changes.js';
+export type { ControlGroup } from './control/control-group.js';
+export { createControlGroup } from './control/create-control-group.js';
 export { createFakeDisk } from './fakes/create-fake-disk.js';
 export { createFakeNetwork } from './fakes/create-fake-network.js';
 export { createSeededRandom } from './fakes/create-seeded-random.js';
