--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,5 +1,17 @@
 export { AgentSettings } from './agent-settings.js';
+export { checkAllSettings } from './check-all-settings.js';
+export { checkFleetConfig } from './check-fleet-config.js';
+export { checkSettings } from './check-settings.js';
+export { checkValue } from './check-value.js';
 export { ControlSettings } from './control-settings.js';
 export { EntrySettings } from './entry-settings.js';
 export { fleetConfigSchema } from './fleet-config-schema.js';
+export { OperatorSettings } from './operator-settings.js';
+export { parseJson } from './parse-json.js';
+export { FleetPlan } from './plan/fleet-plan.js';
+export { generateSettings } from './plan/generate-settings.js';
 export { processSettings } from './process-settings.js';
+export { checkQuestionnaire } from './questionnaire/check-questionnaire.js';
+export { generateConfig } from './questionnaire/generate-config.js';
+export { Questionnaire } from './questionnaire/questionnaire.js';
+export { Settings } from './settings.js';
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,6 +1,10 @@
 export { createMemoryStore } from './create-memory-store.js';
 export { createHub } from './hub/create-hub.js';
 export { createMemberTable } from './hub/create-member-table.js';
+export type { DaemonRow } from './hub/daemon-row.js';
+export type { GossipMessage } from './hub/gossip-message.js';
+export type { GossipReply } from './hub/gossip-reply.js';
+export type { HubPeer } from './hub/hub-peer.js';
 export type { MemberRecord } from './hub/member-record.js';
 export { decodeFrames } from './log/decode-frames.js';
 export type { LogStore } from './log/log-store.js';
@@ -14,6 +18,7 @@
 export type { VoteReply } from './raft/vote-reply.js';
 export type { VoteRequest } from './raft/vote-request.js';
 export type { ReplicatedStore } from './replicated-store.js';
+export type { Rollout } from './hub/rollout.js';
 export { applyCommand } from './state/apply-command.js';
 export type { ChangeEntry } from './state/change-entry.js';
 export { createFleetState } from './state/create-fleet-state.js';
--- a/packages/control/src/state/apply-change.ts
+++ b/packages/control/src/state/apply-change.ts
@@ -8,6 +8,8 @@
 
 /** Answers and history entries that are kept; the oldest are dropped. */
 const keptChanges = 10_000;
+/** Configurations that operators can still compare; each may be hundreds of kilobytes. */
+const keptConfigs = 32;
 
 /** Applies an operator's change; a change that was sent before gets its first answer. */
 export function applyChange(state: FleetState, change: Change, stamp: Stamp): CommandResult {
@@ -39,11 +41,20 @@
     configVersion,
     type: change.type,
     summary: formatChange(daemon.config, change),
+    ...(change.type === 'applyConfig' ? { config: change.config } : {}),
   });
+  removeOldConfigs(state);
   if (state.history.length > keptChanges) state.history.shift();
   return { ok: true, index: stamp.index, value: { configVersion, version } };
 }
 
+function removeOldConfigs({ history }: FleetState): void {
+  const withConfig = history.filter(({ config }) => config !== undefined);
+  withConfig.slice(0, -keptConfigs).forEach((entry) => {
+    delete entry.config;
+  });
+}
+
 function checkChange({ daemon, history }: FleetState, change: Change): CommandResult | undefined {
   switch (change.type) {
     case 'applyConfig': {
--- a/packages/control/src/state/apply-command.ts
+++ b/packages/control/src/state/apply-command.ts
@@ -15,6 +15,10 @@
   const stamp = { index, at };
   removeExpired(state, stamp);
   switch (command.type) {
+    case 'batch': {
+      const value = command.commands.map((item) => applyRecordCommand(state, item, stamp));
+      return { ok: true, index, value };
+    }
     case 'claim':
     case 'complete':
     case 'abandon':
--- a/packages/control/src/state/change-entry.ts
+++ b/packages/control/src/state/change-entry.ts
@@ -1,4 +1,4 @@
-import type { ChangeId } from '@vanillarelay/core';
+import type { ChangeId, FleetConfig } from '@vanillarelay/core';
 
 /** One accepted change in the history that operators read. */
 export interface ChangeEntry {
@@ -12,4 +12,6 @@
   configVersion: number;
   type: string;
   summary: string;
+  /** The configuration that the change brought; the newest ones are kept. */
+  config?: FleetConfig;
 }
