fix(control): keep stored answers independent of the history of changes

Ruled out: a fault of the log (the entries were equal on all nodes). Change: history entries are replaced, not changed; a conflict names its winner without the configuration.

--- a/packages/control/__tests__/schedules.test.ts
+++ b/packages/control/__tests__/schedules.test.ts
@@ -13,6 +13,7 @@
 const ids = ['control-1', 'control-2', 'control-3'];
 const actions = [
   'kill',
+  'killAll',
   'freeze',
   'cut',
   'slow',
--- a/packages/control/src/state/apply-change.ts
+++ b/packages/control/src/state/apply-change.ts
@@ -1,5 +1,6 @@
 import { ResultCode, type Command, type CommandResult, type DaemonState } from '@vanillarelay/core';
 import { buildRefusal } from './build-refusal.js';
+import type { ChangeEntry } from './change-entry.js';
 import type { FleetState } from './fleet-state.js';
 import type { Stamp } from './stamp.js';
 import { formatChange } from './format-change.js';
@@ -48,11 +49,19 @@
   return { ok: true, index: stamp.index, value: { configVersion, version } };
 }
 
+/** Drops the oldest kept configuration; entries are replaced, since answers may share them. */
 function removeOldConfigs({ history }: FleetState): void {
-  const withConfig = history.filter(({ config }) => config !== undefined);
-  withConfig.slice(0, -keptConfigs).forEach((entry) => {
-    delete entry.config;
-  });
+  let kept = 0;
+  for (let position = history.length - 1; position >= 0 && kept <= keptConfigs; position -= 1) {
+    const entry = history[position];
+    if (!entry?.config) continue;
+    kept += 1;
+    if (kept > keptConfigs) history[position] = buildSummary(entry);
+  }
+}
+
+function buildSummary({ config, ...summary }: ChangeEntry): ChangeEntry {
+  return summary;
 }
 
 function checkChange({ daemon, history }: FleetState, change: Change): CommandResult | undefined {
@@ -66,7 +75,10 @@
         `expected version ${change.expectedVersion}, current version is ${daemon.configVersion}${
           winner ? `, from change '${changeId}' of ${operator}` : ''
         }`,
-        { configVersion: daemon.configVersion, ...(winner ? { winner } : {}) },
+        {
+          configVersion: daemon.configVersion,
+          ...(winner ? { winner: buildSummary(winner) } : {}),
+        },
       );
     }
     case 'takeOutDataCentre':
--- a/packages/scenarios/src/control/create-control-group.ts
+++ b/packages/scenarios/src/control/create-control-group.ts
@@ -60,15 +60,11 @@
     signal?: AbortSignal,
   ): Promise<T> => {
     const node = findNode(to);
-    const run = async () => {
+    const run: (signal?: AbortSignal) => Promise<T> = async () => {
       if (!node.store) throw buildRefusal(to);
       return toJsonCopy(await callStore(node.store));
     };
-    const client = network.open<{ run(signal?: AbortSignal): Promise<T> }>(
-      from,
-      node.process,
-      () => ({ run }),
-    );
+    const client = network.open(from, () => ({ process: node.process, handlers: { run } }));
     return client.run(...(signal ? [signal] : []));
   };
 
@@ -79,7 +75,12 @@
         call(from, address, (s) => s.handlers.requestVote(toJsonCopy(request), signal), signal),
       appendEntries: (request, signal) => {
         const copy = toJsonCopy(request);
-        return call(from, address, (s) => s.handlers.appendEntries(toJsonCopy(copy), signal), signal);
+        return call(
+          from,
+          address,
+          (s) => s.handlers.appendEntries(toJsonCopy(copy), signal),
+          signal,
+        );
       },
       installSnapshot: (request, signal) =>
         call(from, address, (s) => s.handlers.installSnapshot(request, signal), signal),
