fix(entry): let requests wait for room instead of refusing them

Cause: with all engines at the bound the entry spent its retry budget on refusals for load and refused 926 of 2820 requests although the mean would have risen with the next frame; the mean left cold engines out, so a fleet that starts had a mean of 0 and a bound of 1; a cold limit grew by one a round and never left the cold state within 64 slots. Ruled out: a larger retry budget (multiplies load); waiting at one engine until the deadline (trial: 95 in 100 first bytes at 12 s, behind one cold engine). Change: after two endpoints without room a request queues up to 1 s at each further one; the mean counts cold engines; slow start doubles below the last slow limit and rests while the engine says that it is cold; a full engine's 503 is a refusal that is not run.

--- a/packages/agent/src/admission/create-warm-up.ts
+++ b/packages/agent/src/admission/create-warm-up.ts
@@ -22,6 +22,10 @@
   /** Grows when the limit changes; answers from before say nothing of the new limit. */
   let round = 0;
   let good = 0;
+  /** Below it the limit doubles each round; set by slow answers. */
+  let doublingLimit = slots;
+  /** What the endpoint says of itself. */
+  let saysCold = false;
   let baselineMs = 0;
   let samples = 0;
   let slowInRow = 0;
@@ -41,17 +45,24 @@
     if (!isCold) timeline.record('endpoint.cold', { reason });
     isCold = true;
     slowInRow = 0;
+    doublingLimit = slots;
     startRound(Math.min(slots, readService()?.coldLimit ?? defaultColdLimit));
   };
 
+  const halve = (): void => {
+    startRound(Math.max(1, Math.floor(readColdLimit() / 2)));
+    doublingLimit = readColdLimit();
+  };
+
   const recordCold = (isSlow: boolean): void => {
     const current = readColdLimit();
     if (isSlow) {
-      startRound(Math.max(1, Math.floor(current / 2)));
+      halve();
       return;
     }
+    if (saysCold) return;
     good += 1;
-    if (good >= current) startRound(current + 1);
+    if (good >= current) startRound(current < doublingLimit ? current * 2 : current + 1);
     if (readColdLimit() < slots) return;
     isCold = false;
     timeline.record('endpoint.warm', { slots });
@@ -79,12 +90,16 @@
   /** Takes in that the endpoint refused a request for lack of room. */
   const recordOverload = (startedInRound: number): void => {
     if (startedInRound !== round) return;
-    if (isCold) startRound(Math.max(1, Math.floor(readColdLimit() / 2)));
+    if (isCold) halve();
     else reset('overloaded');
   };
 
   return {
     recordOverload,
+    /** Takes in whether the endpoint says that it is cold; its limit then does not grow. */
+    updateHealth: (cold: boolean): void => {
+      saysCold = cold;
+    },
     readLimit: () => (isCold ? Math.min(slots, readColdLimit()) : slots),
     isCold: () => isCold,
     readRound: () => round,
--- a/packages/agent/src/create-agent.ts
+++ b/packages/agent/src/create-agent.ts
@@ -58,6 +58,7 @@
     endpoint,
     handleDeath: crashes.handleDeath,
     handleHealth: ({ cold }) => {
+      warmUp.updateHealth(cold);
       // Reported once for each turn: a cold endpoint says so until it is warm.
       if (cold && !warmUp.isCold()) warmUp.reset('endpoint says so');
       admission.recheck();
--- a/packages/agent/src/executor/create-dispatcher.ts
+++ b/packages/agent/src/executor/create-dispatcher.ts
@@ -35,6 +35,7 @@
 
   /** A chat held here may wait for as long as its prompt would take to compute elsewhere. */
   const computePatience = (request: DispatchRequest): number => {
+    if (request.patienceMs !== undefined) return request.patienceMs;
     const held = request.takeOver ? undefined : directory.findHeld(request);
     if (!held) return shortWaitMs;
     const recomputeMs = estimate.estimate(held.tokens);
--- a/packages/agent/src/executor/create-executor.ts
+++ b/packages/agent/src/executor/create-executor.ts
@@ -88,13 +88,16 @@
     };
     const removeFlight = inFlight.add(flight);
     const previousUseAt = directory.findHeld(request)?.usedAt;
-    directory.recordRun(request);
     timeline.record('request.started', { service: request.service }, request.requestId);
     const start = { at: clock.monotonic(), round: warmUp.readRound(), previousUseAt };
     try {
       const answer = await openAnswer(endpoint, request, controller.signal);
       signal.removeEventListener('abort', abort);
-      if (answer.status === overloadStatus) warmUp.recordOverload(start.round);
+      if (answer.status === overloadStatus) {
+        warmUp.recordOverload(start.round);
+        if (gate.readService()?.type === 'model') throw await buildOverload(answer);
+      }
+      directory.recordRun(request);
       const running = { ...execution, controller, flight, removeFlight, start };
       return passAnswer(running, answer);
     } catch (error) {
@@ -212,3 +215,12 @@
 function buildCancelled(notRun: boolean): RelayError {
   return new RelayError(ResultCode.cancelled, 'caller left', { notRun, retryAfterMs });
 }
+
+/** A full engine refuses before it runs anything, so another endpoint may run the request. */
+async function buildOverload({ body }: EndpointAnswer): Promise<RelayError> {
+  await body[Symbol.asyncIterator]().return?.();
+  return new RelayError(ResultCode.endpointBusy, 'engine has no room', {
+    notRun: true,
+    retryAfterMs,
+  });
+}
--- a/packages/control/src/hub/create-member-table.ts
+++ b/packages/control/src/hub/create-member-table.ts
@@ -146,7 +146,7 @@
   const computeMeans = (): Record<ServiceId, number> => {
     const sums = new Map<ServiceId, { running: number; count: number }>();
     records.forEach(({ announcement }) => {
-      if (announcement.status !== 'ready' || !isServing(announcement)) return;
+      if (announcement.status === 'leaving' || !isServing(announcement)) return;
       const sum = sums.get(announcement.service) ?? { running: 0, count: 0 };
       sum.running += announcement.running;
       sum.count += 1;
--- a/packages/core/src/messages/dispatch-request.ts
+++ b/packages/core/src/messages/dispatch-request.ts
@@ -17,6 +17,8 @@
   idempotent: boolean;
   /** Whether it waits in the agent's queue until its deadline. */
   mustArrive: boolean;
+  /** How long the request may wait for room, in milliseconds; absent leaves it to the agent. */
+  patienceMs?: number;
   priority: number;
   /** Time left when the entry sent it, in milliseconds; durations survive clock differences. */
   remainingMs: number;
--- a/packages/entry/src/attempts/create-dispatcher.ts
+++ b/packages/entry/src/attempts/create-dispatcher.ts
@@ -26,6 +26,8 @@
   attemptId: AttemptId;
   member: Member;
   takeOver: boolean;
+  /** How long the request may wait for room at the agent; undefined leaves it to the agent. */
+  patienceMs: number | undefined;
   remainingMs: number;
 }
 
@@ -74,12 +76,13 @@
 }
 
 function buildMessage(attempt: Attempt, stateVersion: number, hlc: Hlc): DispatchRequest {
-  const { request, attemptId, takeOver, remainingMs } = attempt;
+  const { request, attemptId, takeOver, patienceMs, remainingMs } = attempt;
   const { deadlineMs, isCompletion, ...same } = request;
   return {
     ...same,
     attemptId,
     takeOver,
+    ...(patienceMs === undefined ? {} : { patienceMs }),
     remainingMs: Math.ceil(remainingMs),
     stateVersion,
     at: hlc.read(),
--- a/packages/entry/src/attempts/create-progress.ts
+++ b/packages/entry/src/attempts/create-progress.ts
@@ -10,6 +10,8 @@
     redirects: 0,
     /** Dispatches in this round. */
     dispatches: 0,
+    /** Refusals in this round by endpoints that had no room. */
+    busyRefusals: 0,
     /** Dispatches after which the outcome was unknown. */
     failures: 0,
     round: 0,
--- a/packages/entry/src/attempts/create-runner.ts
+++ b/packages/entry/src/attempts/create-runner.ts
@@ -9,6 +9,7 @@
   type Hlc,
   type Id,
   type Random,
+  type Refusal,
   type Timeline,
 } from '@vanillarelay/core';
 import type { Link } from '@vanillarelay/link';
@@ -41,6 +42,13 @@
 /** Dispatches after which a round ends even if endpoints are left, to bound a request's cost. */
 const dispatchesPerRound = 5;
 const highestRounds = 3;
+/**
+ * After this many endpoints without room the request queues at each further one: the bound follows
+ * the mean, which rises with the next frames, so a refusal would be needless.
+ */
+const busyRefusalsBeforeWait = 2;
+/** Longer than a frame; a longer queue at one endpoint would miss room at the others. */
+const busyPatienceMs = 1_000;
 /** Requests of must-arrive kinds that may wait here for room; each holds its body in memory. */
 const highestWaiting = 2_000;
 const busyRetryAfterMs = 500;
@@ -82,7 +90,8 @@
     const { last, failures, round } = progress;
     const canWait = request.mustArrive
       ? waiting < highestWaiting
-      : last !== undefined && round + 1 < highestRounds && budget.spend();
+      : last !== undefined &&
+        (isPacedByRoom(last) || (round + 1 < highestRounds && budget.spend()));
     if (!canWait) {
       throw new RelayError(
         last?.code ?? ResultCode.noEndpoint,
@@ -94,7 +103,8 @@
     const backoffMs = computeBackoff(round, random, last?.retryAfterMs);
     await clock.wait(Math.min(remainingMs, backoffMs), signal);
     waiting -= 1;
-    Object.assign(progress, createProgress(), { last, failures, round: round + 1 });
+    const { busyRefusals } = progress;
+    Object.assign(progress, createProgress(), { last, failures, busyRefusals, round: round + 1 });
   };
 
   /** Turns lost contact with a request that must not run twice into certainty, where it can. */
@@ -135,7 +145,9 @@
       const { member, takeOver } = placement;
       const attemptId = createId<AttemptId>();
       timeline.record('request.dispatched', { endpoint: member.id, takeOver }, request.requestId);
-      const attempt = { request, attemptId, member, takeOver, remainingMs };
+      const patienceMs =
+        progress.busyRefusals >= busyRefusalsBeforeWait ? busyPatienceMs : undefined;
+      const attempt = { request, attemptId, member, takeOver, patienceMs, remainingMs };
       const dispatched = await resolveLost(request, attemptId, await dispatch(attempt, signal));
       if (dispatched.type === 'answer') return dispatched;
       const { refusal } = dispatched;
@@ -153,6 +165,11 @@
   return { run, flights };
 }
 
+/** A request that waited for room costs a dispatch a second at most, and needs no retry budget. */
+function isPacedByRoom({ code, notRun }: Refusal): boolean {
+  return notRun && code === ResultCode.endpointBusy;
+}
+
 function checkWaiting(
   { failures, last }: Progress,
   remainingMs: number,
@@ -160,9 +177,15 @@
 ): void {
   const notRun = failures === 0;
   if (signal.aborted) {
-    throw new RelayError(ResultCode.cancelled, 'the caller closed the connection', { notRun });
+    throw new RelayError(ResultCode.cancelled, 'the caller closed the connection', {
+      notRun,
+      retryAfterMs: 0,
+    });
   }
   if (remainingMs > 0) return;
   const reason = last ? `, last refusal: ${last.message}` : '';
-  throw new RelayError(ResultCode.deadlineExceeded, `deadline passed${reason}`, { notRun });
+  throw new RelayError(ResultCode.deadlineExceeded, `deadline passed${reason}`, {
+    notRun,
+    retryAfterMs: last?.retryAfterMs ?? busyRetryAfterMs,
+  });
 }
--- a/packages/entry/src/attempts/handle-refusal.ts
+++ b/packages/entry/src/attempts/handle-refusal.ts
@@ -11,8 +11,6 @@
   spendRetry: () => boolean;
 }
 
-/** Moves of the placement itself (home, holder, taking over), which are no retries. */
-const freeDispatches = 3;
 const highestRedirects = 2;
 /** A request that breaks its endpoints must not reach many of them. */
 const highestFailures = 3;
@@ -36,8 +34,11 @@
   }
   progress.tried.add(endpoint);
   const isPlacement = isLoadRefusal(refusal.code) && refusal.notRun;
-  if (isPlacement) progress.isHomeAsked = true;
-  if (isPlacement && progress.dispatches < freeDispatches) return;
+  if (isPlacement) {
+    progress.isHomeAsked = true;
+    progress.busyRefusals += 1;
+  }
+  if (isPlacement && refusal.code !== ResultCode.queueFull) return;
   if (request.mustArrive || spendRetry()) return;
   throw buildError(progress, {
     ...refusal,
