--- a/packages/daemon/src/entry/refuse-malformed.ts
+++ b/packages/daemon/src/entry/refuse-malformed.ts
@@ -1,4 +1,4 @@
-import { STATUS_CODES } from 'node:http';
+import { STATUS_CODES, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { RelayError, ResultCode } from '@vanillarelay/core';
 import type { CallerReply } from '@vanillarelay/entry';
@@ -9,7 +9,9 @@
   socket: Duplex,
   refuse: (error: unknown) => CallerReply,
 ): Promise<void> {
-  if (!socket.writable || error.code === 'ECONNRESET') {
+  // Node keeps the response in progress here; a second answer in the middle would corrupt it.
+  const { _httpMessage: response } = socket as { _httpMessage?: ServerResponse };
+  if (!socket.writable || error.code === 'ECONNRESET' || response?.headersSent) {
     socket.destroy();
     return;
   }
--- a/packages/entry/__tests__/create-fixture.ts
+++ b/packages/entry/__tests__/create-fixture.ts
@@ -107,7 +107,10 @@
 
   const createAgent = (id: string) => {
     const process = virtual.createProcess(id);
-    const control = network.open(process, controlProcess, () => ({ propose }));
+    const control = network.open(process, () => ({
+      process: controlProcess,
+      handlers: { propose },
+    }));
     const head = { stateVersion: 1, at: '' as HlcTime };
     const dispatch = async (request: DispatchRequest, signal: AbortSignal) => {
       dispatches.push({ agent: id, request });
@@ -169,7 +172,10 @@
   const histograms = createHistograms();
   const openEntry = (id: string) => {
     const process = virtual.createProcess(id);
-    const control = network.open<Control>(process, controlProcess, () => ({ propose }));
+    const control = network.open<Control>(process, () => ({
+      process: controlProcess,
+      handlers: { propose },
+    }));
     const created = createEntry({
       clock: process.clock,
       random,
@@ -179,10 +185,7 @@
       histograms,
       createId: createIdSource(random),
       link,
-      openAgent: (address) => {
-        const agent = fleet.get(address)!;
-        return network.open(process, agent.process, () => agent.handlers);
-      },
+      openAgent: (address) => network.open(process, () => fleet.get(address)),
       propose: (command, signal) => control.propose(command, signal),
     });
     return { process, ...created };
--- a/packages/scenarios/src/fleet/start-entry.ts
+++ b/packages/scenarios/src/fleet/start-entry.ts
@@ -1,4 +1,5 @@
 import {
+  createHistograms,
   createHlc,
   createIdSource,
   createTimeline,
@@ -17,6 +18,7 @@
   const { virtual, network, random, hash } = context;
   const process = virtual.createProcess(id);
   const { clock } = process;
+  const controls = openControls(context, process);
   const hlc = createHlc(clock);
   const vm = toId<VmId>(`vm-${id}`);
   const timeline = createTimeline({ hlc, process: toId<DaemonId>(id), vm, dataCentre });
@@ -25,7 +27,7 @@
     random,
     hlc,
     timeline,
-    controls: openControls(context, process),
+    controls,
     buildReport: () => ({
       daemon: toId<DaemonId>(id),
       role: 'entry',
@@ -33,14 +35,18 @@
       dataCentre,
       address: id,
       incarnation: clock.now(),
+      usage: entry.takeUsage(),
     }),
   });
   const entry = createEntry({
     clock,
+    random,
     hash,
     hlc,
     timeline,
+    histograms: createHistograms(),
     link,
+    propose: (command, signal) => controls[0]!.client.propose(command, signal),
     createId: createIdSource(random),
     openAgent: (address) => network.open(process, () => context.agents.get(address)),
   });
