--- a/packages/control/src/state/create-fleet-state.ts
+++ b/packages/control/src/state/create-fleet-state.ts
@@ -12,6 +12,13 @@
       marks: [],
       orders: [],
     },
+    history: [],
     changes: new Map(),
+    records: new Map(),
+    tombstones: new Map(),
+    incarnations: new Map(),
+    crashReports: new Map(),
+    permits: new Map(),
+    at: 0,
   };
 }
--- a/packages/core/src/messages/command.ts
+++ b/packages/core/src/messages/command.ts
@@ -46,10 +46,23 @@
   );
 
 type EndpointCommand =
-  | { type: 'reportCrash'; endpoint: EndpointId; incarnation: number; fingerprints: Fingerprint[] }
+  | {
+      type: 'reportCrash';
+      endpoint: EndpointId;
+      incarnation: number;
+      fingerprints: Fingerprint[];
+      /** Fresh for each crash; a report that is sent again counts once. */
+      crashId?: string;
+    }
   | { type: 'clearMark'; fingerprint: Fingerprint }
   | { type: 'takePermit'; endpoint: EndpointId; leaseMs: number }
   | { type: 'releasePermit'; endpoint: EndpointId };
 
+/** Several commands in one log entry, applied in order; the value is the list of their results. */
+interface BatchCommand {
+  type: 'batch';
+  commands: RecordCommand[];
+}
+
 /** A change of the replicated state. */
-export type Command = OperatorCommand | RecordCommand | EndpointCommand;
+export type Command = OperatorCommand | RecordCommand | EndpointCommand | BatchCommand;
--- a/packages/daemon/src/agent/run-agent.ts
+++ b/packages/daemon/src/agent/run-agent.ts
@@ -8,11 +8,14 @@
   type ServiceId,
   type VmId,
 } from '@vanillarelay/core';
-import { createLink, type Link } from '@vanillarelay/link';
+import { createLink, createProposer, type Link } from '@vanillarelay/link';
 import { openControl } from '../control/open-control.js';
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
 import { waitForSignal } from '../platform/wait-for-signal.js';
+import { closeServer } from '../http/close-server.js';
+import { loadTrust } from '../trust/load-trust.js';
+import { createAgentOpener } from './create-agent-opener.js';
 import { createAgentServer } from './create-agent-server.js';
 import { openEndpoint } from './open-endpoint.js';
 
@@ -20,10 +23,10 @@
 export async function runAgent(settings: AgentSettings): Promise<void> {
   const context = await createProcessContext(settings);
   const { clock, timeline } = context;
-  const key = settings.peerKeys[0] ?? '';
+  const trust = await loadTrust(settings);
   const controls = settings.control.map(({ id, address }) => ({
     id: toId<DaemonId>(id),
-    client: openControl(address, key),
+    client: openControl(address, trust),
   }));
   const incarnation = Math.floor(clock.now());
   const identity = {
@@ -31,6 +34,7 @@
     dataCentre: toId<DataCentreId>(settings.dataCentre),
   };
   const service = toId<ServiceId>(settings.service);
+  const findPeer = createAgentOpener(trust);
   let link: Link;
   const agent = createAgent({
     ...context,
@@ -41,12 +45,14 @@
     slots: settings.slots,
     incarnation,
     endpoint: openEndpoint(settings.endpointAddress),
-    control: { propose: (command, signal) => controls[0]!.client.propose(command, signal) },
+    control: { propose: createProposer({ ...context, controls }) },
     findLink: () => link,
+    openAgent: findPeer,
   });
   link = createLink({
     ...context,
     controls,
+    openPeer: findPeer,
     buildReport: () => ({
       ...identity,
       daemon: toId<DaemonId>(settings.id),
@@ -60,15 +66,18 @@
   const server = createAgentServer({
     handlers: agent.handlers,
     peerKeys: settings.peerKeys,
+    tls: trust.tls,
     listTimeline: () => timeline.list(),
     reportStranger: (path) => timeline.record('stranger.refused', { path }),
   });
   await serveOn(server, settings.address);
   link.start();
+  agent.start();
   timeline.record('process.started', { role: 'agent', address: settings.address });
   await waitForSignal();
+  await agent.drain();
+  agent.stop();
   link.stop();
-  server.close();
-  server.closeIdleConnections();
+  await closeServer(server);
   controls.forEach(({ client }) => client.close());
 }
--- a/packages/entry/__tests__/create-fixture.ts
+++ b/packages/entry/__tests__/create-fixture.ts
@@ -168,7 +168,11 @@
       shares: {},
     } as unknown as FleetView,
   };
-  const link = { readView: () => view.current, readContact: () => 'attached' as const };
+  const link = {
+    readView: () => view.current,
+    readContact: () => 'attached' as const,
+    receiveVersion: async () => true,
+  };
   const histograms = createHistograms();
   const openEntry = (id: string) => {
     const process = virtual.createProcess(id);
--- a/packages/entry/src/attempts/create-dispatcher.ts
+++ b/packages/entry/src/attempts/create-dispatcher.ts
@@ -19,6 +19,8 @@
   flights: ReturnType<typeof createFlights>;
   openAgent: (address: string) => AgentClient;
   readStateVersion: () => number;
+  /** Fetches the state when an agent runs at a newer version. */
+  receiveVersion: (version: number) => Promise<boolean>;
 }
 
 interface Attempt {
@@ -31,7 +33,7 @@
 
 /** Makes the function that runs one attempt, until its answer begins or its agent is lost. */
 export function createDispatcher(options: DispatcherOptions) {
-  const { clock, hlc, flights, openAgent, readStateVersion } = options;
+  const { clock, hlc, flights, openAgent, readStateVersion, receiveVersion } = options;
 
   return async function dispatch(attempt: Attempt, signal: AbortSignal): Promise<Dispatched> {
     const { member, remainingMs } = attempt;
@@ -58,9 +60,11 @@
     signal.addEventListener('abort', cancel, { once: true });
     flights.add(flight);
     try {
-      const message = buildMessage(attempt, readStateVersion(), hlc);
+      const version = readStateVersion();
+      const message = buildMessage(attempt, version, hlc);
       const reply = await openAgent(member.address).dispatch(message, controller.signal);
       hlc.receive(reply.at);
+      if (reply.stateVersion > version) void receiveVersion(reply.stateVersion);
       if (reply.type === 'answer') return { type: 'answer', reply, flight };
       release();
       return { type: 'refusal', refusal: reply.refusal, isContactLost: false };
--- a/packages/entry/src/attempts/create-runner.ts
+++ b/packages/entry/src/attempts/create-runner.ts
@@ -32,7 +32,7 @@
   hlc: Hlc;
   timeline: Timeline;
   createId: <T extends Id<string>>() => T;
-  link: Pick<Link, 'readView' | 'readContact'>;
+  link: Pick<Link, 'readView' | 'readContact' | 'receiveVersion'>;
   openAgent: (address: string) => AgentClient;
   propose: ControlClient['propose'];
   place: Place;
@@ -52,7 +52,12 @@
   const budget = createRetryBudget({ clock });
   const flights = createFlights({ clock, readView: link.readView });
   const readStateVersion = () => link.readView().state?.version ?? 0;
-  const dispatch = createDispatcher({ ...options, flights, readStateVersion });
+  const dispatch = createDispatcher({
+    ...options,
+    flights,
+    readStateVersion,
+    receiveVersion: link.receiveVersion,
+  });
   let waiting = 0;
 
   const choosePlacement = (request: ParsedRequest, progress: Progress) => {
--- a/packages/scenarios/src/fleet/start-agent.ts
+++ b/packages/scenarios/src/fleet/start-agent.ts
@@ -1,6 +1,7 @@
 import { createAgent } from '@vanillarelay/agent';
 import {
   createHlc,
+  createIdSource,
   createTimeline,
   toId,
   type DaemonId,
@@ -10,7 +11,7 @@
   type ServiceId,
   type VmId,
 } from '@vanillarelay/core';
-import { createLink, type Link } from '@vanillarelay/link';
+import { createLink, createProposer, type Link } from '@vanillarelay/link';
 import type { VirtualProcess } from '../fakes/virtual-process.js';
 import type { FleetContext } from './fleet-context.js';
 import { openControls } from './open-controls.js';
@@ -26,7 +27,7 @@
 
 /** Starts an agent and its endpoint in the in-process fleet. */
 export function startAgent(context: FleetContext, options: StartAgentOptions): void {
-  const { virtual, network, random } = context;
+  const { virtual, network, random, hash } = context;
   const { id, service, dataCentre, slots, createEndpoint } = options;
   const endpointProcess = virtual.createProcess(`endpoint-${id}`);
   context.endpoints.set(id, {
@@ -40,6 +41,7 @@
   const timeline = createTimeline({ hlc, process: toId<DaemonId>(id), vm, dataCentre });
   const controls = openControls(context, process);
   const incarnation = clock.now() + clock.monotonic();
+  const openPeer = (peer: string) => network.open(process, () => context.agents.get(peer));
   let link: Link;
   const agent = createAgent({
     id: toId<EndpointId>(id),
@@ -54,8 +56,11 @@
     hlc,
     timeline,
     endpoint: network.open(process, () => context.endpoints.get(id)),
-    control: { propose: (command, signal) => controls[0]!.client.propose(command, signal) },
+    hash,
+    createId: createIdSource(random),
+    control: { propose: createProposer({ clock, random, controls }) },
     findLink: () => link,
+    openAgent: openPeer,
   });
   link = createLink({
     clock,
@@ -63,6 +68,7 @@
     hlc,
     timeline,
     controls,
+    openPeer,
     buildReport: () => ({
       daemon: toId<DaemonId>(id),
       role: 'agent',
@@ -76,4 +82,5 @@
   });
   context.agents.set(id, { process, handlers: agent.handlers });
   link.start();
+  agent.start();
 }
