--- a/packages/entry/__tests__/create-fixture.ts
+++ b/packages/entry/__tests__/create-fixture.ts
@@ -168,7 +168,11 @@
       shares: {},
     } as unknown as FleetView,
   };
-  const link = { readView: () => view.current, readContact: () => 'attached' as const };
+  const link = {
+    readView: () => view.current,
+    readContact: () => 'attached' as const,
+    receiveVersion: async () => true,
+  };
   const histograms = createHistograms();
   const openEntry = (id: string) => {
     const process = virtual.createProcess(id);
@@ -185,10 +189,7 @@
       histograms,
       createId: createIdSource(random),
       link,
-      openAgent: (address) => {
-        const agent = fleet.get(address)!;
-        return network.open(process, () => agent);
-      },
+      openAgent: (address) => network.open(process, () => fleet.get(address)),
       propose: (command, signal) => control.propose(command, signal),
     });
     return { process, ...created };
--- a/packages/entry/src/attempts/create-dispatcher.ts
+++ b/packages/entry/src/attempts/create-dispatcher.ts
@@ -19,6 +19,8 @@
   flights: ReturnType<typeof createFlights>;
   openAgent: (address: string) => AgentClient;
   readStateVersion: () => number;
+  /** Fetches the state when an agent runs at a newer version. */
+  receiveVersion: (version: number) => Promise<boolean>;
 }
 
 interface Attempt {
@@ -26,12 +28,14 @@
   attemptId: AttemptId;
   member: Member;
   takeOver: boolean;
+  /** How long the request may wait for room at the agent; undefined leaves it to the agent. */
+  patienceMs: number | undefined;
   remainingMs: number;
 }
 
 /** Makes the function that runs one attempt, until its answer begins or its agent is lost. */
 export function createDispatcher(options: DispatcherOptions) {
-  const { clock, hlc, flights, openAgent, readStateVersion } = options;
+  const { clock, hlc, flights, openAgent, readStateVersion, receiveVersion } = options;
 
   return async function dispatch(attempt: Attempt, signal: AbortSignal): Promise<Dispatched> {
     const { member, remainingMs } = attempt;
@@ -58,9 +62,11 @@
     signal.addEventListener('abort', cancel, { once: true });
     flights.add(flight);
     try {
-      const message = buildMessage(attempt, readStateVersion(), hlc);
+      const version = readStateVersion();
+      const message = buildMessage(attempt, version, hlc);
       const reply = await openAgent(member.address).dispatch(message, controller.signal);
       hlc.receive(reply.at);
+      if (reply.stateVersion > version) void receiveVersion(reply.stateVersion);
       if (reply.type === 'answer') return { type: 'answer', reply, flight };
       release();
       return { type: 'refusal', refusal: reply.refusal, isContactLost: false };
@@ -74,12 +80,13 @@
 }
 
 function buildMessage(attempt: Attempt, stateVersion: number, hlc: Hlc): DispatchRequest {
-  const { request, attemptId, takeOver, remainingMs } = attempt;
+  const { request, attemptId, takeOver, patienceMs, remainingMs } = attempt;
   const { deadlineMs, isCompletion, ...same } = request;
   return {
     ...same,
     attemptId,
     takeOver,
+    ...(patienceMs === undefined ? {} : { patienceMs }),
     remainingMs: Math.ceil(remainingMs),
     stateVersion,
     at: hlc.read(),
