--- a/scripts/bench/exchange.mjs
+++ b/scripts/bench/exchange.mjs
@@ -11,7 +11,7 @@
 const key = 'bench-peer-key-0001';
 const hubStartMs = 2_000;
 /** The daemons of the target size start within 6 s. */
-const joinMs = 15_000;
+const joinMs = 30_000;
 const measureMs = 15_000;
 const sizes = [
   { name: 'today', daemons: 11, services: 2, endpoints: 9, accounts: 10, busyAccounts: 2 },
@@ -75,11 +75,16 @@
   );
   const countWhole = () => fleet.reduce((sum, { countExchanges }) => sum + countExchanges(), 0);
   await wait(joinMs);
+  const countFailures = async () => {
+    load.send('read');
+    const [{ failures }] = await once(load, 'message');
+    return failures;
+  };
+  const joinFailures = await countFailures();
   const start = { ...(await read(hub)), whole: countWhole() };
   await wait(measureMs);
   const end = { ...(await read(hub)), whole: countWhole() };
-  load.send('read');
-  const [{ failures }] = await once(load, 'message');
+  const failures = (await countFailures()) - joinFailures;
   const attached = fleet.filter(({ link }) => link.readContact() === 'attached').length;
   fleet.forEach(({ link, client }) => {
     link.stop();
@@ -100,6 +105,7 @@
     daemons,
     endpoints: options.endpoints,
     attached: `${attached}/${whole}`,
+    'failed joins': joinFailures,
     failures,
     'messages/s': round((2 * exchanges) / seconds / daemons, 2),
     'report B/s': round(perSecond('bytesRead')),
