fix(entry): choose among endpoints with room before waiting

Cause: the less loaded of two random endpoints was often full while others had room, and each refusal cost a wait of 200 ms at the agent. Ruled out: the least loaded of all (all entries would choose the same one between two frames). Change: the two are drawn from those below their bound in the view; an agent refuses at once unless the request names its patience or its chat is held there.

--- a/packages/agent/src/admission/create-gate.ts
+++ b/packages/agent/src/admission/create-gate.ts
@@ -1,4 +1,5 @@
 import {
+  computeLoadBound,
   RelayError,
   ResultCode,
   type DataCentreId,
@@ -7,7 +8,6 @@
   type ServiceId,
 } from '@vanillarelay/core';
 import type { Link } from '@vanillarelay/link';
-import { computeLoadBound } from './compute-load-bound.js';
 
 interface GateOptions {
   id: EndpointId;
--- a/packages/agent/src/executor/create-dispatcher.ts
+++ b/packages/agent/src/executor/create-dispatcher.ts
@@ -24,7 +24,6 @@
   readLimit: () => number;
 }
 
-const shortWaitMs = 200;
 const longestChatWaitMs = 5_000;
 const suspectRetryMs = 60_000;
 
@@ -37,12 +36,12 @@
   const computePatience = (request: DispatchRequest): number => {
     if (request.patienceMs !== undefined) return request.patienceMs;
     const held = request.takeOver ? undefined : directory.findHeld(request);
-    if (!held) return shortWaitMs;
+    if (!held) return 0;
     const recomputeMs = estimate.estimate(held.tokens);
     const places = admission.countWaiting() + 1;
     const waitMs = (places * meanRunMs) / Math.max(1, options.readLimit());
-    if (waitMs > recomputeMs) return shortWaitMs;
-    return Math.min(longestChatWaitMs, Math.max(shortWaitMs, recomputeMs));
+    if (waitMs > recomputeMs) return 0;
+    return Math.min(longestChatWaitMs, recomputeMs);
   };
 
   const admit = async (
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,6 +57,7 @@
 export type { AccountConfig } from './state/account-config.js';
 export { applyMergePatch } from './state/apply-merge-patch.js';
 export { buildMergePatch } from './state/build-merge-patch.js';
+export { computeLoadBound } from './state/compute-load-bound.js';
 export type { CrashMark } from './state/crash-mark.js';
 export type { DaemonState } from './state/daemon-state.js';
 export type { EngineOrder } from './state/engine-order.js';
--- a/packages/entry/src/placement/candidates.ts
+++ b/packages/entry/src/placement/candidates.ts
@@ -4,6 +4,8 @@
 export interface Candidates {
   ids: readonly EndpointId[];
   members: ReadonlyMap<EndpointId, Member>;
+  /** Requests that an endpoint runs at once at most, from the mean of the view. */
+  bound: number;
   /** Requests that a cold endpoint bears at once. */
   coldLimit: number;
 }
--- a/packages/entry/src/placement/choose-less-loaded.ts
+++ b/packages/entry/src/placement/choose-less-loaded.ts
@@ -4,10 +4,12 @@
 /** Ranks a full or cold and occupied endpoint behind every other one. */
 const fullPenalty = 1_000_000;
 
-/** The less loaded of two random endpoints that have not been tried. */
+/** The less loaded of two random endpoints that have room and have not been tried. */
 export function chooseLessLoaded(input: Parameters<Place>[0]): Member | undefined {
   const { candidates, tried, random } = input;
-  const ids = tried.size === 0 ? candidates.ids : candidates.ids.filter((id) => !tried.has(id));
+  const untried = tried.size === 0 ? candidates.ids : candidates.ids.filter((id) => !tried.has(id));
+  const roomy = untried.filter((id) => hasRoom(input, candidates.members.get(id)!));
+  const ids = roomy.length > 0 ? roomy : untried;
   const firstIndex = Math.floor(random() * ids.length);
   const offset = 1 + Math.floor(random() * (ids.length - 1));
   const first = candidates.members.get(ids[firstIndex]!);
@@ -16,6 +18,12 @@
   return computeRank(input, second) < computeRank(input, first) ? second : first;
 }
 
+/** Whether the endpoint is below its bound, as far as this entry knows. */
+function hasRoom({ candidates, readLoad }: Parameters<Place>[0], { id, status }: Member): boolean {
+  const { bound, coldLimit } = candidates;
+  return readLoad(id) + 1 <= (status === 'cold' ? Math.min(bound, coldLimit) : bound);
+}
+
 function computeRank({ candidates, readLoad }: Parameters<Place>[0], member: Member): number {
   const load = readLoad(member.id);
   const limit = member.status === 'cold' ? candidates.coldLimit : member.slots;
--- a/packages/entry/src/placement/create-candidate-lists.ts
+++ b/packages/entry/src/placement/create-candidate-lists.ts
@@ -1,8 +1,8 @@
-import type { EndpointId, Member, ServiceId } from '@vanillarelay/core';
+import { computeLoadBound, type EndpointId, type Member, type ServiceId } from '@vanillarelay/core';
 import type { FleetView } from '@vanillarelay/link';
 import type { Candidates } from './candidates.js';
 
-const noCandidates: Candidates = { ids: [], members: new Map(), coldLimit: 1 };
+const noCandidates: Candidates = { ids: [], members: new Map(), bound: 1, coldLimit: 1 };
 
 /** Makes the lists of usable endpoints by service; they are built once for each view. */
 export function createCandidateLists() {
@@ -20,7 +20,7 @@
   return { read };
 }
 
-function buildLists({ state, members }: FleetView): Map<ServiceId, Candidates> {
+function buildLists({ state, members, means }: FleetView): Map<ServiceId, Candidates> {
   const draining = new Set(state?.draining);
   const outside = new Set(state?.dataCentresOut);
   const byService = new Map<ServiceId, Map<EndpointId, Member>>();
@@ -36,6 +36,10 @@
     lists.set(service, {
       ids: [...list.keys()].sort(),
       members: list,
+      bound: computeLoadBound(
+        state?.config.services[service]?.loadMultiple ?? 1,
+        means[service] ?? 0,
+      ),
       coldLimit: state?.config.services[service]?.coldLimit ?? 1,
     }),
   );
