feat(daemon): run control on the replicated log with a real disk

Cause: the control process kept its state in memory; no procedure checked a command. Ruled out: a connection for each call between control nodes (one for each address is kept open and reconnects); schemas in the control package (it has no zod). Conclusion: control nodes keep their state over restarts on real disks.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -12,6 +12,7 @@
 export { openReplicatedStore } from './open-replicated-store.js';
 export type { AppendReply } from './raft/append-reply.js';
 export type { AppendRequest } from './raft/append-request.js';
+export type { GroupMember } from './raft/group-member.js';
 export type { RaftPeer } from './raft/raft-peer.js';
 export type { Sender } from './raft/sender.js';
 export type { SnapshotRequest } from './raft/snapshot-request.js';
--- a/packages/control/src/open-replicated-store.ts
+++ b/packages/control/src/open-replicated-store.ts
@@ -1,4 +1,4 @@
-import type { Disk } from '@vanillarelay/core';
+import { RelayError, ResultCode, type Disk } from '@vanillarelay/core';
 import { openLogStore } from './log/open-log-store.js';
 import { createRaftNode } from './raft/create-raft-node.js';
 import type { RaftOptions } from './raft/raft-options.js';
@@ -6,25 +6,35 @@
 import { createFleetMachine } from './state/create-fleet-machine.js';
 
 interface ReplicatedStoreOptions extends Omit<RaftOptions, 'log' | 'machine'> {
-  disk: Disk;
+  openDisk: () => Promise<Disk>;
   createDiskId: () => string;
 }
 
+/** An entry must fit into one message of 8 MiB, where its quotes are escaped once more. */
+const maxCommandLength = 2 * 1024 * 1024;
+
 /** Opens the store of one control node from its disk; `start` lets it join its group. */
 export async function openReplicatedStore({
-  disk,
+  openDisk,
   createDiskId,
   ...options
 }: ReplicatedStoreOptions): Promise<ReplicatedStore> {
   const machine = createFleetMachine();
   let abort = options.reportFailure;
   const reportFailure = (error: Error) => abort(error);
-  const log = await openLogStore({ disk, createDiskId, reportFailure });
+  const log = await openLog(openDisk, createDiskId, reportFailure);
   if (log.removalReason) options.timeline.record('log.removed', { reason: log.removalReason });
   const node = createRaftNode({ ...options, log, machine });
   abort = node.abort;
   return {
-    propose: (command) => node.propose(JSON.stringify(command)),
+    propose: async (command) => {
+      const data = JSON.stringify(command);
+      if (data.length > maxCommandLength) {
+        const message = `a command of ${data.length} characters, at most ${maxCommandLength} are allowed`;
+        throw new RelayError(ResultCode.malformedMessage, message, { notRun: true });
+      }
+      return node.propose(data);
+    },
     readState: machine.readState,
     readQuorumAgeMs: node.readQuorumAgeMs,
     observe: machine.observe,
@@ -36,3 +46,15 @@
     readStatus: node.readStatus,
   };
 }
+
+async function openLog(
+  openDisk: () => Promise<Disk>,
+  createDiskId: () => string,
+  reportFailure: (error: Error) => void,
+) {
+  try {
+    return await openLogStore({ disk: await openDisk(), createDiskId, reportFailure });
+  } catch (cause) {
+    throw new RelayError(ResultCode.storageFailed, (cause as Error).message, { cause });
+  }
+}
--- /dev/null
+++ b/packages/daemon/__tests__/control-group.test.ts
@@ -0,0 +1,152 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as wait } from 'node:timers/promises';
+import { ControlSettings } from '@vanillarelay/config';
+import { ResultCode, type ChangeId, type Command } from '@vanillarelay/core';
+import { openControl, openFileDisk, openRaftPeer, runControl } from '@vanillarelay/daemon';
+import { afterEach, expect, it } from 'vitest';
+
+const peerKey = 'test-peer-key-00001';
+const operatorKey = 'test-operator-key-00001';
+const folders: string[] = [];
+const closers: (() => void)[] = [];
+
+afterEach(async () => {
+  closers.splice(0).forEach((close) => close());
+  await Promise.all(folders.splice(0).map((folder) => rm(folder, { recursive: true })));
+});
+
+const createFolder = async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'vanillarelay-test-'));
+  folders.push(folder);
+  return folder;
+};
+
+const findAddress = () =>
+  new Promise<string>((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(`127.0.0.1:${port}`));
+    });
+  });
+
+const buildConfig = (changeId: string, expectedVersion: number): Command => ({
+  type: 'applyConfig',
+  changeId: changeId as ChangeId,
+  operator: 'operator',
+  expectedVersion,
+  config: { dataCentres: {}, services: {}, accounts: {}, concurrentLoads: 1 },
+});
+
+const buildSettings = (id: string, address: string, dataFolder: string) => ({
+  ...{ role: 'control', id, vm: id, dataCentre: 'lahore', address, logLevel: 'silent' },
+  ...{ dataFolder, peerKeys: [peerKey], operatorKeys: [operatorKey] },
+});
+
+const open = (address: string, key = peerKey) => {
+  const client = openControl(address, { key });
+  closers.push(client.close);
+  return client;
+};
+
+/** Proposes at every node in turn until one accepts; the leader may not be elected yet. */
+const propose = async (clients: ReturnType<typeof open>[], command: Command) => {
+  for (let round = 0; round < 200; round += 1) {
+    for (const client of clients) {
+      const answer = client.propose(command, AbortSignal.timeout(2_000));
+      const result = await answer.catch(() => undefined);
+      if (result) return result;
+    }
+    await wait(50);
+  }
+  throw new Error('no node accepted');
+};
+
+/** Runs a control process inside the test until `stop`, which stands for its signal. */
+const start = (settings: ControlSettings) => {
+  const before = process.listeners('SIGTERM');
+  const ended = runControl(settings);
+  const stop = async () => {
+    const added = process.listeners('SIGTERM').filter((listener) => !before.includes(listener));
+    added.forEach((listener) => listener('SIGTERM'));
+    await ended;
+  };
+  return stop;
+};
+
+// Guards against consensus that works on fakes only: sockets, schemas, keys and a real disk.
+it('runs a group of three over sockets and keeps its state over a restart of all', async () => {
+  const folder = await createFolder();
+  const addresses = await Promise.all([findAddress(), findAddress(), findAddress()]);
+  const [address = ''] = addresses;
+  const group = addresses.map((one, index) => ({ id: `control-${index}`, address: one }));
+  const startAll = async () => {
+    const stops = group.map((node) => {
+      const settings = buildSettings(node.id, node.address, join(folder, node.id));
+      return start(ControlSettings.parse({ ...settings, group }));
+    });
+    await wait(200);
+    return { stops, clients: addresses.map((one) => open(one)) };
+  };
+  const first = await startAll();
+  for (let version = 0; version < 20; version += 1) {
+    const result = await propose(first.clients, buildConfig(`change-${version}`, version));
+    expect(result).toMatchObject({ ok: true });
+  }
+  const signal = AbortSignal.timeout(20_000);
+  const malformed = { type: 'claim' } as unknown as Command;
+  await expect(first.clients[0]?.propose(malformed, signal)).rejects.toMatchObject({
+    code: ResultCode.malformedMessage,
+    notRun: true,
+  });
+  const released = { type: 'releasePermit', endpoint: 'e' } as Command;
+  await expect(open(address, operatorKey).propose(released, signal)).rejects.toMatchObject({
+    code: ResultCode.strangerRefused,
+    notRun: true,
+  });
+  const operatorPeer = openRaftPeer(address, { key: operatorKey });
+  closers.push(operatorPeer.close);
+  await expect(operatorPeer.readSender(signal)).rejects.toThrow('FORBIDDEN');
+  for (const stop of first.stops) await stop();
+  const second = await startAll();
+  const resent = await propose(second.clients, buildConfig('change-7', 7));
+  expect(resent).toMatchObject({ ok: true, value: { configVersion: 8 } });
+  expect(await propose(second.clients, buildConfig('next', 20))).toMatchObject({ ok: true });
+  for (const stop of second.stops) await stop();
+});
+
+// Guards against a control process that goes on without a durable log.
+it('ends with a result code when its disk cannot be used', async () => {
+  const folder = await createFolder();
+  const address = await findAddress();
+  await writeFile(join(folder, 'file'), '');
+  const settings = buildSettings('control-0', address, join(folder, 'file'));
+  const group = [{ id: 'control-0', address }];
+  await expect(runControl(ControlSettings.parse({ ...settings, group }))).rejects.toMatchObject({
+    code: ResultCode.storageFailed,
+  });
+});
+
+// Guards against a real disk that differs from the fake one in what its operations mean.
+it('reads back what it wrote, appended, cut and renamed', async () => {
+  const disk = await openFileDisk(await createFolder());
+  const readText = async (name: string) => Buffer.from((await disk.read(name)) ?? []).toString();
+  expect(await disk.read('log')).toBeUndefined();
+  await disk.append('log', Buffer.from('abc'));
+  await disk.append('log', Buffer.from('def'));
+  await disk.sync('log');
+  await disk.truncate('log', 4);
+  await disk.append('log', Buffer.from('x'));
+  await disk.write('log.new', Buffer.from('long content'));
+  await disk.write('log.new', Buffer.from('new'));
+  expect([await readText('log'), await readText('log.new')]).toEqual(['abcdx', 'new']);
+  await disk.rename('log.new', 'log');
+  await disk.syncFolder();
+  await disk.append('log', Buffer.from('er'));
+  expect([await readText('log'), await disk.list()]).toEqual(['newer', ['log']]);
+  await disk.remove('log');
+  expect(await disk.list()).toEqual([]);
+  await expect(disk.read('../log')).rejects.toThrow('invalid file name');
+});
--- a/packages/daemon/src/control/create-control-router.ts
+++ b/packages/daemon/src/control/create-control-router.ts
@@ -1,4 +1,10 @@
-import type { GossipMessage, GossipReply, Rollout } from '@vanillarelay/control';
+import type {
+  GossipMessage,
+  GossipReply,
+  RaftPeer,
+  ReplicatedStore,
+  Rollout,
+} from '@vanillarelay/control';
 import {
   RelayError,
   ResultCode,
@@ -18,7 +24,9 @@
 import { z } from 'zod';
 import type { ControlContext } from './control-context.js';
 import type { DaemonEntry } from './daemon-entry.js';
+import { commandSchema } from './command-schema.js';
 import { gossipSchema } from './gossip-schema.js';
+import { raftSchema } from './raft-schema.js';
 import { reportSchema } from './report-schema.js';
 
 /** What a control node answers; the router below puts it on the wire. */
@@ -27,6 +35,9 @@
   readQuorum(stateVersion: number): QuorumReport;
   gossip(message: GossipMessage): GossipReply;
   propose(command: Command): Promise<CommandResult>;
+  raft: RaftPeer;
+  replaceMember: ReplicatedStore['replaceMember'];
+  readGroup: ReplicatedStore['readStatus'];
   readState(): DaemonState;
   readRollout(): Rollout;
   listDaemons(): DaemonEntry[];
@@ -35,10 +46,9 @@
   listEndpoints(): (Member & { running: number })[];
 }
 
-const defineObject = <T>() => z.custom<T>((value) => typeof value === 'object' && value !== null);
-
 /** Makes the tRPC router of a control node. */
 export function createControlRouter(handlers: ControlHandlers) {
+  const { raft } = handlers;
   const t = initTRPC.context<ControlContext>().create({
     isDev: false,
     errorFormatter: ({ shape, error }) => ({
@@ -53,16 +63,32 @@
   return t.router({
     exchange: peerProcedure
       .input(reportSchema.report)
-      .mutation(({ input, signal }) =>
-        handlers.exchange(input, signal ?? new AbortController().signal),
-      ),
+      .mutation(({ input, signal }) => handlers.exchange(input, readSignal(signal))),
     readQuorum: peerProcedure
       .input(z.strictObject({ stateVersion: reportSchema.count }))
       .query(({ input }) => handlers.readQuorum(input.stateVersion)),
     gossip: peerProcedure.input(gossipSchema).mutation(({ input }) => handlers.gossip(input)),
-    propose: t.procedure
-      .input(defineObject<Command>())
-      .mutation(({ input }) => handlers.propose(input)),
+    propose: t.procedure.input(commandSchema).mutation(({ ctx, input }) => {
+      // Records, marks and permits belong to agents and entries.
+      if (ctx.role !== 'peer' && !('changeId' in input)) throw new TRPCError({ code: 'FORBIDDEN' });
+      return handlers.propose(input);
+    }),
+    raft: t.router({
+      requestVote: peerProcedure
+        .input(raftSchema.vote)
+        .mutation(({ input, signal }) => raft.requestVote(input, readSignal(signal))),
+      appendEntries: peerProcedure
+        .input(raftSchema.append)
+        .mutation(({ input, signal }) => raft.appendEntries(input, readSignal(signal))),
+      installSnapshot: peerProcedure
+        .input(raftSchema.snapshot)
+        .mutation(({ input, signal }) => raft.installSnapshot(input, readSignal(signal))),
+      readSender: peerProcedure.query(({ signal }) => raft.readSender(readSignal(signal))),
+    }),
+    replaceMember: t.procedure
+      .input(raftSchema.replacement)
+      .mutation(({ input }) => handlers.replaceMember(input)),
+    readGroup: t.procedure.query(() => handlers.readGroup()),
     readState: t.procedure.query(() => handlers.readState()),
     readRollout: t.procedure.query(() => handlers.readRollout()),
     listDaemons: t.procedure.query(() => handlers.listDaemons()),
@@ -72,6 +98,10 @@
   });
 }
 
+function readSignal(signal: AbortSignal | undefined): AbortSignal {
+  return signal ?? new AbortController().signal;
+}
+
 /** Messages that a schema or role refuses have certainly not run. */
 function buildRefusal(error: TRPCError): Refusal {
   if (error.cause instanceof RelayError) return toRefusal(error.cause);
--- /dev/null
+++ b/packages/daemon/src/control/create-raft-peers.ts
@@ -0,0 +1,16 @@
+import type { RaftPeer } from '@vanillarelay/control';
+import type { Trust } from '../trust/trust.js';
+import { openRaftPeer } from './open-raft-peer.js';
+
+/** Makes the connections to the other control nodes: one for each address, opened when first used. */
+export function createRaftPeers(trust: Trust) {
+  const peers = new Map<string, ReturnType<typeof openRaftPeer>>();
+  return {
+    openPeer: (address: string): RaftPeer => {
+      const peer = peers.get(address) ?? openRaftPeer(address, trust);
+      peers.set(address, peer);
+      return peer;
+    },
+    close: (): void => peers.forEach((peer) => peer.close()),
+  };
+}
--- a/packages/daemon/src/control/message-limits.ts
+++ b/packages/daemon/src/control/message-limits.ts
@@ -6,4 +6,6 @@
   services: 1_000,
   accounts: 10_000,
   members: 20_000,
+  /** Log entries in one message; a batch is bounded in bytes as well. */
+  entries: 10_000,
 } as const;
--- a/packages/daemon/src/control/run-control.ts
+++ b/packages/daemon/src/control/run-control.ts
@@ -1,21 +1,38 @@
 import type { ControlSettings } from '@vanillarelay/config';
-import { createHub, createMemoryStore } from '@vanillarelay/control';
+import { createHub, openReplicatedStore } from '@vanillarelay/control';
 import { toId, type DaemonId } from '@vanillarelay/core';
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
+import { openFileDisk } from '../platform/open-file-disk.js';
 import { waitForSignal } from '../platform/wait-for-signal.js';
 import { listConfigChanges } from './list-config-changes.js';
 import { loadTrust } from '../trust/load-trust.js';
 import { createControlRouter } from './create-control-router.js';
 import { createControlServer } from './create-control-server.js';
+import { createRaftPeers } from './create-raft-peers.js';
 import { openControl } from './open-control.js';
 
-/** Runs a control process until a signal ends it. */
+/** Runs a control process until a signal ends it; rejects when its disk fails. */
 export async function runControl(settings: ControlSettings): Promise<void> {
   const context = await createProcessContext(settings);
   const { timeline } = context;
   const trust = await loadTrust(settings);
-  const store = createMemoryStore();
+  const raftPeers = createRaftPeers(trust);
+  let reportFailure: (error: Error) => void = () => {};
+  const failed = new Promise<never>((_, reject) => {
+    reportFailure = reject;
+  });
+  failed.catch(() => {});
+  const store = await openReplicatedStore({
+    ...context,
+    id: settings.id,
+    address: settings.address,
+    openDisk: () => openFileDisk(settings.dataFolder),
+    createDiskId: context.createId,
+    firstGroup: settings.group,
+    openPeer: raftPeers.openPeer,
+    reportFailure,
+  });
   const peers = settings.group
     .filter(({ id }) => id !== settings.id)
     .map(({ id, address }) => ({ id: toId<DaemonId>(id), peer: openControl(address, trust) }));
@@ -25,6 +42,9 @@
     readQuorum: hub.readQuorum,
     gossip: hub.gossip,
     propose: store.propose,
+    raft: store.handlers,
+    replaceMember: store.replaceMember,
+    readGroup: store.readStatus,
     readState: () => store.readState().daemon,
     readRollout: hub.readRollout,
     listDaemons: hub.listDaemons,
@@ -42,9 +62,15 @@
   });
   await serveOn(server, settings.address);
   hub.start();
+  store.start();
   timeline.record('process.started', { role: 'control', address: settings.address });
-  await waitForSignal();
-  hub.stop();
-  peers.forEach(({ peer }) => peer.close());
-  server.stop();
+  try {
+    await Promise.race([waitForSignal(), failed]);
+  } finally {
+    store.stop();
+    hub.stop();
+    raftPeers.close();
+    peers.forEach(({ peer }) => peer.close());
+    server.stop();
+  }
 }
--- a/packages/scenarios/src/control/create-control-group.ts
+++ b/packages/scenarios/src/control/create-control-group.ts
@@ -95,7 +95,7 @@
       clock: process.clock,
       random,
       timeline: { record: (name) => events.push(`${id} ${name}`) },
-      disk: wrapProcessDisk({ process, disk: node.disk.disk, syncMs }),
+      openDisk: async () => wrapProcessDisk({ process, disk: node.disk.disk, syncMs }),
       createDiskId: () => {
         diskIds += 1;
         return `disk-${diskIds}`;
