--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -21,6 +21,7 @@
 export { runEntry } from './entry/run-entry.js';
 export { openOperator } from './operator/open-operator.js';
 export type { OperatorClient } from './operator/operator-client.js';
+export { createSystemClock } from './platform/create-system-clock.js';
 export { openFileDisk } from './platform/open-file-disk.js';
 export { createEndpointServer } from './stand-ins/create-endpoint-server.js';
 export { runFakeEngine } from './stand-ins/run-fake-engine.js';
