--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,4 +1,3 @@
-export { applyFrame } from './apply-frame.js';
 export { computeContact } from './compute-contact.js';
 export type { ContactEvidence } from './contact-evidence.js';
 export type { Contact } from './contact.js';
@@ -7,3 +6,5 @@
 export { createProposer } from './create-proposer.js';
 export type { FleetView } from './fleet-view.js';
 export type { Link } from './link.js';
+export { wrapAgentClient } from './wrap-agent-client.js';
+export { wrapAgentHandlers } from './wrap-agent-handlers.js';
