--- a/packages/agent/__tests__/admission.test.ts
+++ b/packages/agent/__tests__/admission.test.ts
@@ -178,6 +178,22 @@
   `);
 });
 
+// Guards against work admitted under a state that the entry knows to be outdated.
+it('fetches a newer state before it answers', async () => {
+  const { ask, status, view, endpoint } = await createHarness();
+  status.nextState = { ...view.state, version: 2, dataCentresOut: ['lahore'] as never };
+  const replies = [await ask({ stateVersion: 2 }), await ask({ stateVersion: 3 })];
+  expect([replies, endpoint.runs.length]).toMatchInlineSnapshot(`
+    [
+      [
+        "dataCentreOut notRun=true",
+        "staleState notRun=true",
+      ],
+      0,
+    ]
+  `);
+});
+
 // Guards against requests that are dropped although they must arrive, wait although their caller
 // left, or wait for ever.
 it('lets must-arrive requests wait for their deadline and others a short time', async () => {
--- a/packages/agent/__tests__/chat-directory.test.ts
+++ b/packages/agent/__tests__/chat-directory.test.ts
@@ -23,7 +23,7 @@
       incarnation: 1,
       status: 'ready',
     };
-    harness.view.members.set(id as never, member as never);
+    harness.view.members.set(id, member as never);
     harness.peers.set(id, {
       notePlacement: async (note: PlacementNote) => {
         received.push(`${id}: ${note.chat} at ${note.holder}`);
@@ -66,10 +66,10 @@
   replies.push(await ask({ chat }), await ask({ chat, account: 'account-2' }));
   await note({ sequence: 1, holder: 'agent-2' });
   replies.push(await ask({ chat }));
-  view.members.get('agent-3' as never)!.status = 'leaving';
+  view.members.get('agent-3')!.status = 'leaving';
   replies.push(await ask({ chat }));
   await note({ chat: 'account-1/chat-2', holder: 'agent-4' });
-  view.members.get('agent-4' as never)!.incarnation = 2;
+  view.members.get('agent-4')!.incarnation = 2;
   replies.push(await ask({ chat: 'chat-2' }));
   expect(replies).toMatchInlineSnapshot(`
     [
--- a/packages/agent/__tests__/create-harness.ts
+++ b/packages/agent/__tests__/create-harness.ts
@@ -49,7 +49,7 @@
     members: new Map<string, Member>(),
     means: { orders: slots } as Record<string, number>,
   };
-  const status = { contact: 'attached' };
+  const status = { contact: 'attached', nextState: undefined as DaemonState | undefined };
   const endpoint = createEndpoint(virtual.createProcess('endpoint-1'));
   const peers = new Map<string, AgentPeer>();
   const agent = createAgent({
@@ -68,7 +68,15 @@
     createId: createIdSource(random),
     endpoint: network.open(process, () => endpoint),
     control: { propose: log.propose },
-    findLink: () => ({ readView: () => ({ ...view }), readContact: () => status.contact }),
+    findLink: () => ({
+      readView: () => ({ ...view }),
+      readContact: () => status.contact,
+      receiveVersion: async (version: number) => {
+        await clock.wait(200);
+        if (status.nextState?.version === version) view.state = status.nextState;
+        return view.state.version >= version;
+      },
+    }),
     openAgent: (address: string) => peers.get(address)!,
   } as never);
   agent.start();
--- a/packages/agent/__tests__/streams.test.ts
+++ b/packages/agent/__tests__/streams.test.ts
@@ -33,7 +33,11 @@
     const read = async () => {
       for await (const chunk of reply.body) rest += Buffer.from(chunk).toString();
     };
-    await virtual.runUntil(read().catch((error: Error) => (rest += `<${error.message}>`)));
+    await virtual.runUntil(
+      read().catch((error: Error) => {
+        rest += `<${error.message}>`;
+      }),
+    );
     return hideId(rest);
   };
   /** Dispatches, reads for a time, and breaks the connection. */
--- a/packages/agent/src/agent-options.ts
+++ b/packages/agent/src/agent-options.ts
@@ -35,6 +35,6 @@
   /** Rejects with `notRun: true` only when the command cannot have been accepted. */
   control: Pick<ControlClient, 'propose'>;
   /** The link is made after the agent, which builds its reports. */
-  findLink: () => Pick<Link, 'readView' | 'readContact' | 'buildContactReport'>;
+  findLink: () => Pick<Link, 'readView' | 'readContact' | 'buildContactReport' | 'receiveVersion'>;
   openAgent: (address: string) => AgentPeer;
 }
--- a/packages/agent/src/create-handlers.ts
+++ b/packages/agent/src/create-handlers.ts
@@ -1,4 +1,6 @@
 import {
+  RelayError,
+  ResultCode,
   toRefusal,
   type AgentPeer,
   type ContactReport,
@@ -24,6 +26,7 @@
 }
 
 const defaultRetryMs = 1_000;
+const staleRetryMs = 500;
 
 /** Makes what the agent answers to entries and to other agents. */
 export function createHandlers(options: HandlersOptions): AgentPeer {
@@ -36,6 +39,16 @@
     at: hlc.read(),
   });
 
+  /** Follows the entry's state, so that no request runs under rules that it knows to be outdated. */
+  const checkVersion = async (version: number): Promise<void> => {
+    if (version <= (findLink().readView().state?.version ?? 0)) return;
+    if (await findLink().receiveVersion(version)) return;
+    throw new RelayError(ResultCode.staleState, `agent does not have state version ${version}`, {
+      notRun: true,
+      retryAfterMs: staleRetryMs,
+    });
+  };
+
   const dispatch = async (
     request: DispatchRequest,
     signal: AbortSignal,
@@ -44,6 +57,7 @@
     const attempt = `${request.attemptId}/${request.takeOver}`;
     try {
       attempts.checkNew(attempt);
+      await checkVersion(request.stateVersion);
       return { ...(await dispatcher.run(request, signal)), ...buildHead() };
     } catch (error) {
       const refusal: Refusal = { retryAfterMs: defaultRetryMs, ...toRefusal(error) };
--- a/packages/agent/src/suspects/create-crash-reporter.ts
+++ b/packages/agent/src/suspects/create-crash-reporter.ts
@@ -32,13 +32,16 @@
   const { id, incarnation, clock, timeline, propose, inFlight, marks } = options;
   let crashes = 0;
 
-  /** Repeats until control has answered; both commands may be accepted twice without harm. */
+  /** Repeats until control has answered; a crash report only while it cannot have been accepted. */
   const send = async (command: Command): Promise<void> => {
     for (let tries = 0; tries < tryLimit; tries += 1) {
       try {
         await withDeadline(clock, tryTimeoutMs, (signal) => propose(command, signal));
         return;
-      } catch {
+      } catch (error) {
+        // A second report of the same crash would count as a second crash.
+        const isUnknown = !(error instanceof RelayError && error.notRun);
+        if (command.type === 'reportCrash' && isUnknown) return;
         await clock.wait(retryDelayMs);
       }
     }
@@ -52,7 +55,7 @@
     if (fingerprints.length === 0) return;
     marks.recordCrash(fingerprints);
     crashes += 1;
-    // One crash has one number, so that a repeated report does not count as a second crash.
+    // Each crash has its own number.
     const crash = incarnation + crashes;
     void send({ type: 'reportCrash', endpoint: id, incarnation: crash, fingerprints });
   };
--- a/packages/daemon/src/agent/open-endpoint.ts
+++ b/packages/daemon/src/agent/open-endpoint.ts
@@ -71,7 +71,7 @@
     exportCache: async (chat) => {
       const path = `/cache/${encodeURIComponent(chat)}`;
       const { statusCode, body } = await request({ method: 'GET', path });
-      if (statusCode < firstFailedStatus) return new Uint8Array(await body.arrayBuffer());
+      if (statusCode < firstFailedStatus) return readWhole(wrapBody(body));
       await body.dump();
       if (statusCode === notFoundStatus) return undefined;
       throw new RelayError(ResultCode.endpointFailed, `endpoint exported no cache: ${statusCode}`);
@@ -86,6 +86,12 @@
   };
 }
 
+async function readWhole(body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
+  const chunks: Uint8Array[] = [];
+  for await (const chunk of body) chunks.push(chunk);
+  return Buffer.concat(chunks);
+}
+
 function parseObject(text: string): object {
   try {
     const value: unknown = JSON.parse(text);
