--- a/packages/entry/__tests__/streams.test.ts
+++ b/packages/entry/__tests__/streams.test.ts
@@ -47,6 +47,10 @@
       yield Buffer.from('data: {"a"');
       throw new RelayError(ResultCode.endpointFailed, 'the endpoint crashed');
     }),
+    told: await readStream(events, async function* write() {
+      yield Buffer.from('event: error\ndata: {}\n\n');
+      throw new RelayError(ResultCode.endpointFailed, 'the endpoint crashed');
+    }),
     short: await readStream({ 'content-length': '10' }, async function* write() {
       yield Buffer.from('{"a":');
     }),
@@ -89,6 +93,15 @@
         "streamId": "agent-0.s1",
         "text": "{"a":",
       },
+      "told": {
+        "end": "broken off 4001",
+        "running": 0,
+        "streamId": "agent-0.s1",
+        "text": "event: error
+    data: {}
+
+    ",
+      },
     }
   `);
 });
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -36,7 +36,7 @@
   timeline: Timeline;
   histograms: Histograms;
   createId: <T extends Id<string>>() => T;
-  link: Pick<Link, 'readView' | 'readContact'>;
+  link: Pick<Link, 'readView' | 'readContact' | 'receiveVersion'>;
   openAgent: (address: string) => AgentClient;
   propose: ControlClient['propose'];
   /** How endpoints are chosen; a bench compares ways. */
