--- a/packages/daemon/src/agent/create-agent-server.ts
+++ b/packages/daemon/src/agent/create-agent-server.ts
@@ -18,6 +18,8 @@
 interface AgentServerOptions {
   handlers: AgentPeer;
   peerKeys: readonly string[];
+  /** Keys with which operators may read the time line. */
+  operatorKeys: readonly string[];
   listTimeline: () => TimelineEvent[];
   /** Called when a request presents no valid key. */
   reportStranger: (path: string) => void;
@@ -25,13 +27,14 @@
 
 type Route = (request: IncomingMessage, response: ServerResponse) => Promise<unknown>;
 
+const timelinePath = '/relay/timeline';
 const bodyLimitBytes = 32 * 1024 * 1024;
 const cacheLimitBytes = 64 * 1024 * 1024;
 const maxHeaderSize = 64 * 1024;
 
 /** Makes the HTTP server of an agent. */
 export function createAgentServer(options: AgentServerOptions): Server {
-  const { handlers, peerKeys, listTimeline, reportStranger } = options;
+  const { handlers, peerKeys, operatorKeys, listTimeline, reportStranger } = options;
 
   const writeReply = async (response: ServerResponse, reply: DispatchReply): Promise<void> => {
     if (reply.type === 'refusal') {
@@ -70,13 +73,15 @@
       const cache = await readBody(request, cacheLimitBytes);
       await handlers.importCache(transfer, cache, createCloseSignal(response));
     },
-    '/relay/timeline': async () => listTimeline(),
+    [timelinePath]: async () => listTimeline(),
   };
 
   const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const path = request.url ?? '';
-    const key = request.headers[dispatchHeaders.key];
-    if (!hasKey(peerKeys, typeof key === 'string' ? key : undefined)) {
+    const header = request.headers[dispatchHeaders.key];
+    const key = typeof header === 'string' ? header : undefined;
+    const isOperator = path === timelinePath && hasKey(operatorKeys, key);
+    if (!isOperator && !hasKey(peerKeys, key)) {
       reportStranger(path);
       response.writeHead(401, { connection: 'close' }).end();
       return;
--- a/packages/daemon/src/agent/run-agent.ts
+++ b/packages/daemon/src/agent/run-agent.ts
@@ -70,6 +70,7 @@
   const server = createAgentServer({
     handlers: agent.handlers,
     peerKeys: settings.peerKeys,
+    operatorKeys: settings.operatorKeys,
     listTimeline: () => timeline.list(),
     reportStranger: (path) => timeline.record('stranger.refused', { path }),
   });
--- a/scripts/local-fleet/create-launcher.mjs
+++ b/scripts/local-fleet/create-launcher.mjs
@@ -5,17 +5,23 @@
 import { fileURLToPath } from 'node:url';
 
 const command = fileURLToPath(new URL('../../packages/cli/bin/vanillarelay.js', import.meta.url));
+const killAfterMs = 15_000;
 
 /** Makes a launcher: it starts processes, and ends all of them and their folder with `stop`. */
 export default function createLauncher() {
   const folder = mkdtempSync(join(tmpdir(), 'vanillarelay-'));
   const children = new Map();
+  const lost = [];
+  let isStopping = false;
 
   const start = (id, args) => {
     const log = openSync(join(folder, `${id}.log`), 'a');
     const child = spawn(process.execPath, [command, ...args], { stdio: ['ignore', log, log] });
     children.set(id, child);
-    child.once('exit', () => children.get(id) === child && children.delete(id));
+    child.once('exit', (code) => {
+      if (!isStopping) lost.push(`${id} (exit code ${code})`);
+      if (children.get(id) === child) children.delete(id);
+    });
     return child;
   };
 
@@ -27,10 +33,11 @@
   };
 
   const stop = async (keepFolder = false) => {
+    isStopping = true;
     const exits = [...children.values()].map(
       (child) =>
         new Promise((resolve) => {
-          const timer = setTimeout(() => child.kill('SIGKILL'), 8_000);
+          const timer = setTimeout(() => child.kill('SIGKILL'), killAfterMs);
           child.once('exit', () => {
             clearTimeout(timer);
             resolve();
@@ -42,5 +49,5 @@
     if (!keepFolder) rmSync(folder, { recursive: true, force: true });
   };
 
-  return { folder, children, start, startDaemon, stop };
+  return { folder, children, start, startDaemon, stop, listLost: () => [...lost] };
 }
--- /dev/null
+++ b/scripts/local-fleet/print-results.mjs
@@ -0,0 +1,11 @@
+/** Prints the results as a table. */
+export default function printResults(results) {
+  const rows = [
+    ['result', 'what', 'details'],
+    ...results.map(({ name, held, detail }) => [held ? 'held' : 'FAILED', name, detail]),
+  ];
+  const widths = [0, 1].map((column) => Math.max(...rows.map((row) => row[column].length)));
+  rows.forEach(([result, what, detail]) =>
+    console.log(`${result.padEnd(widths[0])}  ${what.padEnd(widths[1])}  ${detail}`),
+  );
+}
--- a/scripts/local-fleet/sample.mjs
+++ b/scripts/local-fleet/sample.mjs
@@ -1,122 +1,94 @@
-// Starts the thin whole path as separate processes and sends one returning chat through two entries.
-import { createHash } from 'node:crypto';
-import { join } from 'node:path';
-import { setTimeout as wait } from 'node:timers/promises';
-import { openControl } from '@vanillarelay/daemon';
+// Runs the Qureshi example as separate processes with stand-ins for its back ends, sends sample
+// traffic and prints what happened. `--once` ends after that, `--keep` keeps the logs.
+import createCaller from './create-caller.mjs';
 import createLauncher from './create-launcher.mjs';
+import loadExample from './load-example.mjs';
+import printResults from './print-results.mjs';
+import startFleet from './start-fleet.mjs';
+import runExplain from './steps/run-explain.mjs';
+import runNotice from './steps/run-notice.mjs';
+import runPermitLookup from './steps/run-permit-lookup.mjs';
+import runResumedStream from './steps/run-resumed-stream.mjs';
+import runReturningChats from './steps/run-returning-chats.mjs';
+import runTakeOut from './steps/run-take-out.mjs';
+import runWalkthrough from './steps/run-walkthrough.mjs';
 
-const peerKey = 'local-peer-key-0001';
-const operatorKey = 'local-operator-key-0001';
-const accountKey = 'local-account-key-0001';
-const control = [{ id: 'control-1', address: '127.0.0.1:7101' }];
-const launcher = createLauncher();
-const common = { peerKeys: [peerKey], operatorKeys: [operatorKey], logLevel: 'info' };
+const controlNodes = 1;
+const callerKey = 'example-key-of-lahore-water';
+const controlBytesLimit = 2_048;
+
+const steps = [
+  { name: 'chats return', run: runReturningChats },
+  { name: 'a permit is looked up', run: runPermitLookup },
+  { name: 'a notice sent twice runs once', run: runNotice },
+  { name: 'a photo walkthrough arrives', run: runWalkthrough },
+  { name: 'a cut stream resumes elsewhere', run: runResumedStream },
+  { name: 'a data centre is taken out under traffic', run: runTakeOut },
+  { name: 'a request is explained over processes', run: runExplain },
+];
+
+const runStep = async ({ name, run }, context) => {
+  try {
+    return (await run(context)).map((result) => ({ name, ...result }));
+  } catch (error) {
+    return [{ name, held: false, detail: error.message }];
+  }
+};
 
-launcher.startDaemon({
-  role: 'control',
-  id: 'control-1',
-  vm: 'vm-1',
-  dataCentre: 'lahore',
-  address: control[0].address,
-  dataFolder: join(launcher.folder, 'control-1'),
-  group: control,
-  ...common,
-});
-for (const [index, dataCentre] of ['lahore', 'faisalabad', 'multan'].entries()) {
-  launcher.start(`engine-${index}`, ['fake-engine', `127.0.0.1:${7400 + index}`]);
-  launcher.startDaemon({
-    role: 'agent',
-    id: `reports-${index}`,
-    vm: `vm-engine-${index}`,
-    dataCentre,
-    address: `127.0.0.1:${7300 + index}`,
-    control,
-    service: 'reports',
-    endpointAddress: `127.0.0.1:${7400 + index}`,
-    slots: 16,
-    ...common,
+const runSteps = async (context) => {
+  const { fleet } = context;
+  const results = [];
+  const bytesBefore = fleet.readControlBytes();
+  const startedAt = performance.now();
+  for (const step of steps) results.push(...(await runStep(step, context)));
+  const seconds = (performance.now() - startedAt) / 1_000;
+  const rate = (fleet.readControlBytes() - bytesBefore) / seconds / fleet.daemons;
+  results.push({
+    name: 'control traffic is small',
+    held: rate <= controlBytesLimit,
+    detail: `${Math.round(rate)} bytes/s a daemon, both ways, ${fleet.daemons} daemons over ${seconds.toFixed(1)} s`,
   });
-}
-for (const index of [0, 1]) {
-  launcher.startDaemon({
-    role: 'entry',
-    id: `entry-${index}`,
-    vm: `vm-entry-${index}`,
-    dataCentre: 'lahore',
-    address: `127.0.0.1:${7200 + index}`,
-    control,
-    ...common,
+  return results;
+};
+
+const waitForSignal = () =>
+  new Promise((resolve) => {
+    process.once('SIGINT', resolve);
+    process.once('SIGTERM', resolve);
   });
-}
 
-const config = {
-  dataCentres: {
-    lahore: { region: 'punjab' },
-    faisalabad: { region: 'punjab' },
-    multan: { region: 'punjab' },
-  },
-  services: {
-    reports: {
-      type: 'model',
-      loadMultiple: 2,
-      coldLimit: 2,
-      firstByteMs: 500,
-      kinds: {
-        chat: {
-          methods: ['POST'],
-          pathPrefix: '/v1/chat/completions',
-          idempotent: true,
-          mustArrive: false,
-          priority: 5,
-          deadlineMs: 30_000,
-        },
-      },
-    },
-  },
-  accounts: {
-    inspectors: {
-      keyHashes: [createHash('sha256').update(accountKey).digest('hex')],
-      requestsPerSecond: 100,
-      services: ['reports'],
-    },
-  },
-  concurrentLoads: 2,
-};
+const isOnce = process.argv.includes('--once');
+const example = loadExample('qureshi');
+const launcher = createLauncher();
+const signalled = waitForSignal();
+let fleet;
 
-const waitForReady = async (url) => {
-  for (let i = 0; i < 100; i += 1) {
-    const answer = await fetch(url).catch(() => undefined);
-    if (answer?.ok) return;
-    await wait(100);
+const runSample = async () => {
+  console.log(`starting the fleet, logs in ${launcher.folder}`);
+  fleet = await startFleet(launcher, example, controlNodes);
+  console.log(`${launcher.children.size} processes are up, sending sample traffic`);
+  const caller = createCaller(example.entries, callerKey);
+  const results = await runSteps({ caller, example, fleet });
+  printResults(results);
+  const lost = launcher.listLost();
+  if (lost.length > 0) console.log(`processes that ended by themselves: ${lost.join(', ')}`);
+  if (!isOnce) {
+    console.log(`entries: ${example.entries.map(({ address }) => address).join(', ')}`);
+    console.log(`account key: ${callerKey}`);
+    console.log(`node packages/cli/bin/vanillarelay.js status --fleet ${example.operatorPath}`);
+    console.log('Ctrl-C ends the fleet');
+    await signalled;
   }
-  throw new Error(`${url} did not get ready`);
+  return lost.length === 0 && results.every(({ held }) => held);
 };
 
+let isHeld = false;
 try {
-  await wait(1_000);
-  const client = openControl(control[0].address, peerKey);
-  const applied = await client.propose(
-    { type: 'applyConfig', changeId: 'first', operator: 'local', expectedVersion: 0, config },
-    AbortSignal.timeout(5_000),
-  );
-  console.log('config applied:', JSON.stringify(applied));
-  await waitForReady('http://127.0.0.1:7200/health/ready');
-  await waitForReady('http://127.0.0.1:7201/health/ready');
-  await wait(1_000);
-  const messages = [
-    { role: 'user', content: 'How thick is the asphalt base layer here?'.repeat(20) },
-  ];
-  for (const port of [7200, 7201, 7200]) {
-    const answer = await fetch(`http://127.0.0.1:${port}/v1/chat/completions`, {
-      method: 'POST',
-      headers: { authorization: `Bearer ${accountKey}`, 'content-type': 'application/json' },
-      body: JSON.stringify({ model: 'reports', chat_id: 'chat-1', stream: true, messages }),
-    });
-    const text = await answer.text();
-    const usage = /"usage":(\{.*?\}\})/.exec(text)?.[1];
-    console.log(port, answer.status, answer.headers.get('x-endpoint'), usage ?? text);
-  }
-  client.close();
-} finally {
-  await launcher.stop(process.argv.includes('--keep'));
+  isHeld = await Promise.race([runSample(), signalled.then(() => false)]);
+} catch (error) {
+  console.error(`local fleet failed: ${error.message}`);
 }
+fleet?.close();
+await launcher.stop(process.argv.includes('--keep'));
+// A start that failed half way leaves open sockets, which would keep this process alive.
+process.exit(isHeld ? 0 : 1);
--- /dev/null
+++ b/scripts/local-fleet/steps/run-notice.mjs
@@ -0,0 +1,27 @@
+const countNotices = async ({ endpointAddress }) => {
+  const answer = await fetch(`http://${endpointAddress}/switch/executions`, { method: 'POST' });
+  return Object.entries(await answer.json())
+    .filter(([identity]) => identity.includes('/notices'))
+    .reduce((sum, [, count]) => sum + count, 0);
+};
+
+/** Sends a notice twice under one key, through two entries at once. */
+export default async function runNotice({ caller, example }) {
+  const notice = { authority: 'lahore-roads', trench: 'LHR-2031', text: 'Reinstatement on Monday' };
+  const send = (entry) =>
+    caller.sendJson('/services/permits/notices', notice, {
+      entry,
+      headers: { 'idempotency-key': 'notice-LHR-2031' },
+    });
+  const answers = await Promise.all([send(0), send(1)]);
+  const services = example.agents.filter(({ service }) => service === 'permits');
+  const counts = await Promise.all(services.map(countNotices));
+  const executions = counts.reduce((sum, count) => sum + count, 0);
+  const [first, second] = answers.map(({ text }) => text);
+  return [
+    {
+      held: executions === 1 && first === second,
+      detail: `${executions} execution(s), answers ${first === second ? 'equal' : 'different'}`,
+    },
+  ];
+}
--- /dev/null
+++ b/scripts/local-fleet/steps/run-permit-lookup.mjs
@@ -0,0 +1,11 @@
+/** Looks a permit up at the plain service. */
+export default async function runPermitLookup({ caller }) {
+  const answer = await caller.send('/services/permits/permits/LHR-2031');
+  const text = await answer.text();
+  return [
+    {
+      held: answer.status === 200 && text.includes('GET /permits/LHR-2031'),
+      detail: `status ${answer.status} from ${answer.headers.get('x-endpoint')}`,
+    },
+  ];
+}
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -1,11 +1,17 @@
 // Installs, builds, runs a local fleet of separate processes and sends sample traffic.
-import { spawnSync } from 'node:child_process';
+import { spawn } from 'node:child_process';
 
-const run = (command, args) => {
-  const { status } = spawnSync(command, args, { stdio: 'inherit' });
+// Ctrl-C goes to the sample as well, which ends its processes; this one waits for it.
+process.on('SIGINT', () => {});
+
+const run = async (command, args) => {
+  const child = spawn(command, args, { stdio: 'inherit' });
+  const status = await new Promise((resolve) => {
+    child.once('exit', resolve);
+  });
   if (status !== 0) process.exit(status ?? 1);
 };
 
-run('npm', ['ci', '--no-audit', '--no-fund', '--silent']);
-run('node_modules/.bin/tsc', ['-b', 'packages']);
-run(process.execPath, ['scripts/local-fleet/sample.mjs', ...process.argv.slice(2)]);
+await run('npm', ['ci', '--no-audit', '--no-fund', '--silent']);
+await run('node_modules/.bin/tsc', ['-b', 'packages']);
+await run(process.execPath, ['scripts/local-fleet/sample.mjs', ...process.argv.slice(2)]);
