--- a/packages/config/src/process-settings.ts
+++ b/packages/config/src/process-settings.ts
@@ -13,5 +13,14 @@
   /** Keys accepted from peers; the first one is presented. */
   peerKeys: keyList,
   operatorKeys: keyList,
+  /** PEM files; when set, all servers and clients of the process use TLS. */
+  tls: z
+    .strictObject({
+      certificateFile: z.string().min(1),
+      keyFile: z.string().min(1),
+      /** Certificates that peers' certificates are checked against. */
+      caFile: z.string().min(1),
+    })
+    .optional(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
 };
--- a/packages/daemon/src/agent/create-agent-server.ts
+++ b/packages/daemon/src/agent/create-agent-server.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import {
   toRefusal,
   type AgentPeer,
@@ -6,9 +6,11 @@
   type TimelineEvent,
 } from '@vanillarelay/core';
 import { createCloseSignal } from '../http/create-close-signal.js';
+import { createHttpServer } from '../http/create-http-server.js';
 import { readBody } from '../http/read-body.js';
 import { writeBody } from '../http/write-body.js';
 import { hasKey } from '../trust/has-key.js';
+import type { TlsFiles } from '../trust/tls-files.js';
 import { DispatchHead } from './dispatch-head.js';
 import { dispatchHeaders } from './dispatch-headers.js';
 import { encodeHead } from './encode-head.js';
@@ -19,7 +21,9 @@
   handlers: AgentPeer;
   peerKeys: readonly string[];
   /** Keys with which operators may read the time line. */
-  operatorKeys: readonly string[];
+  operatorKeys?: readonly string[];
+  /** Plain HTTP when absent. */
+  tls?: TlsFiles | undefined;
   listTimeline: () => TimelineEvent[];
   /** Called when a request presents no valid key. */
   reportStranger: (path: string) => void;
@@ -34,7 +38,7 @@
 
 /** Makes the HTTP server of an agent. */
 export function createAgentServer(options: AgentServerOptions): Server {
-  const { handlers, peerKeys, operatorKeys, listTimeline, reportStranger } = options;
+  const { handlers, peerKeys, operatorKeys = [], listTimeline, reportStranger } = options;
 
   const writeReply = async (response: ServerResponse, reply: DispatchReply): Promise<void> => {
     if (reply.type === 'refusal') {
@@ -101,7 +105,7 @@
     }
   };
 
-  return createServer({ maxHeaderSize }, (request, response) => {
+  return createHttpServer({ maxHeaderSize, tls: options.tls }, (request, response) => {
     handle(request, response).catch(() => response.destroy());
   });
 }
--- a/packages/daemon/src/agent/run-agent.ts
+++ b/packages/daemon/src/agent/run-agent.ts
@@ -2,31 +2,31 @@
 import type { AgentSettings } from '@vanillarelay/config';
 import {
   toId,
-  type AgentPeer,
   type DaemonId,
   type DataCentreId,
   type EndpointId,
   type ServiceId,
   type VmId,
 } from '@vanillarelay/core';
-import { createLink, type Link } from '@vanillarelay/link';
+import { createLink, createProposer, type Link } from '@vanillarelay/link';
 import { openControl } from '../control/open-control.js';
 import { serveOn } from '../http/serve-on.js';
 import { createProcessContext } from '../platform/create-process-context.js';
 import { waitForSignal } from '../platform/wait-for-signal.js';
 import { closeServer } from '../http/close-server.js';
+import { loadTrust } from '../trust/load-trust.js';
+import { createAgentOpener } from './create-agent-opener.js';
 import { createAgentServer } from './create-agent-server.js';
-import { openAgent } from './open-agent.js';
 import { openEndpoint } from './open-endpoint.js';
 
 /** Runs an agent process until a signal ends it. */
 export async function runAgent(settings: AgentSettings): Promise<void> {
   const context = await createProcessContext(settings);
   const { clock, timeline } = context;
-  const key = settings.peerKeys[0] ?? '';
+  const trust = await loadTrust(settings);
   const controls = settings.control.map(({ id, address }) => ({
     id: toId<DaemonId>(id),
-    client: openControl(address, key),
+    client: openControl(address, trust),
   }));
   const incarnation = Math.floor(clock.now());
   const identity = {
@@ -34,12 +34,7 @@
     dataCentre: toId<DataCentreId>(settings.dataCentre),
   };
   const service = toId<ServiceId>(settings.service);
-  const peers = new Map<string, AgentPeer>();
-  const findPeer = (address: string): AgentPeer => {
-    const peer = peers.get(address) ?? openAgent(address, key);
-    peers.set(address, peer);
-    return peer;
-  };
+  const findPeer = createAgentOpener(trust);
   let link: Link;
   const agent = createAgent({
     ...context,
@@ -50,13 +45,14 @@
     slots: settings.slots,
     incarnation,
     endpoint: openEndpoint(settings.endpointAddress),
-    control: { propose: (command, signal) => controls[0]!.client.propose(command, signal) },
+    control: { propose: createProposer({ ...context, controls }) },
     findLink: () => link,
     openAgent: findPeer,
   });
   link = createLink({
     ...context,
     controls,
+    openPeer: findPeer,
     buildReport: () => ({
       ...identity,
       daemon: toId<DaemonId>(settings.id),
@@ -71,6 +67,7 @@
     handlers: agent.handlers,
     peerKeys: settings.peerKeys,
     operatorKeys: settings.operatorKeys,
+    tls: trust.tls,
     listTimeline: () => timeline.list(),
     reportStranger: (path) => timeline.record('stranger.refused', { path }),
   });
--- a/packages/daemon/src/entry/create-entry-server.ts
+++ b/packages/daemon/src/entry/create-entry-server.ts
@@ -1,18 +1,22 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { HistogramSummary, TimelineEvent } from '@vanillarelay/core';
 import type { CallerReply, createEntry } from '@vanillarelay/entry';
 import { createCloseSignal } from '../http/create-close-signal.js';
+import { createHttpServer } from '../http/create-http-server.js';
 import { readBody } from '../http/read-body.js';
 import { toPlainHeaders } from '../http/to-plain-headers.js';
 import { writeBody } from '../http/write-body.js';
 import { writeEarly } from '../http/write-early.js';
 import { hasKey } from '../trust/has-key.js';
+import type { TlsFiles } from '../trust/tls-files.js';
 import { callerLimits } from './caller-limits.js';
 import { refuseMalformed } from './refuse-malformed.js';
 
 interface EntryServerOptions {
   entry: Pick<ReturnType<typeof createEntry>, 'handle' | 'checkCaller' | 'refuse' | 'isReady'>;
   operatorKeys: readonly string[];
+  /** Plain HTTP when absent. */
+  tls?: TlsFiles | undefined;
   listTimeline: () => TimelineEvent[];
   listHistograms: () => HistogramSummary[];
   limits?: Partial<typeof callerLimits>;
@@ -72,8 +76,9 @@
     }
   };
 
-  const server = createServer(
+  const server = createHttpServer(
     {
+      tls: options.tls,
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headersMs,
       requestTimeout: limits.requestMs,
--- a/packages/entry/src/streams/pass-answer.ts
+++ b/packages/entry/src/streams/pass-answer.ts
@@ -15,6 +15,7 @@
 }
 
 const finalEvent = Buffer.from('data: [DONE]');
+const errorEvent = 'event: error';
 const lineFeed = 10;
 
 /** Passes an answer on chunk by chunk; one that ends early throws after an error event. */
@@ -22,6 +23,7 @@
   const { clock, requestId, headers, body, recordChunk, recordEnd } = options;
   const isEventStream = headers['content-type']?.startsWith('text/event-stream') ?? false;
   let tail: Uint8Array = new Uint8Array();
+  let last: Uint8Array = tail;
   let size = 0;
   let chunkAt: number | undefined;
   try {
@@ -30,6 +32,7 @@
       recordChunk(chunkAt === undefined ? undefined : now - chunkAt);
       chunkAt = now;
       size += chunk.length;
+      last = chunk;
       if (isEventStream) tail = updateTail(tail, chunk);
       yield chunk;
     }
@@ -38,7 +41,8 @@
       throw new RelayError(ResultCode.streamBroken, 'the stream ended before its final event');
     }
   } catch (error) {
-    if (isEventStream) {
+    // The agent may have told the caller already.
+    if (isEventStream && !Buffer.from(last).includes(errorEvent)) {
       if (tail.length > 0 && tail.at(-1) !== lineFeed) yield Buffer.from('\n');
       yield formatErrorEvent(toBreak(error), requestId);
     }
--- a/packages/scenarios/src/fleet/start-agent.ts
+++ b/packages/scenarios/src/fleet/start-agent.ts
@@ -11,7 +11,7 @@
   type ServiceId,
   type VmId,
 } from '@vanillarelay/core';
-import { createLink, type Link } from '@vanillarelay/link';
+import { createLink, createProposer, type Link } from '@vanillarelay/link';
 import type { VirtualProcess } from '../fakes/virtual-process.js';
 import type { FleetContext } from './fleet-context.js';
 import { openControls } from './open-controls.js';
@@ -41,6 +41,7 @@
   const timeline = createTimeline({ hlc, process: toId<DaemonId>(id), vm, dataCentre });
   const controls = openControls(context, process);
   const incarnation = clock.now() + clock.monotonic();
+  const openPeer = (peer: string) => network.open(process, () => context.agents.get(peer));
   let link: Link;
   const agent = createAgent({
     id: toId<EndpointId>(id),
@@ -52,14 +53,14 @@
     incarnation,
     clock,
     random,
-    hash,
     hlc,
     timeline,
-    createId: createIdSource(random),
-    openAgent: (address) => network.open(process, () => context.agents.get(address)),
     endpoint: network.open(process, () => context.endpoints.get(id)),
-    control: { propose: (command, signal) => controls[0]!.client.propose(command, signal) },
+    hash,
+    createId: createIdSource(random),
+    control: { propose: createProposer({ clock, random, controls }) },
     findLink: () => link,
+    openAgent: openPeer,
   });
   link = createLink({
     clock,
@@ -67,6 +68,7 @@
     hlc,
     timeline,
     controls,
+    openPeer,
     buildReport: () => ({
       daemon: toId<DaemonId>(id),
       role: 'agent',
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -1,3 +1,7 @@
+export type { ChangeOperation } from './checkers/change-operation.js';
+export { verifyChanges } from './checkers/verify-changes.js';
+export type { ControlGroup } from './control/control-group.js';
+export { createControlGroup } from './control/create-control-group.js';
 export { createFakeDisk } from './fakes/create-fake-disk.js';
 export { createFakeNetwork } from './fakes/create-fake-network.js';
 export { createSeededRandom } from './fakes/create-seeded-random.js';
@@ -5,6 +9,7 @@
 export type { RunningProcess } from './fakes/running-process.js';
 export type { VirtualClock } from './fakes/virtual-clock.js';
 export type { VirtualProcess } from './fakes/virtual-process.js';
+export { wrapProcessDisk } from './fakes/wrap-process-disk.js';
 export { createFleetContext } from './fleet/create-fleet-context.js';
 export type { FleetContext } from './fleet/fleet-context.js';
 export { openControls } from './fleet/open-controls.js';
