--- a/packages/cli/src/commands/wait-until-in-force.ts
+++ b/packages/cli/src/commands/wait-until-in-force.ts
@@ -2,6 +2,8 @@
 import type { CliContext } from '../context/cli-context.js';
 
 const pollMs = 200;
+/** Daemons silent for longer are gone or isolated, and accept no new work. */
+const reportWindowMs = 10_000;
 
 /** Asks the hubs until all daemons run at a state version; returns those behind at the end. */
 export async function waitUntilInForce(
@@ -11,7 +13,8 @@
   limitMs: number,
 ): Promise<{ daemons: number; behind: string[] }> {
   for (let waitedMs = 0; ; waitedMs += pollMs) {
-    const daemons = await client.listDaemons();
+    const all = await client.listDaemons();
+    const daemons = all.filter(({ silentMs }) => silentMs <= reportWindowMs);
     const behind = daemons.filter(({ version }) => version < index).map(({ daemon }) => daemon);
     if (behind.length === 0 || waitedMs >= limitMs) return { daemons: daemons.length, behind };
     await wait(pollMs);
