--- a/packages/agent/__tests__/admission.test.ts
+++ b/packages/agent/__tests__/admission.test.ts
@@ -1,5 +1,5 @@
+import { computeLoadBound } from '@vanillarelay/core';
 import { expect, it } from 'vitest';
-import { computeLoadBound } from '../src/admission/compute-load-bound.js';
 import { createFairQueue } from '../src/admission/create-fair-queue.js';
 import { createHarness } from './create-harness.js';
 
@@ -42,7 +42,7 @@
   const { dispatch, virtual, endpoint, view } = await createHarness({ slots: 8, coldLimit: 8 });
   view.means.orders = 0;
   endpoint.runMs = 1_000;
-  const replies = [dispatch().reply, dispatch().reply, dispatch().reply];
+  const replies = [1, 2, 3].map(() => dispatch({ patienceMs: 200 }).reply);
   await virtual.run(100);
   const before = endpoint.highest;
   view.means.orders = 2;
@@ -178,6 +178,22 @@
   `);
 });
 
+// Guards against work admitted under a state that the entry knows to be outdated.
+it('fetches a newer state before it answers', async () => {
+  const { ask, status, view, endpoint } = await createHarness();
+  status.nextState = { ...view.state, version: 2, dataCentresOut: ['lahore'] as never };
+  const replies = [await ask({ stateVersion: 2 }), await ask({ stateVersion: 3 })];
+  expect([replies, endpoint.runs.length]).toMatchInlineSnapshot(`
+    [
+      [
+        "dataCentreOut notRun=true",
+        "staleState notRun=true",
+      ],
+      0,
+    ]
+  `);
+});
+
 // Guards against requests that are dropped although they must arrive, wait although their caller
 // left, or wait for ever.
 it('lets must-arrive requests wait for their deadline and others a short time', async () => {
--- a/packages/daemon/src/agent/run-agent.ts
+++ b/packages/daemon/src/agent/run-agent.ts
@@ -66,6 +66,7 @@
   const server = createAgentServer({
     handlers: wrapAgentHandlers(agent.handlers, { ...context, findLink: () => link }),
     peerKeys: settings.peerKeys,
+    operatorKeys: settings.operatorKeys,
     tls: trust.tls,
     listTimeline: () => timeline.list(),
     reportStranger: (path) => timeline.record('stranger.refused', { path }),
--- a/packages/daemon/src/control/open-control.ts
+++ b/packages/daemon/src/control/open-control.ts
@@ -2,8 +2,10 @@
 import {
   RelayError,
   ResultCode,
+  type ConfigChange,
   type ControlClient,
   type DaemonState,
+  type Member,
   type Refusal,
   type TimelineEvent,
 } from '@vanillarelay/core';
@@ -18,6 +20,8 @@
   readRollout(): Promise<Rollout>;
   listDaemons(): Promise<DaemonEntry[]>;
   readTimeline(): Promise<TimelineEvent[]>;
+  listHistory(): Promise<ConfigChange[]>;
+  listEndpoints(): Promise<(Member & { running: number })[]>;
 }
 
 type OpenedControl = ControlClient & HubPeer & OperatorQueries & { close(): void };
@@ -109,6 +113,8 @@
     readRollout: () => call(undefined, () => client.readRollout.query()),
     listDaemons: () => call(undefined, () => client.listDaemons.query()),
     readTimeline: () => call(undefined, () => client.readTimeline.query()),
+    listHistory: () => call(undefined, () => client.listHistory.query()),
+    listEndpoints: () => call(undefined, () => client.listEndpoints.query()),
     close: () => {
       void connection.close();
       socket.abort();
