--- a/packages/daemon/__tests__/trust.test.ts
+++ b/packages/daemon/__tests__/trust.test.ts
@@ -1,6 +1,13 @@
 import { readFileSync } from 'node:fs';
 import { createServer, type AddressInfo, type Server } from 'node:net';
-import { createHlc, ResultCode, toId, type AgentPeer, type Report } from '@vanillarelay/core';
+import {
+  createHlc,
+  findCodeName,
+  toId,
+  type ResultCode,
+  type AgentPeer,
+  type Report,
+} from '@vanillarelay/core';
 import {
   createAgentServer,
   createControlRouter,
@@ -85,7 +92,7 @@
     return 'ok';
   } catch (error) {
     const { code, notRun } = error as { code: ResultCode; notRun: boolean };
-    return { code, notRun };
+    return `${findCodeName(code)}, notRun ${String(notRun)}`;
   }
 }
 
@@ -117,25 +124,13 @@
         "stranger logged",
       ],
       "results": {
-        "emptyKey": {
-          "code": 7002,
-          "notRun": true,
-        },
-        "hugeKey": {
-          "code": 7002,
-          "notRun": true,
-        },
+        "emptyKey": "strangerRefused, notRun true",
+        "hugeKey": "strangerRefused, notRun true",
         "newKey": "ok",
         "oldKey": "ok",
-        "operatorExchanges": {
-          "code": 7002,
-          "notRun": true,
-        },
+        "operatorExchanges": "strangerRefused, notRun true",
         "operatorReads": "ok",
-        "wrongKey": {
-          "code": 7002,
-          "notRun": true,
-        },
+        "wrongKey": "strangerRefused, notRun true",
       },
     }
   `);
@@ -156,7 +151,7 @@
     await exchange({ daemon: 'd'.repeat(1_000) }),
     await exchange({ usage }),
     await exchange({ announcement: { id: 'a' } }),
-  ]).toEqual(Array(7).fill({ code: ResultCode.malformedMessage, notRun: true }));
+  ]).toEqual(Array(7).fill('malformedMessage, notRun true'));
   expect([...new Set(events)]).toEqual(['refused exchange']);
 });
 
@@ -190,23 +185,11 @@
   }).toMatchInlineSnapshot(`
     {
       "agent": "ok",
-      "agentOfOtherAuthority": {
-        "code": 7001,
-        "notRun": false,
-      },
-      "agentPlain": {
-        "code": 7001,
-        "notRun": false,
-      },
+      "agentOfOtherAuthority": "connectionFailed, notRun false",
+      "agentPlain": "connectionFailed, notRun false",
       "control": "ok",
-      "controlOfOtherAuthority": {
-        "code": 7001,
-        "notRun": true,
-      },
-      "controlPlain": {
-        "code": 7001,
-        "notRun": true,
-      },
+      "controlOfOtherAuthority": "connectionFailed, notRun true",
+      "controlPlain": "connectionFailed, notRun true",
       "served": [
         "exchange",
       ],
@@ -237,22 +220,10 @@
       "afterwards": [
         "exchange",
       ],
-      "closedPropose": {
-        "code": 7001,
-        "notRun": true,
-      },
-      "closedQuorum": {
-        "code": 7001,
-        "notRun": true,
-      },
-      "silentPropose": {
-        "code": 7001,
-        "notRun": true,
-      },
-      "silentQuorum": {
-        "code": 7001,
-        "notRun": false,
-      },
+      "closedPropose": "connectionFailed, notRun true",
+      "closedQuorum": "connectionFailed, notRun true",
+      "silentPropose": "connectionFailed, notRun true",
+      "silentQuorum": "connectionFailed, notRun false",
     }
   `);
 });
@@ -263,8 +234,5 @@
   expect([
     await settle(() => loadTrust({ peerKeys: [] })),
     await settle(() => loadTrust({ peerKeys: [newKey], tls: files })),
-  ]).toEqual([
-    { code: ResultCode.invalidSettings, notRun: false },
-    { code: ResultCode.unreadableFile, notRun: false },
-  ]);
+  ]).toEqual(['invalidSettings, notRun false', 'unreadableFile, notRun false']);
 });
--- a/packages/link/__tests__/proposer.test.ts
+++ b/packages/link/__tests__/proposer.test.ts
@@ -50,7 +50,9 @@
       notRun: error.notRun,
     })),
   );
-  return { result, calls: [...new Set(calls)], repeated: calls.length > answers.length };
+  const nodes = [...new Set(calls)].join(' ');
+  const isRepeated = calls.length > answers.length;
+  return `nodes ${nodes}${isRepeated ? ' and again' : ''}: ${JSON.stringify(result)}`;
 }
 
 // Guards against a proposal that ends at a follower, a dead node or a node that does not answer.
@@ -61,28 +63,8 @@
     await runProposal([failed, wait, accept], claim),
   ]).toMatchInlineSnapshot(`
     [
-      {
-        "calls": [
-          1,
-          0,
-        ],
-        "repeated": false,
-        "result": {
-          "index": 7,
-          "ok": true,
-        },
-      },
-      {
-        "calls": [
-          1,
-          2,
-        ],
-        "repeated": false,
-        "result": {
-          "index": 7,
-          "ok": true,
-        },
-      },
+      "nodes 1 0: {"ok":true,"index":7}",
+      "nodes 1 2: {"ok":true,"index":7}",
     ]
   `);
 });
@@ -97,58 +79,16 @@
     await runProposal([refused, refused, refuse(ResultCode.noQuorum, false)], claim),
   ]).toMatchInlineSnapshot(`
     [
-      {
-        "calls": [
-          1,
-          2,
-          0,
-        ],
-        "repeated": true,
-        "result": {
-          "code": 5001,
-          "notRun": true,
-        },
-      },
-      {
-        "calls": [
-          1,
-          2,
-          0,
-        ],
-        "repeated": true,
-        "result": {
-          "code": 5001,
-          "notRun": false,
-        },
-      },
-      {
-        "calls": [
-          1,
-          2,
-          0,
-        ],
-        "repeated": true,
-        "result": {
-          "code": 5001,
-          "notRun": false,
-        },
-      },
+      "nodes 1 2 0 and again: {"code":5001,"notRun":true}",
+      "nodes 1 2 0 and again: {"code":5001,"notRun":false}",
+      "nodes 1 2 0 and again: {"code":5001,"notRun":false}",
     ]
   `);
 });
 
 // Guards against one crash that is counted twice and convicts an innocent request.
 it('does not repeat a command without identity that may have been accepted', async () => {
-  expect(await runProposal([wait, wait, wait], crash)).toMatchInlineSnapshot(`
-    {
-      "calls": [
-        1,
-      ],
-      "repeated": false,
-      "result": {
-        "code": 5001,
-        "notRun": false,
-      },
-    }
-  `);
+  expect(await runProposal([wait, wait, wait], crash)).toMatchInlineSnapshot(
+    `"nodes 1: {"code":5001,"notRun":false}"`,
+  );
 });
--- a/packages/link/src/create-link.ts
+++ b/packages/link/src/create-link.ts
@@ -97,6 +97,7 @@
 
   const replaceHub = (next: ControlNode | undefined): void => {
     if (next === hub) return;
+    timeline.record('hub.changed', { from: hub?.id ?? '', to: next?.id ?? '' });
     hub = next;
     cursor = '';
     interrupt.abort();
