fix(link): begin the survey above the age that a follower's quorum reaches

Cause: a follower of the real log knows a quorum 250 to 500 ms late; with a period of 1 s evidence grew to 1.5 s in good order, and each daemon would have asked all control nodes at 1.4 s. Ruled out: a shorter period at the target size (control traffic). Change: the survey begins at 1.6 s; the test fleet's stores are as late as a follower.

--- a/packages/link/__tests__/create-test-fleet.ts
+++ b/packages/link/__tests__/create-test-fleet.ts
@@ -25,6 +25,9 @@
 const dataCentres = ['lahore', 'faisalabad', 'multan'].map((id) => toId<DataCentreId>(id));
 const service = toId<ServiceId>('reports');
 
+/** A follower knows of a quorum when its leader tells, which has heard it up to as long before. */
+const heartbeatMs = 250;
+
 /** A log that all nodes share; `setQuorum` says which nodes are in touch with it. */
 function createSharedStores() {
   const log = createMemoryStore();
@@ -42,14 +45,14 @@
     const run = async () => {
       while (true) {
         update();
-        await clock.wait(100);
+        await clock.wait(heartbeatMs);
       }
     };
     void run();
     return {
       propose: log.propose,
       readState: () => state,
-      readQuorumAgeMs: () => clock.monotonic() - aliveAt,
+      readQuorumAgeMs: () => clock.monotonic() - aliveAt + heartbeatMs,
       observe: (listener) => {
         listeners.add(listener);
         return () => listeners.delete(listener);
--- a/packages/link/src/create-link.ts
+++ b/packages/link/src/create-link.ts
@@ -36,8 +36,11 @@
 const retryDelayMs = 200;
 /** Lets an overloaded hub recover; short enough that a daemon tries again within the lease of 3 s. */
 const maxRetryDelayMs = 1_000;
-/** Above the age that frames of a hub with a period of 1 s and heartbeats of 250 ms reach. */
-const surveyAfterMs = 1_400;
+/**
+ * Above the age that evidence reaches in good order: a period of 1 s, and 500 ms at a follower whose
+ * leader hears a quorum and tells it each 250 ms.
+ */
+const surveyAfterMs = 1_600;
 const surveyIntervalMs = 150;
 
 /** Makes the daemon's side of the exchange with control: one task polls a hub, one looks for others. */
