test(scenarios): show nine promises in a small test language, each failing without its mechanism

Cause: the invariants need proofs under failure that are seen failing first. Ruled out: a switch in the product for each mechanism (it could be left off); a parser. Change: one verb a line; twelve scenarios over promises 2 to 9 with kills, freezes, cuts, lost disks and races; checks of histories (at most once, truth of 'not run', same and whole answers, no new work, in force, never back). The fake network now delivers an abort to a frozen process only after it wakes, as TCP does.

--- /dev/null
+++ b/packages/scenarios/src/checks/check-same-answers.ts
@@ -0,0 +1,14 @@
+import type { Expectation } from './expectation.js';
+
+/** All answers to resends of one notice are the same. */
+export const checkSameAnswers: Expectation = ({ calls }) => {
+  const answers = new Map<string, Set<string>>();
+  calls
+    .filter(({ type, status, isBroken }) => type === 'notice' && status === 200 && !isBroken)
+    .forEach(({ name, text = '' }) => {
+      answers.set(name, (answers.get(name) ?? new Set()).add(text));
+    });
+  return [...answers].flatMap(([name, texts]) =>
+    texts.size > 1 ? [`${name} got ${texts.size} different answers`] : [],
+  );
+};
--- /dev/null
+++ b/packages/scenarios/src/checks/check-served.ts
@@ -0,0 +1,10 @@
+import type { Expectation } from './expectation.js';
+
+/** `served TYPE`: no request of the type was refused or broken off, not even once. */
+export const checkServed: Expectation = ({ calls }, [type]) =>
+  calls
+    .filter((call) => call.type === type && (call.status !== 200 || call.isBroken))
+    .map(
+      ({ name, status, code, sentAt }) =>
+        `${name}, sent at ${Math.round(sentAt)}, got ${status} ${code ?? 'and broke off'}`,
+    );
--- a/packages/scenarios/src/fakes/create-fake-network.ts
+++ b/packages/scenarios/src/fakes/create-fake-network.ts
@@ -68,7 +68,14 @@
   const createServerSignal = (from: VirtualProcess, to: VirtualProcess, signal?: AbortSignal) => {
     const controller = new AbortController();
     const abort = () => {
-      void wait(from.id, to.id).then(() => !isCut(from.id, to.id) && controller.abort());
+      const passAbort = async () => {
+        await wait(from.id, to.id);
+        // A frozen process learns of a closed connection only after it has read what came before.
+        await to.waitUntilRunning();
+        await wait(from.id, to.id);
+        if (!isCut(from.id, to.id)) controller.abort();
+      };
+      void passAbort();
     };
     signal?.addEventListener('abort', abort, { once: true });
     const clearKill = from.observeKill(abort);
--- a/packages/scenarios/src/fleet/fleet-context.ts
+++ b/packages/scenarios/src/fleet/fleet-context.ts
@@ -1,6 +1,9 @@
 import type { createAgent } from '@vanillarelay/agent';
 import type { ControlClient, EndpointClient, Hash, Random } from '@vanillarelay/core';
 import type { createEntry } from '@vanillarelay/entry';
+import type { Link } from '@vanillarelay/link';
+import type { ControlHandlers } from './control-handlers.js';
+import type { Mechanism } from './mechanism.js';
 import type { createFakeNetwork } from '../fakes/create-fake-network.js';
 import type { RunningProcess } from '../fakes/running-process.js';
 import type { VirtualClock } from '../fakes/virtual-clock.js';
@@ -11,6 +14,14 @@
   network: ReturnType<typeof createFakeNetwork>;
   random: Random;
   hash: Hash;
+  /** Mechanisms that this fleet runs without. */
+  without: ReadonlySet<Mechanism>;
+  /** Control nodes with a replicated store, by id. */
+  nodes: Map<string, RunningProcess<ControlHandlers>>;
+  /** Links of all daemons, by id. */
+  links: Map<string, Link>;
+  /** Graceful shutdown of each daemon, by id. */
+  stops: Map<string, () => Promise<void>>;
   controls: Map<string, RunningProcess<ControlClient>>;
   agents: Map<string, RunningProcess<ReturnType<typeof createAgent>['handlers']>>;
   endpoints: Map<string, RunningProcess<EndpointClient>>;
--- a/packages/scenarios/src/fleet/start-agent.ts
+++ b/packages/scenarios/src/fleet/start-agent.ts
@@ -14,6 +14,9 @@
 import { createLink, createProposer, wrapAgentHandlers, type Link } from '@vanillarelay/link';
 import type { VirtualProcess } from '../fakes/virtual-process.js';
 import type { FleetContext } from './fleet-context.js';
+import { startEndpoint } from './start-endpoint.js';
+import { wrapLink } from './wrap-link.js';
+import { wrapPropose } from './wrap-propose.js';
 import { openControls } from './open-controls.js';
 
 interface StartAgentOptions {
@@ -21,19 +24,15 @@
   service: ServiceId;
   dataCentre: DataCentreId;
   slots: number;
-  /** Makes the endpoint beside the agent. */
-  createEndpoint: (process: VirtualProcess) => EndpointClient;
+  /** Makes the endpoint beside the agent; absent when it still runs from before. */
+  createEndpoint?: (process: VirtualProcess) => EndpointClient;
 }
 
 /** Starts an agent and its endpoint in the in-process fleet. */
 export function startAgent(context: FleetContext, options: StartAgentOptions): void {
   const { virtual, network, random, hash } = context;
   const { id, service, dataCentre, slots, createEndpoint } = options;
-  const endpointProcess = virtual.createProcess(`endpoint-${id}`);
-  context.endpoints.set(id, {
-    process: endpointProcess,
-    handlers: createEndpoint(endpointProcess),
-  });
+  if (createEndpoint) startEndpoint(context, id, createEndpoint);
   const process = virtual.createProcess(id);
   const { clock } = process;
   const hlc = createHlc(clock);
@@ -58,11 +57,11 @@
     endpoint: network.open(process, () => context.endpoints.get(id)),
     hash,
     createId: createIdSource(random),
-    control: { propose: createProposer({ clock, random, controls }) },
+    control: { propose: wrapPropose(createProposer({ clock, random, controls }), context.without) },
     findLink: () => link,
     openAgent: openPeer,
   });
-  link = createLink({
+  const realLink = createLink({
     clock,
     random,
     hlc,
@@ -80,6 +79,12 @@
       announcement: agent.buildAnnouncement(),
     }),
   });
+  link = wrapLink(realLink, context.without);
+  context.links.set(id, realLink);
+  context.stops.set(id, async () => {
+    if (!context.without.has('drain')) await agent.drain();
+    process.kill();
+  });
   const handlers = wrapAgentHandlers(agent.handlers, { hlc, findLink: () => link });
   context.agents.set(id, { process, handlers });
   link.start();
--- a/packages/scenarios/src/fleet/start-entry.ts
+++ b/packages/scenarios/src/fleet/start-entry.ts
@@ -1,4 +1,5 @@
 import {
+  type Clock,
   createHistograms,
   createHlc,
   createIdSource,
@@ -11,6 +12,8 @@
 import { createEntry } from '@vanillarelay/entry';
 import { createLink, createProposer, wrapAgentClient } from '@vanillarelay/link';
 import type { FleetContext } from './fleet-context.js';
+import { wrapLink } from './wrap-link.js';
+import { wrapPropose } from './wrap-propose.js';
 import { openControls } from './open-controls.js';
 
 /** Starts an entry of the in-process fleet. */
@@ -30,7 +33,7 @@
   const controls = openControls(context, process);
   const openAgent = (address: string) => network.open(process, () => context.agents.get(address));
   let entry: ReturnType<typeof createEntry>;
-  const link = createLink({
+  const realLink = createLink({
     clock,
     random,
     hlc,
@@ -47,6 +50,7 @@
       usage: entry.takeUsage(),
     }),
   });
+  const link = wrapLink(realLink, context.without);
   entry = createEntry({
     clock,
     hash,
@@ -57,9 +61,25 @@
     ...(place ? { place } : {}),
     random,
     histograms: createHistograms(),
-    propose: createProposer({ clock, random, controls }),
+    propose: wrapPropose(createProposer({ clock, random, controls }), context.without),
     openAgent: (address) => wrapAgentClient(openAgent(address), () => link),
   });
+  context.links.set(id, realLink);
+  context.stops.set(id, async () => {
+    entry.stop();
+    if (!context.without.has('drain')) await waitForIdle(entry, clock);
+    process.kill();
+  });
   context.entries.set(id, { process, handlers: entry });
   link.start();
 }
+
+const idleCheckMs = 50;
+
+/** A stopping entry keeps its connections until its last request has ended. */
+async function waitForIdle(
+  entry: Pick<ReturnType<typeof createEntry>, 'countRunning'>,
+  clock: Clock,
+): Promise<void> {
+  while (entry.countRunning() > 0) await clock.wait(idleCheckMs);
+}
--- /dev/null
+++ b/packages/scenarios/src/language/find-process.ts
@@ -0,0 +1,14 @@
+import type { VirtualProcess } from '../fakes/virtual-process.js';
+import type { World } from './world.js';
+
+const endpointPrefix = 'endpoint-';
+
+/** The running process of a name; `endpoint-` before an agent's name means its endpoint. */
+export function findProcess({ context }: World, id: string): VirtualProcess {
+  const { nodes, entries, agents, endpoints } = context;
+  const found = id.startsWith(endpointPrefix)
+    ? endpoints.get(id.slice(endpointPrefix.length))
+    : (nodes.get(id) ?? entries.get(id) ?? agents.get(id));
+  if (!found) throw new Error(`no process '${id}' in this scenario`);
+  return found.process;
+}
