--- a/packages/control/__tests__/group.test.ts
+++ b/packages/control/__tests__/group.test.ts
@@ -25,7 +25,7 @@
 
 const expectEqualNodes = async (group: ControlGroup, ids: string[]) => {
   await group.virtual.run(5_000);
-  const states = ids.map((id) => encodeState(group.readStore(id).readState()).join('\n'));
+  const states = ids.map((id) => [...encodeState(group.readStore(id).readState())].join('\n'));
   states.forEach((state, position) => {
     expect(state, `${ids[position]} (seed ${group.seed})`).toBe(states[0]);
   });
--- a/packages/control/__tests__/log-store.test.ts
+++ b/packages/control/__tests__/log-store.test.ts
@@ -36,9 +36,9 @@
   accepted.term = 2;
   accepted.entries.length = 5;
   await acceptEntry(5, 2);
-  await store.compact({ index: 4, term: 1, at: 4, group, parts: ['state 4'] });
+  await store.compact({ index: 4, term: 1, at: 4, group }, ['state 4']);
   await Promise.all([acceptEntry(6, 2), acceptEntry(7, 2)]);
-  await store.install({ index: 20, term: 2, at: 20, group, parts: ['state 20'] });
+  await store.install({ index: 20, term: 2, at: 20, group }, ['state 20']);
   accepted.entries = [];
   await acceptEntry(21, 2);
 };
@@ -125,7 +125,7 @@
     const store = await openStore(fake);
     await store.saveHardState({ term: 3, vote: 'a', incarnations: {} });
     for (let index = 1; index <= 4; index += 1) await store.append(buildEntry(index));
-    await store.compact({ index: 2, term: 1, at: 2, group, parts: ['state'] });
+    await store.compact({ index: 2, term: 1, at: 2, group }, ['state']);
     return { fake, diskId: store.identity.diskId };
   };
   const { fake: whole } = await write();
@@ -186,23 +186,12 @@
     last += 40;
     if (restart % 3 === 1) {
       const index = last - 5;
-      await store.compact({ index, term: 1, at: index, group, parts: [`state ${index}`] });
+      await store.compact({ index, term: 1, at: index, group }, [`state ${index}`]);
     }
     fake.crash();
   }
   const store = await openStore(fake);
   expect(store.memory.readLast().index).toBe(480);
-  expect(store.readSnapshot()).toMatchInlineSnapshot(`
-    {
-      "at": 435,
-      "group": {
-        "members": [],
-      },
-      "index": 435,
-      "parts": [
-        "state 435",
-      ],
-      "term": 1,
-    }
-  `);
+  expect(store.readSnapshot()).toEqual({ index: 435, term: 1, at: 435, group });
+  expect(store.takeParts()).toEqual(['state 435']);
 });
--- a/packages/control/__tests__/schedules.test.ts
+++ b/packages/control/__tests__/schedules.test.ts
@@ -127,7 +127,7 @@
   isOver = true;
   await group.virtual.runUntil(Promise.all(operators), 60_000);
   await group.virtual.run(5_000);
-  const states = ids.map((id) => encodeState(group.readStore(id).readState()).join('\n'));
+  const states = ids.map((id) => [...encodeState(group.readStore(id).readState())].join('\n'));
   const { history } = group.readStore(ids[0] ?? '').readState();
   return { operations, history, states, failures: ids.map((id) => group.readFailure(id)) };
 };
--- a/packages/control/__tests__/state.test.ts
+++ b/packages/control/__tests__/state.test.ts
@@ -246,3 +246,24 @@
   wait(5_000);
   expect([take('e4').ok, take('e5').ok, take('e1').ok]).toEqual([true, true, false]);
 });
+
+// Guards against a snapshot that mixes the state of its index with that of later entries.
+it('encodes the state as it was at the call while commands go on', () => {
+  const { apply, change, readState, wait } = createMachine();
+  const claimMany = (from: number) => {
+    for (let count = from; count < from + 600; count += 1) {
+      apply(claim(`n${count}`, 't', { key: `k${count}` }));
+      change('drainEndpoint', { endpoint: 'e', draining: count % 2 === 0 });
+    }
+  };
+  claimMany(0);
+  const whole = [...encodeState(readState())];
+  const parts: string[] = [];
+  for (const part of encodeState(readState())) {
+    parts.push(part);
+    claimMany(parts.length * 600);
+    apply({ ...complete('n1', 'QQ=='), key: 'k1' });
+    wait(24 * hourMs);
+  }
+  expect(parts).toEqual(whole);
+});
--- a/packages/control/src/log/create-log-writer.ts
+++ b/packages/control/src/log/create-log-writer.ts
@@ -46,7 +46,7 @@
     buildFile = undefined;
     if (build) {
       // The whole file is built from memory, which holds the bytes of this batch as well.
-      await writeWhole(disk, FileName.log, build());
+      await writeWhole(disk, FileName.log, [build()]);
       return;
     }
     await disk.append(FileName.log, Buffer.concat(bytes));
--- a/packages/control/src/log/decode-snapshot.ts
+++ b/packages/control/src/log/decode-snapshot.ts
@@ -3,8 +3,13 @@
 import { FrameKind } from './frame-kind.js';
 import type { Snapshot } from './snapshot.js';
 
+interface DecodedSnapshot {
+  head: Snapshot;
+  parts: string[];
+}
+
 /** Decodes a snapshot file; undefined when any part of it is missing or damaged. */
-export function decodeSnapshot(file: Uint8Array): Snapshot | undefined {
+export function decodeSnapshot(file: Uint8Array): DecodedSnapshot | undefined {
   const { frames, wholeBytes, isDamaged } = decodeFrames(file);
   const head = frames[0];
   const end = frames.at(-1);
@@ -12,5 +17,5 @@
   if (head.kind !== FrameKind.snapshotHead || end.kind !== FrameKind.snapshotEnd) return undefined;
   const parts = frames.slice(1, -1).map((frame) => decodeJsonFrame<string>(frame));
   if (decodeJsonFrame<number>(end) !== parts.length) return undefined;
-  return { ...decodeJsonFrame<Omit<Snapshot, 'parts'>>(head), parts };
+  return { head: decodeJsonFrame<Snapshot>(head), parts };
 }
--- a/packages/control/src/log/encode-snapshot.ts
+++ b/packages/control/src/log/encode-snapshot.ts
@@ -2,11 +2,13 @@
 import { FrameKind } from './frame-kind.js';
 import type { Snapshot } from './snapshot.js';
 
-/** Encodes a snapshot file: a head, one frame for each part, an end that counts the parts. */
-export function encodeSnapshot({ parts, ...head }: Snapshot): Uint8Array {
-  return Buffer.concat([
-    encodeJsonFrame(FrameKind.snapshotHead, head),
-    ...parts.map((part) => encodeJsonFrame(FrameKind.snapshotPart, part)),
-    encodeJsonFrame(FrameKind.snapshotEnd, parts.length),
-  ]);
+/** Encodes a snapshot file piece by piece: a head, a frame for each part, an end that counts them. */
+export function* encodeSnapshot(head: Snapshot, parts: Iterable<string>): Generator<Uint8Array> {
+  let count = 0;
+  yield encodeJsonFrame(FrameKind.snapshotHead, head);
+  for (const part of parts) {
+    count += 1;
+    yield encodeJsonFrame(FrameKind.snapshotPart, part);
+  }
+  yield encodeJsonFrame(FrameKind.snapshotEnd, count);
 }
--- a/packages/control/src/log/open-log-store.ts
+++ b/packages/control/src/log/open-log-store.ts
@@ -38,7 +38,7 @@
 
   let hardState = (isUsable && found.hardState) || emptyHardState;
   let snapshot = isUsable ? found.snapshot : undefined;
-  let snapshotFile = snapshot && encodeSnapshot(snapshot);
+  let snapshotBytes = isUsable ? found.snapshotBytes : 0;
   let { logBytes } = found;
   const entries = isUsable ? selectConnected(found.entries, snapshot) : [];
   const base = findBase(entries, snapshot);
@@ -57,16 +57,22 @@
     return writer.push(bytes);
   };
 
-  const writeSnapshot = async (next: Snapshot): Promise<void> => {
-    const file = encodeSnapshot(next);
+  const writeSnapshot = async (next: Snapshot, parts: Iterable<string>): Promise<void> => {
+    let bytes = 0;
+    function* countPieces() {
+      for (const piece of encodeSnapshot(next, parts)) {
+        bytes += piece.length;
+        yield piece;
+      }
+    }
     try {
-      await writeWhole(disk, FileName.snapshot, file);
+      await writeWhole(disk, FileName.snapshot, countPieces());
     } catch (error) {
       reportFailure(error as Error);
       throw error;
     }
     snapshot = next;
-    snapshotFile = file;
+    snapshotBytes = bytes;
     logBytes = 0;
   };
 
@@ -89,19 +95,22 @@
     },
     sync: writer.sync,
     readSnapshot: () => snapshot,
-    readSnapshotFile: () => snapshotFile,
+    readSnapshotFile: () => disk.read(FileName.snapshot),
+    countSnapshotBytes: () => snapshotBytes,
+    /** State of the snapshot that the disk held at the start; can be taken once. */
+    takeParts: () => found.parts.splice(0),
     /** Bytes written to the log since the last snapshot. */
     countLogBytes: () => logBytes,
     /** Puts a snapshot of the applied state in place of the older entries. */
-    compact: async (next: Snapshot): Promise<void> => {
-      await writeSnapshot(next);
+    compact: async (next: Snapshot, parts: Iterable<string>): Promise<void> => {
+      await writeSnapshot(next, parts);
       memory.removeUpTo(findCompactionIndex(memory.list(), next.index));
       await writer.rewrite(buildLogFile);
     },
     /** Replaces log and state by the leader's snapshot. */
-    install: async (next: Snapshot): Promise<void> => {
+    install: async (next: Snapshot, parts: Iterable<string>): Promise<void> => {
       await writer.sync();
-      await writeSnapshot(next);
+      await writeSnapshot(next, parts);
       if (memory.findTerm(next.index) === next.term) memory.removeUpTo(next.index);
       else memory.reset({ index: next.index, term: next.term });
       await writer.rewrite(buildLogFile);
@@ -126,11 +135,11 @@
   last: DiskIdentity | undefined,
   createDiskId: () => string,
 ): Promise<DiskIdentity> {
-  if (!last) await writeWhole(disk, FileName.log, new Uint8Array());
+  if (!last) await writeWhole(disk, FileName.log, []);
   const identity = last
     ? { ...last, incarnation: last.incarnation + 1 }
     : { diskId: createDiskId(), incarnation: 1 };
-  await writeWhole(disk, FileName.identity, encodeJsonFrame(FrameKind.identity, identity));
+  await writeWhole(disk, FileName.identity, [encodeJsonFrame(FrameKind.identity, identity)]);
   return identity;
 }
 
--- a/packages/control/src/log/read-data-folder.ts
+++ b/packages/control/src/log/read-data-folder.ts
@@ -17,13 +17,16 @@
   identity?: DiskIdentity;
   hardState?: HardState;
   snapshot?: Snapshot;
+  /** The state of the snapshot. */
+  parts: string[];
+  snapshotBytes: number;
   entries: LogEntry[];
   /** Length of the log file without a torn last frame. */
   logBytes: number;
   isTorn: boolean;
 }
 
-const nothing = { entries: [], logBytes: 0, isTorn: false };
+const nothing = { parts: [], snapshotBytes: 0, entries: [], logBytes: 0, isTorn: false };
 
 /** Reads and checks what the last run of a node left on the disk. */
 export async function readDataFolder(disk: Disk): Promise<DataFolder> {
@@ -41,8 +44,9 @@
   const log = decodeFrames(logFile);
   if (log.isDamaged) return refuse(`the log is damaged at byte ${log.wholeBytes}`);
   const snapshotFile = await disk.read(FileName.snapshot);
-  const snapshot = snapshotFile && decodeSnapshot(snapshotFile);
-  if (snapshotFile && !snapshot) return refuse('the snapshot is damaged');
+  const decoded = snapshotFile && decodeSnapshot(snapshotFile);
+  if (snapshotFile && !decoded) return refuse('the snapshot is damaged');
+  const snapshot = decoded?.head;
   const entries = readEntries(log.frames.flatMap((frame) => decodeEntry(frame) ?? []));
   const first = entries[0];
   if (first && first.index > (snapshot?.index ?? 0) + 1) {
@@ -54,6 +58,8 @@
     identity,
     ...(hardFrame ? { hardState: decodeJsonFrame<HardState>(hardFrame) } : {}),
     ...(snapshot ? { snapshot } : {}),
+    parts: decoded?.parts ?? [],
+    snapshotBytes: snapshotFile?.length ?? 0,
     entries,
     logBytes: log.wholeBytes,
     isTorn: log.wholeBytes < logFile.length,
--- a/packages/control/src/log/snapshot.ts
+++ b/packages/control/src/log/snapshot.ts
@@ -1,12 +1,10 @@
 import type { Group } from '../raft/group.js';
 
-/** The state after one log entry, in place of all entries up to it. */
+/** Which entry a snapshot stands for; the state itself stays on the disk. */
 export interface Snapshot {
   index: number;
   term: number;
   /** Time stamp of the last entry. */
   at: number;
   group: Group;
-  /** Encoded state in parts. */
-  parts: string[];
 }
--- a/packages/control/src/raft/handle-snapshot.ts
+++ b/packages/control/src/raft/handle-snapshot.ts
@@ -37,15 +37,16 @@
 
 async function installSnapshot(context: RaftContext, file: Uint8Array): Promise<void> {
   const { log, machine, timeline } = context;
-  const snapshot = decodeSnapshot(file);
-  if (!snapshot) throw new Error('the snapshot is damaged');
+  const decoded = decodeSnapshot(file);
+  if (!decoded) throw new Error('the snapshot is damaged');
+  const { head: snapshot, parts } = decoded;
   if (snapshot.index <= context.commitIndex) return;
   if (context.isSnapshotBusy) throw new Error('another snapshot is being written');
   context.isSnapshotBusy = true;
   context.isInstalling = true;
   try {
-    await log.install(snapshot);
-    machine.install(snapshot.parts);
+    await log.install(snapshot, parts);
+    machine.install(parts);
   } finally {
     context.isSnapshotBusy = false;
     context.isInstalling = false;
--- a/packages/control/src/raft/send-snapshot.ts
+++ b/packages/control/src/raft/send-snapshot.ts
@@ -15,8 +15,8 @@
   client: RaftPeer,
 ): Promise<AppendReply> {
   const { log, clock } = context;
-  const file = log.readSnapshotFile();
   const index = log.readSnapshot()?.index;
+  const file = await log.readSnapshotFile();
   if (!file || index === undefined) throw new Error('there is no snapshot to send');
   const { term } = log.readHardState();
   for (let offset = 0; ; offset += partBytes) {
--- a/packages/control/src/raft/write-snapshot.ts
+++ b/packages/control/src/raft/write-snapshot.ts
@@ -8,7 +8,7 @@
  */
 export async function writeSnapshot(context: RaftContext): Promise<void> {
   const { log, machine, appliedIndex, snapshotBytes = defaultSnapshotBytes } = context;
-  const limit = Math.max(snapshotBytes, log.readSnapshotFile()?.length ?? 0);
+  const limit = Math.max(snapshotBytes, log.countSnapshotBytes());
   if (context.isSnapshotBusy || context.role === 'stopped' || log.countLogBytes() <= limit) return;
   const entries = log.memory.list();
   const last = entries[appliedIndex - log.memory.readBase().index - 1];
@@ -18,7 +18,7 @@
   context.isSnapshotBusy = true;
   try {
     const { index, term, at } = last;
-    await log.compact({ index, term, at, group, parts: machine.encode() });
+    await log.compact({ index, term, at, group }, machine.encode());
     context.timeline.record('raft.snapshot', { index });
   } finally {
     context.isSnapshotBusy = false;
--- a/packages/control/src/state/decode-state.ts
+++ b/packages/control/src/state/decode-state.ts
@@ -17,7 +17,8 @@
   | { table: 'tombstones'; items: Pairs<FleetState['tombstones']> };
 
 /** Decodes the state from its parts. */
-export function decodeState([head = '', ...parts]: string[]): FleetState {
+export function decodeState(encoded: Iterable<string>): FleetState {
+  const [head = '', ...parts] = encoded;
   const { daemon, at, incarnations, crashReports, permits } = JSON.parse(head) as Head;
   const state: FleetState = {
     daemon,
--- a/packages/control/src/state/encode-state.ts
+++ b/packages/control/src/state/encode-state.ts
@@ -3,8 +3,11 @@
 /** Items in one part, so that no part is a text of unbounded length. */
 const itemsInPart = 500;
 
-/** Encodes the state in parts of JSON; the first holds all but the long tables. */
-export function encodeState(state: FleetState): string[] {
+/**
+ * Encodes the state in parts of JSON; the first holds all but the long tables. The tables are copied
+ * at the call and their items are never changed in place, so the state may go on meanwhile.
+ */
+export function encodeState(state: FleetState): Iterable<string> {
   const { daemon, at, incarnations, crashReports, permits, ...tables } = state;
   const head = {
     daemon,
@@ -13,25 +16,28 @@
     crashReports: [...crashReports],
     permits: [...permits],
   };
-  return [
-    JSON.stringify(head),
-    ...encodeTable('history', tables.history),
-    ...encodeTable('changes', tables.changes),
-    ...encodeTable('records', tables.records),
-    ...encodeTable('tombstones', tables.tombstones),
-  ];
+  const copies = {
+    history: [...tables.history],
+    changes: new Map(tables.changes),
+    records: new Map(tables.records),
+    tombstones: new Map(tables.tombstones),
+  };
+  return encodeParts(JSON.stringify(head), copies);
+}
+
+function* encodeParts(head: string, tables: Record<string, Iterable<unknown>>): Generator<string> {
+  yield head;
+  for (const [table, items] of Object.entries(tables)) yield* encodeTable(table, items);
 }
 
-function encodeTable(table: string, items: Iterable<unknown>): string[] {
-  const parts: string[] = [];
+function* encodeTable(table: string, items: Iterable<unknown>): Generator<string> {
   let part: unknown[] = [];
   for (const item of items) {
     part.push(item);
     if (part.length === itemsInPart) {
-      parts.push(JSON.stringify({ table, items: part }));
+      yield JSON.stringify({ table, items: part });
       part = [];
     }
   }
-  if (part.length > 0) parts.push(JSON.stringify({ table, items: part }));
-  return parts;
+  if (part.length > 0) yield JSON.stringify({ table, items: part });
 }
--- a/scripts/bench/measure-log.mjs
+++ b/scripts/bench/measure-log.mjs
@@ -119,7 +119,7 @@
   global.gc?.();
   const heap = process.memoryUsage().heapUsed - before;
   const startedAt = performance.now();
-  const bytes = encodeState(state).reduce((sum, part) => sum + part.length, 0);
+  const bytes = [...encodeState(state)].reduce((sum, part) => sum + part.length, 0);
   const encodeMs = performance.now() - startedAt;
   console.log(
     `${name}: ${Math.round(heap / count)} B of heap a record over ${count} records, snapshot`,
