fix(control): pause before sending entries again that a member does not take

Cause: the leader's task sent the same entries again at once when an answer brought no progress; with a peer that answers in no time it never gave up its turn. Ruled out: counting refusals (a member that goes back through its log makes progress each time). Conclusion: the leader is bounded in what it sends to a member that takes nothing.

--- a/packages/control/src/raft/run-peer.ts
+++ b/packages/control/src/raft/run-peer.ts
@@ -16,13 +16,19 @@
   const client = context.openPeer(peer.member.address);
   const { signal } = peer.controller;
   while (!signal.aborted) {
+    const { nextIndex } = peer;
+    const hasEntries = nextIndex <= context.log.memory.readLast().index;
     try {
       await sendRound(context, peer, client);
     } catch {
       if (!signal.aborted) await context.clock.wait(raftTiming.retryDelayMs, signal);
       continue;
     }
-    if (!signal.aborted && !hasWork(context, peer)) await waitForWork(context, peer);
+    if (signal.aborted) return;
+    if (hasEntries && peer.nextIndex === nextIndex) {
+      // The member takes nothing; sending the same again at once would only load it.
+      await context.clock.wait(raftTiming.retryDelayMs, signal);
+    } else if (!hasWork(context, peer)) await waitForWork(context, peer);
   }
 }
 
