fix(control): stamp entries by the majority of clocks

Cause: the leader stamped entries with its own clock; a leader whose clock was 30 days ahead expired all records, and a request could run again. Ruled out: refusing stamps far ahead of a follower's clock (a wrong clock would take a healthy node out of the group, or keep electing the wrong one). Change: every message carries its sender's time; the leader stamps by the median of the voters' clocks (the lower of two), never going back. Conclusion: one wrong clock no longer expires records; two of three still would.

--- a/packages/control/src/raft/append-entry.ts
+++ b/packages/control/src/raft/append-entry.ts
@@ -1,5 +1,6 @@
 import type { CommandResult } from '@vanillarelay/core';
 import type { LogEntry } from '../log/log-entry.js';
+import { computeGroupTime } from './compute-group-time.js';
 import type { Group } from './group.js';
 import type { RaftContext } from './raft-context.js';
 import { updateCommitIndex } from './update-commit-index.js';
@@ -11,10 +12,10 @@
   context: RaftContext,
   { kind, data }: Pick<LogEntry, 'kind' | 'data'>,
 ): Promise<CommandResult> {
-  const { log, clock } = context;
+  const { log } = context;
   const { term } = log.readHardState();
   const index = log.memory.readLast().index + 1;
-  const at = Math.max(Math.floor(clock.now()), context.lastAt);
+  const at = Math.max(Math.floor(computeGroupTime(context) ?? 0), context.lastAt);
   context.lastAt = at;
   const answer = new Promise<CommandResult>((resolve, reject) => {
     context.pending.set(index, { term, resolve, reject });
--- a/packages/control/src/raft/build-sender.ts
+++ b/packages/control/src/raft/build-sender.ts
@@ -8,11 +8,13 @@
   commitIndex,
   durableIndex,
   startIndex,
+  clock,
 }: RaftContext): Sender {
   return {
     id,
     ...log.identity,
     startIndex,
+    at: Math.floor(clock.now()),
     commitIndex: Math.min(commitIndex, durableIndex),
   };
 }
--- /dev/null
+++ b/packages/control/src/raft/compute-group-time.ts
@@ -0,0 +1,18 @@
+import { listVoters } from './list-voters.js';
+import type { RaftContext } from './raft-context.js';
+
+/**
+ * Wall time by the median of the voters' clocks, the lower one of two, so that one wrong clock does
+ * not expire what the log keeps; undefined while fewer than a majority are known. @internal
+ */
+export function computeGroupTime(context: RaftContext): number | undefined {
+  const { clock, clockOffsets, log } = context;
+  const voters = listVoters(context);
+  const offsets = voters
+    .flatMap(({ diskId }) =>
+      diskId === log.identity.diskId ? 0 : (clockOffsets.get(diskId) ?? []),
+    )
+    .sort((a, b) => a - b);
+  if (offsets.length <= voters.length / 2) return undefined;
+  return clock.now() + (offsets[Math.floor((offsets.length - 1) / 2)] ?? 0);
+}
--- a/packages/control/src/raft/create-raft-context.ts
+++ b/packages/control/src/raft/create-raft-context.ts
@@ -26,6 +26,7 @@
         { incarnation, commitIndex: 0 },
       ]),
     ),
+    clockOffsets: new Map(),
     progress: new Map(),
     pending: new Map(),
     durableIndex: last.index,
--- a/packages/control/src/raft/raft-context.ts
+++ b/packages/control/src/raft/raft-context.ts
@@ -29,6 +29,8 @@
   /** Monotonic time for which this follower knows that a quorum was alive. */
   quorumSeenAt: number;
   marks: Map<string, DiskMark>;
+  /** How far the wall clock of each disk's node is ahead of this one, at most. */
+  clockOffsets: Map<string, number>;
   progress: Map<string, PeerProgress>;
   pending: Map<number, PendingProposal>;
   /** Highest index that is durable here. */
--- a/packages/control/src/raft/receive-sender.ts
+++ b/packages/control/src/raft/receive-sender.ts
@@ -9,6 +9,7 @@
     context.timeline.record('raft.olderDisk', { node: sender.id });
     return false;
   }
+  context.clockOffsets.set(sender.diskId, sender.at - context.clock.now());
   const commitIndex = Math.max(mark?.commitIndex ?? 0, sender.commitIndex);
   const { incarnation, startIndex, diskId } = sender;
   context.marks.set(diskId, { incarnation, startIndex, commitIndex });
--- a/packages/control/src/raft/sender.ts
+++ b/packages/control/src/raft/sender.ts
@@ -7,4 +7,6 @@
   startIndex: number;
   /** Highest index that is committed and durable on the sender's own disk. */
   commitIndex: number;
+  /** Wall time of the sender in milliseconds since the epoch. */
+  at: number;
 }
--- a/packages/daemon/src/control/raft-schema.ts
+++ b/packages/daemon/src/control/raft-schema.ts
@@ -11,6 +11,7 @@
   incarnation: count,
   startIndex: count,
   commitIndex: count,
+  at: count,
 });
 
 const mark = z.strictObject({
--- a/packages/scenarios/src/control/create-control-group.ts
+++ b/packages/scenarios/src/control/create-control-group.ts
@@ -12,6 +12,8 @@
   ids?: string[];
   snapshotBytes?: number;
   syncMs?: number;
+  /** How far the wall clocks of nodes are wrong, in milliseconds. */
+  clockErrors?: Record<string, number>;
 }
 
 interface ControlNode {
@@ -28,6 +30,7 @@
   ids = ['control-1', 'control-2', 'control-3'],
   snapshotBytes,
   syncMs = 1,
+  clockErrors = {},
 }: ControlGroupOptions) {
   const random = createSeededRandom(seed);
   const virtual = createVirtualClock();
@@ -41,7 +44,7 @@
     const node = nodes.get(id) ?? {
       id,
       disk: createFakeDisk({ random }),
-      process: virtual.createProcess(id),
+      process: virtual.createProcess(id, clockErrors[id]),
     };
     nodes.set(id, node);
     return node;
@@ -115,7 +118,7 @@
   /** Starts a node, or starts it again after a kill, on what its disk kept. */
   const start = (id: string): void => {
     const node = findNode(id);
-    node.process = virtual.createProcess(id);
+    node.process = virtual.createProcess(id, clockErrors[id]);
     delete node.store;
     delete node.failure;
     void open(node).catch((error: Error) => {
