--- a/packages/daemon/src/agent/create-agent-server.ts
+++ b/packages/daemon/src/agent/create-agent-server.ts
@@ -43,9 +43,15 @@
       return;
     }
     const { body, ...replyHead } = reply;
-    response.writeHead(200, { [dispatchHeaders.reply]: encodeHead(replyHead) });
-    // The caller learns of the answer before its first byte, and of its connection's state.
-    response.flushHeaders();
+    const length = replyHead.headers['content-length'];
+    response.writeHead(200, {
+      [dispatchHeaders.reply]: encodeHead(replyHead),
+      ...(length === undefined ? {} : { 'content-length': length }),
+    });
+    // The caller learns of the answer before its first byte, and of its connection's state. A short
+    // answer is complete by then and goes out in one piece with its head.
+    const flushing = setImmediate(() => response.flushHeaders());
+    response.once('finish', () => clearImmediate(flushing));
     await writeBody(response, body);
   };
 
--- a/packages/daemon/src/entry/create-entry-server.ts
+++ b/packages/daemon/src/entry/create-entry-server.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { HistogramSummary, TimelineEvent } from '@vanillarelay/core';
+import type { AccountId, HistogramSummary, TimelineEvent } from '@vanillarelay/core';
 import type { CallerReply, createEntry } from '@vanillarelay/entry';
 import { createCloseSignal } from '../http/create-close-signal.js';
 import { createHttpServer } from '../http/create-http-server.js';
@@ -42,10 +42,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> => {
+    let account: AccountId;
     let body: Uint8Array;
     try {
       // Before the body is read, so that nobody without a key can send large bodies.
-      entry.checkCaller(request.headers.authorization);
+      account = entry.checkCaller(request.headers.authorization);
       body = await readBody(request, limits.bodyBytes);
     } catch (error) {
       await refuseEarly(request, response, error);
@@ -54,7 +55,7 @@
     const { method = 'GET', url: path = '/' } = request;
     const headers = toPlainHeaders(request.headers);
     const signal = createCloseSignal(response);
-    const reply: CallerReply = await entry.handle({ method, path, headers, body }, signal);
+    const reply: CallerReply = await entry.handle({ method, path, headers, body, account }, signal);
     if (!server.listening) reply.headers.connection = 'close';
     response.writeHead(reply.status, reply.headers);
     await writeBody(response, reply.body);
--- a/packages/daemon/src/http/read-body.ts
+++ b/packages/daemon/src/http/read-body.ts
@@ -28,12 +28,16 @@
       return;
     }
     request.on('data', receive);
-    request.once('end', () =>
-      resolve(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks)),
-    );
-    request.once('close', () =>
-      reject(new RelayError(ResultCode.cancelled, 'body broke off', { notRun: true })),
-    );
+    let isWhole = false;
+    request.once('end', () => {
+      isWhole = true;
+      resolve(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks));
+    });
+    request.once('close', () => {
+      // Every request closes; an error for each would cost its stack trace.
+      if (isWhole) return;
+      reject(new RelayError(ResultCode.cancelled, 'body broke off', { notRun: true }));
+    });
     request.once('error', () => {});
   });
 }
--- a/packages/daemon/src/platform/create-process-context.ts
+++ b/packages/daemon/src/platform/create-process-context.ts
@@ -35,8 +35,9 @@
     vm: toId<VmId>(vm),
     dataCentre: toId<DataCentreId>(dataCentre),
   });
+  // Events of single requests are kept in the ring; a log line for each would cost a write to disk.
   void timeline.events.observe(({ name, requestId, details, at }) =>
-    log.info({ at, requestId, ...details }, name),
+    log[requestId === undefined ? 'info' : 'debug']({ at, requestId, ...details }, name),
   );
   return {
     clock,
--- a/packages/entry/src/caller-request.ts
+++ b/packages/entry/src/caller-request.ts
@@ -1,3 +1,5 @@
+import type { AccountId } from '@vanillarelay/core';
+
 /** A caller's HTTP request, read whole. */
 export interface CallerRequest {
   method: string;
@@ -6,4 +8,6 @@
   /** Names in lower case. */
   headers: Record<string, string>;
   body: Uint8Array;
+  /** Set when the bearer key was checked before the body was read. */
+  account?: AccountId;
 }
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -95,7 +95,7 @@
     signal: AbortSignal,
   ): Promise<CallerReply> => {
     const startedAt = clock.monotonic();
-    const account = checkCaller(request.headers.authorization);
+    const account = request.account ?? checkCaller(request.headers.authorization);
     const { config } = readState();
     if (streams.isStreamRequest(request)) return streams.handle(request, requestId, signal);
     const parsed = parseRequest({ request, requestId, account, config });
