--- a/packages/daemon/src/operator/open-operator.ts
+++ b/packages/daemon/src/operator/open-operator.ts
@@ -1,15 +1,15 @@
 import {
   mergeTimelines,
   RelayError,
-  ResultCode,
-  type CommandResult,
+  toId,
+  withDeadline,
+  type DaemonId,
   type TimelineEvent,
 } from '@vanillarelay/core';
-import { createTRPCClient, createWSClient, wsLink } from '@trpc/client';
-import type { ControlRouter } from '../control/control-router.js';
-import { createControlSocket } from '../control/create-control-socket.js';
+import { createProposer } from '@vanillarelay/link';
 import type { DaemonEntry } from '../control/daemon-entry.js';
-import type { Trust } from '../trust/trust.js';
+import { openControl } from '../control/open-control.js';
+import { createSystemClock } from '../platform/create-system-clock.js';
 import type { OperatorClient } from './operator-client.js';
 import { requestTimeline } from './request-timeline.js';
 
@@ -19,102 +19,105 @@
   control: string[];
 }
 
+type Node = ReturnType<typeof openControl>;
+
 const callTimeoutMs = 3_000;
-const rounds = 3;
+/** Covers an election after the leader was lost. */
+const proposeLimitMs = 8_000;
 
-/** Opens an operator's client of the control nodes; each call tries them in turn. */
+/** Opens an operator's client of the control nodes. */
 export function openOperator({ operatorKey, control }: OperatorOptions): OperatorClient {
-  const nodes = control.map((address) => openNode(address, { key: operatorKey }));
-  type Node = (typeof nodes)[number];
-  type Caller = Node['client'];
+  const clock = createSystemClock();
+  const nodes = control.map((address) => ({
+    address,
+    client: openControl(address, { key: operatorKey }),
+  }));
+  const propose = createProposer({
+    clock,
+    random: Math.random,
+    limitMs: proposeLimitMs,
+    controls: nodes.map(({ address, client }) => ({ id: toId<DaemonId>(address), client })),
+  });
 
   const call = async <T>(
-    { address, client }: Node,
-    run: (client: Caller, signal: AbortSignal) => Promise<T>,
+    { address, client }: (typeof nodes)[number],
+    run: (client: Node) => Promise<T>,
   ): Promise<T> => {
     try {
-      return await run(client, AbortSignal.timeout(callTimeoutMs));
+      return await withDeadline(clock, callTimeoutMs, () => run(client));
     } catch (cause) {
-      throw new RelayError(
-        ResultCode.connectionFailed,
-        `control node ${address} did not answer: ${(cause as Error).message}`,
-        { cause },
-      );
+      if (!(cause instanceof RelayError)) throw cause;
+      const { code, message, notRun } = cause;
+      throw new RelayError(code, `control node ${address}: ${message}`, { notRun, cause });
     }
   };
 
-  /** The first answer of a control node that passes, over all nodes, a few rounds long. */
-  const callAny = async <T>(
-    run: (client: Caller, signal: AbortSignal) => Promise<T>,
-    isFinal: (value: T) => boolean = () => true,
-  ): Promise<T> => {
-    let last: { value: T } | { error: unknown } = { error: undefined };
-    for (let round = 0; round < rounds; round += 1) {
-      for (const node of nodes) {
-        try {
-          last = { value: await call(node, run) };
-          if (isFinal(last.value)) return last.value;
-        } catch (error) {
-          last = { error };
-        }
+  const callAll = <T>(run: (client: Node) => Promise<T>) =>
+    Promise.allSettled(nodes.map((node) => call(node, run)));
+
+  /** The answer of the first control node that gives one. */
+  const callAny = async <T>(run: (client: Node) => Promise<T>): Promise<T> => {
+    let lastError: unknown;
+    for (const node of nodes) {
+      try {
+        return await call(node, run);
+      } catch (error) {
+        lastError = error;
       }
     }
-    if ('value' in last) return last.value;
-    throw last.error;
+    throw lastError;
   };
 
-  const isNoReferral = (result: CommandResult) =>
-    result.ok || (result.code !== ResultCode.notLeader && result.code !== ResultCode.noQuorum);
+  /** The state of the control node that is furthest ahead; a node cut off may be behind. */
+  const readState: OperatorClient['readState'] = async () => {
+    const answers = await callAll((client) => client.readState());
+    const states = answers.flatMap((answer) =>
+      answer.status === 'fulfilled' ? [answer.value] : [],
+    );
+    const newest = states.sort((a, b) => b.version - a.version)[0];
+    return newest ?? callAny((client) => client.readState());
+  };
 
   const listDaemons = async () => {
-    const answers = await Promise.allSettled(
-      nodes.map((node) =>
-        call(node, (client, signal) => client.listDaemons.query(undefined, { signal })),
-      ),
-    );
+    const answers = await callAll((client) => client.listDaemons());
     const newest = new Map<string, DaemonEntry & { version: number }>();
     answers.forEach((answer) => {
       if (answer.status === 'rejected') return;
       answer.value.forEach((entry) => {
-        if ((newest.get(entry.daemon)?.silentMs ?? Infinity) <= entry.silentMs) return;
+        const known = newest.get(entry.daemon)?.silentMs ?? Number.POSITIVE_INFINITY;
+        if (known <= entry.silentMs) return;
         newest.set(entry.daemon, { ...entry, version: entry.stateVersion });
       });
     });
     return [...newest.values()].sort((a, b) => (a.daemon < b.daemon ? -1 : 1));
   };
 
-  const listControls = () =>
-    Promise.all(
-      nodes.map(async (node) => {
-        const { address } = node;
-        try {
-          const state = await call(node, (client, signal) =>
-            client.readState.query(undefined, { signal }),
-          );
-          return { address, version: state.version };
-        } catch (error) {
-          return { address, error: (error as Error).message };
-        }
-      }),
-    );
+  const listControls = async () => {
+    const answers = await callAll((client) => client.readState());
+    return answers.map((answer, index) => {
+      const address = nodes[index]?.address ?? '';
+      return answer.status === 'fulfilled'
+        ? { address, version: answer.value.version }
+        : { address, error: (answer.reason as Error).message };
+    });
+  };
 
   const readTimeline: OperatorClient['readTimeline'] = async (requestId) => {
-    const sources = [
+    const daemons = await listDaemons();
+    const sources: { name: string; read: () => Promise<TimelineEvent[]> }[] = [
       ...nodes.map((node) => ({
         name: node.address,
-        read: () =>
-          call(node, (client, signal) => client.readTimeline.query(undefined, { signal })),
+        read: () => call(node, (client) => client.readTimeline()),
       })),
-      ...(await listDaemons()).map(({ daemon, address }) => ({
+      ...daemons.map(({ daemon, address }) => ({
         name: daemon,
         read: () => requestTimeline(address, operatorKey, callTimeoutMs),
       })),
     ];
     const answers = await Promise.allSettled(sources.map(({ read }) => read()));
-    const timelines = answers.map((answer) =>
-      answer.status === 'fulfilled' ? (answer.value as TimelineEvent[]) : [],
+    const events = mergeTimelines(
+      answers.map((answer) => (answer.status === 'fulfilled' ? answer.value : [])),
     );
-    const events = mergeTimelines(timelines);
     return {
       events: requestId ? events.filter((event) => event.requestId === requestId) : events,
       missing: sources
@@ -124,28 +127,13 @@
   };
 
   return {
-    propose: (command) =>
-      callAny((client, signal) => client.propose.mutate(command, { signal }), isNoReferral),
-    readState: () => callAny((client, signal) => client.readState.query(undefined, { signal })),
-    listHistory: () => callAny((client, signal) => client.listHistory.query(undefined, { signal })),
-    listEndpoints: () =>
-      callAny((client, signal) => client.listEndpoints.query(undefined, { signal })),
+    propose: (command) => propose(command, AbortSignal.timeout(proposeLimitMs)),
+    readState,
+    listHistory: () => callAny((client) => client.listHistory()),
+    listEndpoints: () => callAny((client) => client.listEndpoints()),
     listDaemons,
     listControls,
     readTimeline,
-    close: () => nodes.forEach(({ close }) => close()),
-  };
-}
-
-function openNode(address: string, trust: Trust) {
-  const { Constructor } = createControlSocket(trust, { open: () => {}, fail: () => {} });
-  const socket = createWSClient({
-    url: `${trust.tls ? 'wss' : 'ws'}://${address}`,
-    WebSocket: Constructor as unknown as typeof globalThis.WebSocket,
-  });
-  const client = createTRPCClient<ControlRouter>({ links: [wsLink({ client: socket })] });
-  const close = (): void => {
-    socket.close().catch(() => {});
+    close: () => nodes.forEach(({ client }) => client.close()),
   };
-  return { address, client, close };
 }
