fix(entry): keep away from endpoints that cannot be reached, wait for room with resends

Cause: until the hubs drop a killed agent (3 s) it looks the least loaded, so requests went to it again and again and spent the retry budget on refused connections; a resend of a request that ran was given up with an unknown outcome when its agent had no free slot. Ruled out: a larger retry budget (a refused connection loads nothing and needs none). Change: endpoints that could not be reached are avoided for 1 s; refusals for room are waited for, whatever an earlier attempt did; connecting to an agent takes at most 1 s (10 s before). Conclusion: what was answered stays answered while an agent is gone.

--- a/packages/daemon/src/agent/open-agent.ts
+++ b/packages/daemon/src/agent/open-agent.ts
@@ -13,6 +13,8 @@
 import { encodeHead } from './encode-head.js';
 
 const maxHeaderSize = 64 * 1024;
+/** A lost VM answers nothing; undici's 10 s would hold requests up that could run elsewhere. */
+const connectTimeoutMs = 1_000;
 /** Statuses with which the agent's server refuses a message before it looks at its body. */
 const firstRefusedStatus = 400;
 const firstFailedStatus = 500;
@@ -20,7 +22,7 @@
 /** Opens an HTTP client of an agent. */
 export function openAgent(address: string, { key, tls }: Trust): AgentPeer {
   const pool = new Pool(`${tls ? 'https' : 'http'}://${address}`, {
-    ...(tls ? { connect: { ca: tls.ca } } : {}),
+    connect: { timeout: connectTimeoutMs, ...(tls ? { ca: tls.ca } : {}) },
     connections: 256,
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/packages/entry/__tests__/callers-api.test.ts
+++ b/packages/entry/__tests__/callers-api.test.ts
@@ -99,3 +99,23 @@
   await fixture.ask({ headers: { 'x-deadline-ms': '99999' } });
   expect(fixture.dispatches.map(({ request }) => request.remainingMs)).toEqual([700, 10_000]);
 });
+
+// Guards against a balancer that sends callers to an entry that refuses or is about to leave.
+it('is ready only with a state, contact to control and while it is not stopping', async () => {
+  const { entry, view, link, ask } = await createFixture();
+  const seen = [entry.isReady()];
+  const whole = view.current;
+  view.current = { ...whole, state: undefined };
+  seen.push(entry.isReady());
+  view.current = whole;
+  Object.assign(link, { readContact: () => 'isolated' });
+  seen.push(entry.isReady());
+  const { problem } = await ask();
+  Object.assign(link, { readContact: () => 'leaderless' });
+  seen.push(entry.isReady());
+  entry.stop();
+  seen.push(entry.isReady());
+  expect(seen).toEqual([true, false, false, true, false]);
+  expect([problem?.code, problem?.notRun]).toEqual([3004, true]);
+  expect((await ask()).status).toBe(200);
+});
--- a/packages/entry/src/attempts/create-runner.ts
+++ b/packages/entry/src/attempts/create-runner.ts
@@ -5,11 +5,11 @@
   type AttemptId,
   type Clock,
   type ControlClient,
+  type EndpointId,
   type Hash,
   type Hlc,
   type Id,
   type Random,
-  type Refusal,
   type Timeline,
 } from '@vanillarelay/core';
 import type { Link } from '@vanillarelay/link';
@@ -17,6 +17,7 @@
 import type { Place } from '../placement/place.js';
 import type { ParsedRequest } from '../requests/parsed-request.js';
 import { computeBackoff } from './compute-backoff.js';
+import { createAvoidList } from './create-avoid-list.js';
 import { createDispatcher } from './create-dispatcher.js';
 import { createFlights } from './create-flights.js';
 import { createProgress } from './create-progress.js';
@@ -66,6 +67,7 @@
     readStateVersion,
     receiveVersion: link.receiveVersion,
   });
+  const avoided = createAvoidList({ clock });
   let waiting = 0;
 
   const choosePlacement = (request: ParsedRequest, progress: Progress) => {
@@ -73,16 +75,19 @@
       return undefined;
     }
     const view = link.readView();
-    return place({
+    const input = {
       chatKey: request.chat && `${request.account}/${request.chat}`,
       candidates: lists.read(view, request.service),
       tried: progress.tried,
       holder: progress.holder,
       isHomeAsked: progress.isHomeAsked,
-      readLoad: (endpoint) => (view.loads.get(endpoint) ?? 0) + flights.count(endpoint),
+      readLoad: (endpoint: EndpointId) => (view.loads.get(endpoint) ?? 0) + flights.count(endpoint),
       hash,
       random,
-    });
+    };
+    const tried = avoided.addTo(progress.tried);
+    // An endpoint to avoid is better than none.
+    return place({ ...input, tried }) ?? (tried === input.tried ? undefined : place(input));
   };
 
   /** Waits until every endpoint may be asked again, or throws when the request cannot wait. */
@@ -93,10 +98,11 @@
     signal: AbortSignal,
   ): Promise<void> => {
     const { last, failures, round } = progress;
+    // A request that waited for room costs a dispatch a second at most, and needs no retry budget.
     const canWait = request.mustArrive
       ? waiting < highestWaiting
       : last !== undefined &&
-        (isPacedByRoom(last) || (round + 1 < highestRounds && budget.spend()));
+        (progress.busyRefusals > 0 || (round + 1 < highestRounds && budget.spend()));
     if (!canWait) {
       throw new RelayError(
         last?.code ?? ResultCode.noEndpoint,
@@ -153,7 +159,10 @@
       const patienceMs =
         progress.busyRefusals >= busyRefusalsBeforeWait ? busyPatienceMs : undefined;
       const attempt = { request, attemptId, member, takeOver, patienceMs, remainingMs };
-      const dispatched = await resolveLost(request, attemptId, await dispatch(attempt, signal));
+      const first = await dispatch(attempt, signal);
+      const isLost = first.type === 'refusal' && first.isContactLost;
+      if (isLost && first.refusal.code === ResultCode.connectionFailed) avoided.add(member.id);
+      const dispatched = await resolveLost(request, attemptId, first);
       if (dispatched.type === 'answer') return dispatched;
       const { refusal } = dispatched;
       const { code, notRun } = refusal;
@@ -162,7 +171,8 @@
         request,
         endpoint: member.id,
         refusal,
-        spendRetry: budget.spend,
+        // An attempt that was never received has loaded nothing.
+        spendRetry: isLost && first.refusal.notRun ? () => true : budget.spend,
       });
     }
   };
@@ -170,11 +180,6 @@
   return { run, flights };
 }
 
-/** A request that waited for room costs a dispatch a second at most, and needs no retry budget. */
-function isPacedByRoom({ code, notRun }: Refusal): boolean {
-  return notRun && code === ResultCode.endpointBusy;
-}
-
 function checkWaiting(
   { failures, last }: Progress,
   remainingMs: number,
--- a/packages/entry/src/attempts/handle-refusal.ts
+++ b/packages/entry/src/attempts/handle-refusal.ts
@@ -21,9 +21,12 @@
   const { request, endpoint, refusal, spendRetry } = settlement;
   if (!refusal.notRun) progress.failures += 1;
   progress.last = refusal;
-  const isRetryable =
-    isElsewhereUseful(refusal.code) &&
-    (refusal.notRun || (request.idempotent && progress.failures < highestFailures));
+  // Without room this attempt has not run, even when an earlier one of the same key has: a further
+  // attempt is safe then and finds the stored answer.
+  const isPlacement = isLoadRefusal(refusal.code);
+  const isSafe =
+    refusal.notRun || isPlacement || (request.idempotent && progress.failures < highestFailures);
+  const isRetryable = isElsewhereUseful(refusal.code) && isSafe;
   if (!isRetryable) throw buildError(progress, refusal);
   progress.dispatches += 1;
   if (refusal.code === ResultCode.chatElsewhere && progress.redirects < highestRedirects) {
@@ -33,7 +36,6 @@
     return;
   }
   progress.tried.add(endpoint);
-  const isPlacement = isLoadRefusal(refusal.code) && refusal.notRun;
   if (isPlacement) {
     progress.isHomeAsked = true;
     progress.busyRefusals += 1;
