test(agent): kill endpoints under orders, and count log entries

Cause: the fleet test killed endpoints only together with their agents, so that a wrong "not run" after a broken connection went unseen.

--- a/packages/agent/__tests__/at-most-once.test.ts
+++ b/packages/agent/__tests__/at-most-once.test.ts
@@ -197,3 +197,19 @@
     ]
   `);
 });
+
+// Guards against one synced log entry for each claim, which would bound the orders a second.
+it('puts the claims of a few milliseconds into one log entry', async () => {
+  const { dispatch, virtual, log } = await createHarness({ slots: 8, coldLimit: 8 });
+  const orders = Array.from({ length: 8 }, (_, i) =>
+    dispatch({ idempotent: false, idempotencyKey: `key-${i}` }),
+  );
+  await virtual.runUntil(Promise.all(orders.map(({ reply }) => reply)));
+  await virtual.run(100);
+  expect([log.commands.length, log.countEntries()]).toMatchInlineSnapshot(`
+    [
+      16,
+      2,
+    ]
+  `);
+});
--- a/packages/agent/__tests__/create-record-log.ts
+++ b/packages/agent/__tests__/create-record-log.ts
@@ -18,9 +18,12 @@
     answer: undefined as CommandResult | undefined,
   };
 
+  let entries = 0;
+
   const propose = async (command: Command) => {
     await clock.wait(faults.delayMs);
     if (faults.answer) return faults.answer;
+    entries += 1;
     commands.push(...(command.type === 'batch' ? command.commands : [command]));
     const result = await store.propose(command);
     if (faults.loseAnswers > 0) {
@@ -33,5 +36,5 @@
   const listRecords = (): string[] =>
     [...store.readState().records.values()].map(({ status }) => status);
 
-  return { propose, commands, faults, store, listRecords };
+  return { propose, commands, faults, store, listRecords, countEntries: () => entries };
 }
--- a/packages/agent/__tests__/fleet-at-most-once.test.ts
+++ b/packages/agent/__tests__/fleet-at-most-once.test.ts
@@ -6,6 +6,7 @@
   startControl,
   startEntry,
   type FleetContext,
+  type VirtualProcess,
 } from '@vanillarelay/scenarios';
 import { createFakeService, type FakeService } from '@vanillarelay/stand-ins';
 import { expect, it } from 'vitest';
@@ -40,26 +41,25 @@
 async function createFleet(seed: number) {
   const context = await createFleetContext({ seed });
   const services: FakeService[] = [];
+  const createEndpoint = ({ clock }: VirtualProcess) => {
+    const random = createSeededRandom(seed + services.length);
+    const instance = `service-${services.length}`;
+    const service = createFakeService({ clock, random, instance, answerMs: 30, slowShare: 0.1 });
+    services.push(service);
+    return service;
+  };
   const startOne = (index: number) =>
     startAgent(context, {
       id: `app-${index}`,
       service: 'app' as never,
       dataCentre: 'lahore' as never,
       slots: 8,
-      createEndpoint: ({ clock }) => {
-        const random = createSeededRandom(seed + services.length);
-        const instance = `service-${services.length}`;
-        const service = createFakeService({
-          clock,
-          random,
-          instance,
-          answerMs: 30,
-          slowShare: 0.1,
-        });
-        services.push(service);
-        return service;
-      },
+      createEndpoint,
     });
+  const startEndpoint = (id: string) => {
+    const process = context.virtual.createProcess(`${id}-${services.length}`);
+    context.endpoints.set(id, { process, handlers: createEndpoint(process) });
+  };
   startControl(context, 'control-1', 'lahore' as never);
   for (let index = 0; index < agents; index += 1) startOne(index);
   ['entry-1', 'entry-2'].forEach((id) => startEntry(context, id, 'lahore' as never));
@@ -68,7 +68,7 @@
   const control = context.controls.get('control-1')!.handlers;
   await context.virtual.runUntil(control.propose(change as never, new AbortController().signal));
   await context.virtual.run(2_000);
-  return { context, services, startOne };
+  return { context, services, startOne, startEndpoint };
 }
 
 /** Sends orders one after another, some of which it gives up; each is resent until its end is known. */
@@ -111,15 +111,15 @@
   }
 }
 
-/** Freezes, kills and restarts, or cuts off an agent for some seconds. */
+/** Freezes, kills and restarts, or cuts off an agent or kills its endpoint, for some seconds. */
 async function breakOne(fleet: Awaited<ReturnType<typeof createFleet>>, random: () => number) {
-  const { context, startOne } = fleet;
+  const { context, startOne, startEndpoint } = fleet;
   const { network, virtual, endpoints } = context;
   const index = Math.floor(random() * agents);
   const id = `app-${index}`;
   const { process } = context.agents.get(id)!;
   const wait = () => virtual.run(500 + random() * 6_000);
-  const fault = Math.floor(random() * 4);
+  const fault = Math.floor(random() * 5);
   if (fault === 0) {
     process.freeze();
     await wait();
@@ -129,6 +129,10 @@
     endpoints.get(id)!.process.kill();
     await wait();
     startOne(index);
+  } else if (fault === 4) {
+    endpoints.get(id)!.process.kill();
+    await wait();
+    startEndpoint(id);
   } else {
     const peer = fault === 2 ? 'control-1' : 'entry-1';
     if (fault === 3) network.startDuplicates('entry-2', id);
@@ -139,7 +143,7 @@
 }
 
 // Guards against orders that run twice, that ran although the caller was told otherwise to the
-// end, or that were answered without having run, while agents freeze, die and lose connections and
+// end, or that were answered without having run, while agents and endpoints freeze, die and lose connections and
 // dispatches are delivered twice.
 it.each([1, 2, 3])('runs each order at most once under faults, seed %s', async (seed) => {
   const fleet = await createFleet(seed);
@@ -148,7 +152,7 @@
   for (let caller = 0; caller < 10; caller += 1) {
     void runCaller(fleet.context, caller, random, seen);
   }
-  for (let round = 0; round < 6; round += 1) {
+  for (let round = 0; round < 8; round += 1) {
     await fleet.context.virtual.run(1_500);
     await breakOne(fleet, random);
   }
