fix(agent): do not let long answers hold up health checks and suspects

Cause: the endpoint's client had 256 connections for requests and health checks together, so that 256 long answers made a healthy endpoint look silent; the same limit hid dispatches from the agent's queue. A suspect waited only 200 ms for an idle endpoint and on a busy one was refused until its mark expired.

Ruled out: a second client for health checks alone (slots above 256 would stay empty).

Change: no connection limit in `openEndpoint` and `openAgent`, admission bounds the requests; suspects wait up to 5 s. `vitest run packages/daemon/__tests__/agent-server.test.ts packages/agent`: 2 tests more; both were seen failing first (timeout with 300 running requests, `endpointBusy` for the suspect).

--- a/packages/agent/__tests__/suspects.test.ts
+++ b/packages/agent/__tests__/suspects.test.ts
@@ -135,6 +135,30 @@
   `);
 });
 
+// Guards against suspects that are refused until their mark expires, because a busy endpoint is
+// never idle within the short wait of other requests.
+it('lets a suspect wait until the running requests have ended', async () => {
+  const { ask, dispatch, view, virtual, endpoint } = await createFragile();
+  const expiresAt = virtual.clock.now() + 60_000;
+  view.state.marks = [
+    { fingerprint: 'marked' as Fingerprint, status: 'suspect', crashes: 1, expiresAt },
+  ];
+  endpoint.runMs = 1_000;
+  const running = dispatch().reply;
+  await virtual.run(100);
+  expect([
+    await ask({ fingerprint: 'marked' }),
+    await virtual.runUntil(running),
+    endpoint.highest,
+  ]).toMatchInlineSnapshot(`
+    [
+      "200 /orders",
+      "200 /orders",
+      1,
+    ]
+  `);
+});
+
 // Guards against a frozen endpoint taken for a crashed one: its running work is not suspect.
 it('sends no new work to a silent endpoint and reports no crash', async () => {
   const { ask, dispatch, virtual, endpoint, listReports } = await createFragile();
--- a/packages/agent/src/executor/create-dispatcher.ts
+++ b/packages/agent/src/executor/create-dispatcher.ts
@@ -25,6 +25,8 @@
 }
 
 const longestChatWaitMs = 5_000;
+/** Until the running requests have ended; a suspect that never runs is never cleared. */
+const suspectWaitMs = 5_000;
 const suspectRetryMs = 60_000;
 
 /** Makes the agent's decision on a dispatch: refuse it, replay an answer, or run it. */
@@ -34,6 +36,7 @@
 
   /** A chat held here may wait for as long as its prompt would take to compute elsewhere. */
   const computePatience = (request: DispatchRequest): number => {
+    if (marks.find(request.fingerprint) === 'suspect') return suspectWaitMs;
     if (request.patienceMs !== undefined) return request.patienceMs;
     const held = request.takeOver ? undefined : directory.findHeld(request);
     if (!held) return 0;
--- a/packages/daemon/__tests__/agent-server.test.ts
+++ b/packages/daemon/__tests__/agent-server.test.ts
@@ -228,6 +228,27 @@
   `);
 });
 
+// Guards against an endpoint taken for silent, or slots left empty, because its many long answers
+// hold all connections.
+it('checks the health of an endpoint while several hundred requests run', async () => {
+  let open = 0;
+  const server = createServer((incoming, response) => {
+    if (incoming.url === '/health') response.end(JSON.stringify({ instance: 'i', running: open }));
+    else open += 1;
+  });
+  const endpoint = openEndpoint(await listen(server));
+  const controller = new AbortController();
+  const call = { method: 'POST', path: '/', headers: {}, body: Buffer.from('x') };
+  const runs = Array.from({ length: 300 }, () =>
+    endpoint.run(call, controller.signal).catch(() => undefined),
+  );
+  let running = 0;
+  while (running < runs.length) ({ running } = await endpoint.readHealth(none()));
+  controller.abort();
+  await Promise.all(runs);
+  expect(running).toBe(300);
+});
+
 // Guards against "not run" for a request that the endpoint may have got, a truncated answer that
 // looks complete, and an agent that takes a plain service for dead.
 it('tells refused connections, broken answers and refused orders of an endpoint apart', async () => {
--- a/packages/daemon/src/agent/open-agent.ts
+++ b/packages/daemon/src/agent/open-agent.ts
@@ -19,9 +19,9 @@
 
 /** Opens an HTTP client of an agent. */
 export function openAgent(address: string, { key, tls }: Trust): AgentPeer {
+  // No limit on connections: the agent decides who waits, and long answers hold up no message.
   const pool = new Pool(`${tls ? 'https' : 'http'}://${address}`, {
     ...(tls ? { connect: { ca: tls.ca } } : {}),
-    connections: 256,
     headersTimeout: 0,
     bodyTimeout: 0,
     maxHeaderSize,
--- a/packages/daemon/src/agent/open-endpoint.ts
+++ b/packages/daemon/src/agent/open-endpoint.ts
@@ -18,8 +18,8 @@
 
 /** Opens an HTTP client of the endpoint. */
 export function openEndpoint(address: string): EndpointClient {
+  // No limit on connections: admission bounds the requests, and health checks must not wait.
   const pool = new Pool(`http://${address}`, {
-    connections: 256,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
