fix(daemon): accept a dispatch with patienceMs

Cause: entries send the new field patienceMs, which the strict schema of the agent's server refused, so that a returning chat got 503 malformedMessage.

Ruled out: dropping unknown keys; the schema is strict so that peers of different versions are noticed.

--- a/packages/daemon/src/agent/dispatch-head.ts
+++ b/packages/daemon/src/agent/dispatch-head.ts
@@ -18,6 +18,7 @@
   mustArrive: z.boolean(),
   priority: z.int().min(0).max(9),
   remainingMs: z.number().min(0).max(86_400_000),
+  patienceMs: z.number().min(0).max(86_400_000).optional(),
   chat: z.string().min(1).max(1024).optional(),
   resumable: z.boolean(),
   takeOver: z.boolean(),
--- a/scripts/local-fleet/sample.mjs
+++ b/scripts/local-fleet/sample.mjs
@@ -13,7 +13,7 @@
 import runTakeOut from './steps/run-take-out.mjs';
 import runWalkthrough from './steps/run-walkthrough.mjs';
 
-const controlNodes = 1;
+const controlNodes = 3;
 const callerKey = 'example-key-of-lahore-water';
 const controlBytesLimit = 2_048;
 
--- a/scripts/local-fleet/steps/run-notice.mjs
+++ b/scripts/local-fleet/steps/run-notice.mjs
@@ -1,7 +1,7 @@
 const countNotices = async ({ endpointAddress }) => {
   const answer = await fetch(`http://${endpointAddress}/switch/executions`, { method: 'POST' });
   return Object.entries(await answer.json())
-    .filter(([identity]) => identity.includes('/notices'))
+    .filter(([identity]) => identity.includes('notice'))
     .reduce((sum, [, count]) => sum + count, 0);
 };
 
