fix(entry): give a resumed stream up when its agent is gone

Cause: a resumed stream was not among the calls that the entry watches, so behind a frozen agent it stalled for ever. Ruled out: a time limit between events (slow answers are allowed). Change: resumed streams are registered like attempts. Conclusion: every call of an entry to an agent ends when the agent leaves the membership.

--- a/packages/entry/__tests__/streams.test.ts
+++ b/packages/entry/__tests__/streams.test.ts
@@ -107,23 +107,30 @@
 });
 
 // Guards against a stall for ever behind an agent that froze in the middle of an answer.
-it('breaks off a stream whose agent has left the membership', async () => {
+it.each([
+  { method: 'POST', path: '/services/notices/permits/1' },
+  { method: 'GET', path: '/v1/streams/agent-0.s1' },
+])('breaks off $path when its agent has left the membership', async (request) => {
   const fixture = await createFixture({ agents: 1 });
   const agent = fixture.fleet.get('agent-0')!;
-  agent.handlers.dispatch = (async (_: unknown, signal: AbortSignal) => ({
-    type: 'answer',
-    status: 200,
-    headers: {},
+  const openAnswer = async (signal: AbortSignal) => ({
+    ...{ type: 'answer', status: 200, headers: {} },
     body: (async function* write() {
       yield Buffer.from('a');
       await fixture.virtual.clock.wait(60_000, signal);
       throw new Error('aborted');
     })(),
-  })) as never;
-  const reply = await fixture.virtual.runUntil(fixture.send());
+  });
+  const handlers = {
+    dispatch: (_: unknown, signal: AbortSignal) => openAnswer(signal),
+    resume: (_: unknown, after: number, signal: AbortSignal) => openAnswer(signal),
+  };
+  Object.assign(agent.handlers, handlers);
+  const reply = await fixture.virtual.runUntil(fixture.send(request));
   fixture.removeMember('agent-0');
   const read = fixture.readReply(reply).catch((error: RelayError) => error.code);
   expect(await fixture.virtual.runUntil(read, 10_000)).toBe(ResultCode.streamBroken);
+  expect(fixture.entry.countRunning()).toBe(0);
 });
 
 // Guards against a stream that only the entry that started it can resume or cancel.
--- a/packages/entry/src/attempts/create-flights.ts
+++ b/packages/entry/src/attempts/create-flights.ts
@@ -1,6 +1,7 @@
-import type { Clock, EndpointId } from '@vanillarelay/core';
+import type { Clock, EndpointId, Member } from '@vanillarelay/core';
 import type { FleetView } from '@vanillarelay/link';
 import type { Flight } from './flight.js';
+import type { WatchedCall } from './watched-call.js';
 
 interface FlightsOptions {
   clock: Clock;
@@ -47,8 +48,20 @@
     else counts.delete(flight.member.id);
   };
 
+  /** Registers a call whose signal aborts with the caller's, or when the agent is gone. */
+  const openWatched = (member: Member, signal: AbortSignal): WatchedCall => {
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    const now = clock.monotonic();
+    const flight: Flight = { member, startedAt: now, seenAt: now, abort };
+    signal.addEventListener('abort', abort, { once: true });
+    add(flight);
+    return { signal: controller.signal, flight };
+  };
+
   return {
     add,
+    openWatched,
     remove,
     count: (endpoint: EndpointId): number => counts.get(endpoint) ?? 0,
     countAll: (): number => flights.size,
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -77,15 +77,18 @@
   const streams = createStreamHandlers({
     link,
     openAgent,
-    wrapAnswer: (headers, body, requestId) =>
+    flights,
+    wrapAnswer: (headers, body, requestId, flight) =>
       passAnswer({
         clock,
         requestId,
         headers,
         body,
         needsFinalEvent: false,
-        recordChunk: () => {},
-        recordEnd: () => {},
+        recordChunk: () => {
+          flight.seenAt = clock.monotonic();
+        },
+        recordEnd: () => flights.remove(flight),
       }),
   });
 
--- a/packages/entry/src/streams/create-stream-handlers.ts
+++ b/packages/entry/src/streams/create-stream-handlers.ts
@@ -7,27 +7,31 @@
   type RequestId,
 } from '@vanillarelay/core';
 import type { Link } from '@vanillarelay/link';
+import type { createFlights } from '../attempts/create-flights.js';
+import type { Flight } from '../attempts/flight.js';
 import type { CallerReply } from '../caller-reply.js';
 import type { CallerRequest } from '../caller-request.js';
-import { buildProblem } from '../build-problem.js';
 import { parseEventId } from './parse-event-id.js';
 
 interface StreamHandlersOptions {
   link: Pick<Link, 'readView'>;
   openAgent: (address: string) => AgentClient;
+  flights: ReturnType<typeof createFlights>;
   /** Watches the rest of the answer for an early end. */
   wrapAnswer: (
     headers: Record<string, string>,
     body: AsyncIterable<Uint8Array>,
     requestId: RequestId,
-    member: Member,
+    flight: Flight,
   ) => AsyncIterable<Uint8Array>;
 }
 
 const streamPath = /^\/v1\/streams\/([^/?]+)$/;
 
 /** Makes the handlers that resume and cancel a stream; any entry serves any stream. */
-export function createStreamHandlers({ link, openAgent, wrapAnswer }: StreamHandlersOptions) {
+export function createStreamHandlers(options: StreamHandlersOptions) {
+  const { link, openAgent, flights, wrapAnswer } = options;
+
   /**
    * Finds agent, stream and position. The path holds `agentId.streamId`, or the stream id alone
    * when `Last-Event-ID` names the agent.
@@ -70,13 +74,22 @@
       await client.cancel(position.streamId);
       return { status: 204, headers: { 'x-request-id': requestId }, body: writeNothing() };
     }
-    const reply = await client.resume(position.streamId, position.sequence, signal);
-    if (reply.type === 'refusal') return buildProblem(reply.refusal, requestId);
-    return {
-      status: reply.status,
-      headers: { ...reply.headers, 'x-request-id': requestId, 'x-endpoint': member.id },
-      body: wrapAnswer(reply.headers, reply.body, requestId, member),
-    };
+    const { signal: watched, flight } = flights.openWatched(member, signal);
+    try {
+      const reply = await client.resume(position.streamId, position.sequence, watched);
+      if (reply.type === 'refusal') {
+        const { code, message, ...refusal } = reply.refusal;
+        throw new RelayError(code, message, refusal);
+      }
+      return {
+        status: reply.status,
+        headers: { ...reply.headers, 'x-request-id': requestId, 'x-endpoint': member.id },
+        body: wrapAnswer(reply.headers, reply.body, requestId, flight),
+      };
+    } catch (error) {
+      flights.remove(flight);
+      throw error;
+    }
   };
 
   const isStreamRequest = ({ method, path }: CallerRequest): boolean =>
