fix(scenarios): let written bytes outlive a stopped process

Ruled out: a fault of the entry's shutdown (the answer was complete at the caller). Conclusion: the promise holds; the fake was stricter than a socket.

--- a/packages/scenarios/src/fakes/create-fake-network.ts
+++ b/packages/scenarios/src/fakes/create-fake-network.ts
@@ -71,8 +71,9 @@
       const passAbort = async () => {
         await wait(from.id, to.id);
         // A frozen process learns of a closed connection only after it has read what came before.
+        const arrivedAt = virtual.clock.monotonic();
         await to.waitUntilRunning();
-        await wait(from.id, to.id);
+        if (virtual.clock.monotonic() > arrivedAt) await wait(from.id, to.id);
         if (!isCut(from.id, to.id)) controller.abort();
       };
       void passAbort();
--- a/packages/scenarios/src/fleet/start-agent.ts
+++ b/packages/scenarios/src/fleet/start-agent.ts
@@ -19,6 +19,8 @@
 import { wrapPropose } from './wrap-propose.js';
 import { openControls } from './open-controls.js';
 
+const flushMs = 20;
+
 interface StartAgentOptions {
   id: string;
   service: ServiceId;
@@ -83,6 +85,8 @@
   context.links.set(id, realLink);
   context.stops.set(id, async () => {
     if (!context.without.has('drain')) await agent.drain();
+    // What a process has written reaches its peer even after the process has ended.
+    await clock.wait(flushMs);
     process.kill();
   });
   const handlers = wrapAgentHandlers(agent.handlers, { hlc, findLink: () => link });
--- a/packages/scenarios/src/fleet/start-entry.ts
+++ b/packages/scenarios/src/fleet/start-entry.ts
@@ -68,6 +68,8 @@
   context.stops.set(id, async () => {
     entry.stop();
     if (!context.without.has('drain')) await waitForIdle(entry, clock);
+    // What a process has written reaches its peer even after the process has ended.
+    await clock.wait(flushMs);
     process.kill();
   });
   context.entries.set(id, { process, handlers: entry });
@@ -75,6 +77,7 @@
 }
 
 const idleCheckMs = 50;
+const flushMs = 20;
 
 /** A stopping entry keeps its connections until its last request has ended. */
 async function waitForIdle(
