feat(bench): measure service while a data centre leaves and returns

Cause: the users weigh this measure most and nothing measured it. Ruled out: real processes (decisions on a virtual clock give the same figures each time). Change: 6 engines and 3 entries over 3 data centres, chats through ready entries, one data centre taken out or killed for 30 virtual seconds, then back cold.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,9 +1,13 @@
 export type { ChatTurn } from './load/chat-turn.js';
 export { startTraffic } from './load/start-traffic.js';
 export type { TrafficOptions } from './load/traffic-options.js';
+export type { BenchFleetOptions } from './measures/bench-fleet-options.js';
 export { createBenchFleet } from './measures/create-bench-fleet.js';
 export { createChatSender } from './measures/create-chat-sender.js';
 export { createSkewSampler } from './measures/create-skew-sampler.js';
+export type { DataCentreOptions } from './measures/data-centre-options.js';
+export type { DataCentreResult } from './measures/data-centre-result.js';
+export { measureDataCentre } from './measures/measure-data-centre.js';
 export { measureReuse } from './measures/measure-reuse.js';
 export type { ReuseOptions } from './measures/reuse-options.js';
 export type { ReuseResult } from './measures/reuse-result.js';
--- /dev/null
+++ b/packages/bench/src/measures/bench-fleet-options.ts
@@ -0,0 +1,18 @@
+import type { DataCentreId } from '@vanillarelay/core';
+import type { Policy } from '../policies/policy.js';
+
+/** The fleet that a measure runs on. */
+export interface BenchFleetOptions {
+  policy: Policy;
+  engines: number;
+  entries: number;
+  /** Bound on an engine's load as a multiple of the mean. */
+  multiple: number;
+  seed: number;
+  /** Entries and engines are spread over them by turns. */
+  dataCentres?: readonly DataCentreId[];
+  /** One-way delay between VMs, in milliseconds. */
+  delayMs?: number;
+  /** Whether engines start cold. */
+  startsCold?: boolean;
+}
--- a/packages/bench/src/measures/create-bench-fleet.ts
+++ b/packages/bench/src/measures/create-bench-fleet.ts
@@ -13,17 +13,20 @@
   startControl,
   startEntry,
   type FleetContext,
+  type VirtualProcess,
 } from '@vanillarelay/scenarios';
 import { createFakeEngine, type FakeEngine } from '@vanillarelay/stand-ins';
-import type { ReuseOptions } from './reuse-options.js';
+import type { BenchFleetOptions } from './bench-fleet-options.js';
 
 interface BenchFleet {
   context: FleetContext;
   engines: Map<string, FakeEngine>;
+  /** What starts an agent with a fresh engine. */
+  createEngine: (id: string, dataCentre: DataCentreId) => Parameters<typeof startAgent>[1];
 }
 
 const service = toId<ServiceId>('chat');
-const dataCentre = toId<DataCentreId>('one');
+const oneDataCentre = [toId<DataCentreId>('one')];
 const accountKey = 'bench-account-key';
 const slots = 64;
 const engineTimes = { prefillMsPerToken: 0.5, tokenMs: 450, batchSlowdownMs: 2, answerTokens: 4 };
@@ -32,49 +35,51 @@
 const settleMs = 2_000;
 
 /** Starts a fleet of fake engines on the virtual clock, with the policy in its entries. */
-export async function createBenchFleet(options: ReuseOptions): Promise<BenchFleet> {
-  const context = await createFleetContext({ seed: options.seed });
+export async function createBenchFleet(options: BenchFleetOptions): Promise<BenchFleet> {
+  const { dataCentres = oneDataCentre, startsCold = false, delayMs = 1 } = options;
+  const findDataCentre = (index: number) => dataCentres[index % dataCentres.length]!;
+  const context = await createFleetContext({ seed: options.seed, delayMs });
   const engines = new Map<string, FakeEngine>();
-  startControl(context, 'control-0', dataCentre);
+  startControl(context, 'control-0', findDataCentre(0));
+  const createEngine = (id: string, dataCentre: DataCentreId) => ({
+    id,
+    service,
+    dataCentre,
+    slots,
+    createEndpoint: ({ clock }: VirtualProcess) => {
+      const { random } = context;
+      const base = { ...engineTimes, clock, random, startsCold, cacheTokens };
+      const engine = createFakeEngine({ ...base, instance: `${id}@${clock.now()}` });
+      engines.set(id, engine);
+      return engine;
+    },
+  });
   for (let index = 0; index < options.engines; index += 1) {
-    const id = `engine-${index}`;
-    startAgent(context, {
-      id,
-      service,
-      dataCentre,
-      slots,
-      createEndpoint: ({ clock }) => {
-        const engine = createFakeEngine({
-          ...engineTimes,
-          clock,
-          random: context.random,
-          instance: id,
-          cacheTokens,
-        });
-        engines.set(id, engine);
-        return engine;
-      },
-    });
+    startAgent(context, createEngine(`engine-${index}`, findDataCentre(index)));
   }
   const place = options.policy.createPlace({ engines, multiple: options.multiple });
   for (let index = 0; index < options.entries; index += 1) {
-    startEntry(context, `entry-${index}`, dataCentre, place);
+    startEntry(context, `entry-${index}`, findDataCentre(index), place);
   }
-  await applyConfig(context, options.policy.loadMultiple ?? options.multiple);
+  await applyConfig(context, dataCentres, options.policy.loadMultiple ?? options.multiple);
   await context.virtual.run(settleMs);
-  return { context, engines };
+  return { context, engines, createEngine };
 }
 
-async function applyConfig(context: FleetContext, loadMultiple: number): Promise<void> {
+async function applyConfig(
+  context: FleetContext,
+  dataCentres: readonly DataCentreId[],
+  loadMultiple: number,
+): Promise<void> {
   const operator = context.virtual.createProcess('operator');
   const control = context.network.open(operator, () => context.controls.get('control-0'));
   const config: FleetConfig = {
-    dataCentres: { [dataCentre]: { region: 'one' } },
+    dataCentres: Object.fromEntries(dataCentres.map((id) => [id, { region: 'one' }])),
     services: {
       [service]: {
         type: 'model',
         loadMultiple,
-        coldLimit: 4,
+        coldLimit: 2,
         firstByteMs: 5_000,
         kinds: {
           chat: {
--- a/packages/bench/src/measures/create-chat-sender.ts
+++ b/packages/bench/src/measures/create-chat-sender.ts
@@ -19,12 +19,17 @@
 /** Makes the callers: each request goes through a random entry; totals count while measuring. */
 export function createChatSender({ virtual, network, random, entries }: FleetContext) {
   const caller = virtual.createProcess('caller');
-  const clients = [...entries.keys()].map((id) => network.open(caller, () => entries.get(id)));
-  const totals = createTotals();
+  const clients = [...entries.keys()].map((id) => ({
+    id,
+    client: network.open(caller, () => entries.get(id)),
+  }));
+  let totals = createTotals();
   let isMeasuring = false;
 
   const send = async (turn: ChatTurn, signal: AbortSignal): Promise<string | undefined> => {
-    const client = clients[Math.floor(random() * clients.length)]!;
+    // The platform's balancer knows which entries are ready.
+    const ready = clients.filter(({ id }) => isEntryReady(entries, id));
+    const { client } = ready[Math.floor(random() * ready.length)] ?? clients[0]!;
     const startedAt = virtual.clock.monotonic();
     let text = '';
     let firstByteMs: number | undefined;
@@ -44,13 +49,20 @@
 
   return {
     send,
-    totals,
+    readTotals: () => totals,
+    /** Starts a new phase: totals count from zero. */
     start: (): void => {
       isMeasuring = true;
+      totals = createTotals();
     },
   };
 }
 
+function isEntryReady(entries: FleetContext['entries'], id: string): boolean {
+  const entry = entries.get(id);
+  return entry !== undefined && entry.process.isAlive() && entry.handlers.isReady();
+}
+
 function createTotals(): SenderTotals {
   return {
     requests: 0,
--- a/packages/bench/src/measures/measure-reuse.ts
+++ b/packages/bench/src/measures/measure-reuse.ts
@@ -34,7 +34,7 @@
     next += 1;
     await virtual.run(Math.min(options.churnMs, options.durationMs - elapsed));
   }
-  const result = buildResult(options, sender.totals, sampler.sums);
+  const result = buildResult(options, sender.readTotals(), sampler.sums);
   stop.abort();
   await virtual.run(0);
   return result;
@@ -42,7 +42,7 @@
 
 function buildResult(
   { policy, engines, multiple }: ReuseOptions,
-  totals: ReturnType<typeof createChatSender>['totals'],
+  totals: ReturnType<ReturnType<typeof createChatSender>['readTotals']>,
   sums: ReturnType<typeof createSkewSampler>['sums'],
 ): ReuseResult {
   return {
