test(daemon): end a control process whose disk fails while it runs

Cause: only a disk that cannot be opened was tested; files stayed open after the end of a node. Ruled out: a full device (needs a file system of its own). 'vitest run packages/daemon/__tests__/control-group.test.ts': 3 tests before, 4 after; the warnings of file descriptors closed by garbage collection are gone. 'SCHEDULES=100 vitest run packages/control/__tests__/schedules': no violation.

--- a/packages/daemon/__tests__/control-group.test.ts
+++ b/packages/daemon/__tests__/control-group.test.ts
@@ -32,12 +32,14 @@
     });
   });
 
+const baseConfig = { dataCentres: {}, services: {}, accounts: {}, concurrentLoads: 1 };
+
 const buildConfig = (changeId: string, expectedVersion: number): Command => ({
   type: 'applyConfig',
   changeId: changeId as ChangeId,
   operator: 'operator',
   expectedVersion,
-  config: { dataCentres: {}, services: {}, accounts: {}, concurrentLoads: 1 },
+  config: baseConfig,
 });
 
 const buildSettings = (id: string, address: string, dataFolder: string) => ({
@@ -129,6 +131,30 @@
   });
 });
 
+// Guards against a process that goes on when its disk fails while it runs.
+it('ends with a result code when its disk fails later', async () => {
+  const folder = await createFolder();
+  const dataFolder = join(folder, 'data');
+  const address = await findAddress();
+  const group = [{ id: 'control-0', address }];
+  const settings = buildSettings('control-0', address, dataFolder);
+  const ended = runControl(ControlSettings.parse({ ...settings, group }));
+  ended.catch(() => {});
+  await wait(200);
+  const client = open(address);
+  expect(await propose([client], buildConfig('first', 0))).toMatchObject({ ok: true });
+  // The next snapshot cannot be written; entries of 1 MiB bring it about.
+  await rm(dataFolder, { recursive: true });
+  const region = { region: 'x'.repeat(1024 * 1024) };
+  for (let version = 1; version < 8; version += 1) {
+    const change = buildConfig(`large-${version}`, version);
+    const command = { ...change, config: { ...baseConfig, dataCentres: { lahore: region } } };
+    const signal = AbortSignal.timeout(2_000);
+    await client.propose(command as unknown as Command, signal).catch(() => undefined);
+  }
+  await expect(ended).rejects.toMatchObject({ code: ResultCode.storageFailed });
+});
+
 // Guards against a real disk that differs from the fake one in what its operations mean.
 it('reads back what it wrote, appended, cut and renamed', async () => {
   const disk = await openFileDisk(await createFolder());
--- a/packages/daemon/src/control/run-control.ts
+++ b/packages/daemon/src/control/run-control.ts
@@ -23,11 +23,16 @@
     reportFailure = reject;
   });
   failed.catch(() => {});
+  let closeDisk = async () => {};
   const store = await openReplicatedStore({
     ...context,
     id: settings.id,
     address: settings.address,
-    openDisk: () => openFileDisk(settings.dataFolder),
+    openDisk: async () => {
+      const disk = await openFileDisk(settings.dataFolder);
+      closeDisk = disk.close;
+      return disk;
+    },
     createDiskId: context.createId,
     firstGroup: settings.group,
     openPeer: raftPeers.openPeer,
@@ -72,5 +77,6 @@
     raftPeers.close();
     peers.forEach(({ peer }) => peer.close());
     server.stop();
+    await closeDisk();
   }
 }
--- a/packages/daemon/src/platform/open-file-disk.ts
+++ b/packages/daemon/src/platform/open-file-disk.ts
@@ -5,7 +5,7 @@
 const namePattern = /^[a-z0-9][a-z0-9.-]*$/;
 
 /** Opens a data folder as a disk; one process uses it at a time. */
-export async function openFileDisk(folder: string): Promise<Disk> {
+export async function openFileDisk(folder: string): Promise<Disk & { close(): Promise<void> }> {
   await mkdir(folder, { recursive: true });
   /** Files stay open between writes, so that an append costs one system call and a sync another. */
   const handles = new Map<string, FileHandle>();
@@ -68,6 +68,9 @@
       await closeFile(name);
       await rm(toPath(name));
     },
+    close: async () => {
+      for (const name of [...handles.keys()]) await closeFile(name);
+    },
     list: async () => (await readdir(folder)).filter((name) => namePattern.test(name)).sort(),
   };
 }
