fix(link): take no quorum from an answer whose state was not reached

Cause: a frame or quorum report counted as evidence of a live quorum even when its patch did not fit the daemon's state, so that a daemon could serve on an older state as attached. Ruled out: counting it and fetching the state later (the lease would be renewed meanwhile). Change: evidence counts only when the daemon's version is at least that of the answer. The new test was seen failing ('attached' instead of 'isolated' after 4 s). vitest run packages/link: 21 pass. Conclusion: attached means the state of a quorum confirmed within the lease.

--- a/packages/link/__tests__/link-rules.test.ts
+++ b/packages/link/__tests__/link-rules.test.ts
@@ -113,3 +113,38 @@
     }
   `);
 });
+
+// Guards against a daemon that counts as attached although it could not take the hub's state.
+it('takes no quorum from a frame whose state it did not reach', async () => {
+  const virtual = createVirtualClock();
+  const hlc = createHlc(virtual.clock);
+  const part = { heldMs: 0, quorumAgeMs: 0, cursor: 'c', whole: true, more: false, members: [] };
+  const rest = { removed: [], loads: {}, means: {}, shares: {}, at: hlc.read() };
+  const answers = [
+    { state: buildState(1), stateVersion: 1 },
+    { patch: { version: 4 }, stateVersion: 5 },
+  ];
+  let calls = 0;
+  const answer = () => answers[Math.min(calls, 1)];
+  const client = {
+    exchange: async () => {
+      await virtual.clock.wait(500);
+      const frame = { ...part, ...rest, ...answer() };
+      calls += 1;
+      return frame;
+    },
+    readQuorum: async () => ({ quorumAgeMs: 0, at: hlc.read(), ...answer() }),
+  } as unknown as ControlClient;
+  const link = createLink({
+    ...{ clock: virtual.clock, random: createSeededRandom(seed), hlc },
+    timeline: createTimeline({ hlc, process: 'agent', vm: 'v', dataCentre: 'd' } as never),
+    controls: [{ id: 'control', client } as never],
+    buildReport: () => ({ daemon: 'agent' }) as never,
+  });
+  link.start();
+  await virtual.run(600);
+  expect(link.readContact()).toBe('attached');
+  await virtual.run(4_000);
+  expect(link.readContact()).toBe('isolated');
+  link.stop();
+});
--- a/packages/link/src/create-link.ts
+++ b/packages/link/src/create-link.ts
@@ -4,6 +4,7 @@
   type AgentClient,
   type Clock,
   type ContactReport,
+  type Frame,
   type Hlc,
   type Random,
   type Report,
@@ -106,6 +107,17 @@
     interrupt.abort();
   };
 
+  const recordQuorum = (frame: Frame, sentAt: number): void => {
+    // A live quorum is worth nothing without the state that it has accepted.
+    if (store.readVersion() < frame.stateVersion) return;
+    // Not the time of arrival: a frozen daemon finds old frames in its socket when it wakes.
+    const heldMs = Math.min(frame.heldMs, clock.monotonic() - sentAt);
+    const seenAt = sentAt + heldMs - frame.quorumAgeMs;
+    evidence.quorumSeenAt = Math.max(evidence.quorumSeenAt, seenAt);
+    const isFresh = clock.monotonic() - seenAt <= contactLimits.quorumFreshMs;
+    if (isFresh && !frame.more) evidence.isConfirmed = true;
+  };
+
   const exchange = async (node: ControlNode): Promise<void> => {
     const sentAt = clock.monotonic();
     const report = buildWholeReport();
@@ -122,14 +134,8 @@
     unsentUsage = {};
     cursor = frame.cursor;
     store.updateByFrame(frame, report.stateVersion);
-    // Not the time of arrival: a frozen daemon finds old frames in its socket when it wakes.
-    const heldMs = Math.min(frame.heldMs, clock.monotonic() - sentAt);
-    const seenAt = sentAt + heldMs - frame.quorumAgeMs;
-    evidence.quorumSeenAt = Math.max(evidence.quorumSeenAt, seenAt);
-    const isFresh = clock.monotonic() - seenAt <= contactLimits.quorumFreshMs;
-    const isComplete = !frame.more && store.readVersion() >= frame.stateVersion;
-    if (isFresh && isComplete) evidence.isConfirmed = true;
     failures = 0;
+    recordQuorum(frame, sentAt);
     readContact();
   };
 
--- a/packages/link/src/create-survey.ts
+++ b/packages/link/src/create-survey.ts
@@ -57,6 +57,8 @@
       hlc.receive(answer.at);
       store.updateState(answer, version);
       if (answer.quorumAgeMs > contactLimits.quorumFreshMs) return 'noQuorum';
+      // A live quorum is worth nothing without the state that it has accepted.
+      if (store.readVersion() < answer.stateVersion) return 'silent';
       evidence.quorumSeenAt = Math.max(evidence.quorumSeenAt, sentAt - answer.quorumAgeMs);
       return 'quorum';
     } catch (error) {
