--- a/packages/entry/__tests__/create-fixture.ts
+++ b/packages/entry/__tests__/create-fixture.ts
@@ -249,6 +249,7 @@
     records,
     dispatches,
     histograms,
+    timeline,
     updateMembers,
     removeMember,
     send,
--- a/packages/entry/__tests__/retries.test.ts
+++ b/packages/entry/__tests__/retries.test.ts
@@ -97,6 +97,8 @@
         .then(fixture.readReply)
         .catch(() => {});
       await fixture.virtual.run(ms);
+      // The first one is lost on its way, so that the resend must run whatever the fake network draws.
+      if (ms === 0) fixture.fleet.forEach((_, id) => fixture.network.cut('entry', id));
       fixture.entry.process.kill();
       const other = fixture.openEntry('other');
       const resent = fixture.send(notice, undefined, other).then(fixture.readReply);
@@ -136,6 +138,16 @@
     expect((await fixture.virtual.runUntil(answer)).status).toBe(200);
   });
 
+  // Guards against a killed agent that looks idle and is tried again and again until the hubs drop it.
+  it('keeps away from an endpoint that it could not reach', async () => {
+    const fixture = await createFixture();
+    fixture.fleet.get('agent-0')!.process.kill();
+    for (let i = 0; i < 40; i += 1) expect((await fixture.ask(lookup)).status).toBe(200);
+    const refused = fixture.timeline.list().filter(({ name }) => name === 'request.refused');
+    expect(fixture.virtual.clock.monotonic()).toBeLessThan(1_000);
+    expect(refused.length).toBe(1);
+  });
+
   // Guards against "not run" after a first attempt that may have run.
   it('does not say "not run" when an earlier attempt may have run', async () => {
     const fixture = await createFixture({ check: () => undefined, runMs: 100 });
