fix(agent): keep an overloaded engine's answer to a claimed request

Cause: a model's 503 became a refusal "not run" for claimed requests too, so that a non-idempotent request could run again elsewhere on the word of a status that proves nothing.

Ruled out: passing every 503 on (the entry's placement relies on the refusal for idempotent requests).

Change: only unclaimed requests are refused; the 503 of a claimed one is its stored outcome. One test, seen failing first with the old condition and without `recordOverload`. `vitest run packages/agent packages/daemon`: 66 pass. `vitest run packages/entry`: 1 of 12 in retries.test.ts fails ("runs at most once when the entry is killed and the request resent"), and fails the same on a tree equal to main without this change; it imports no agent code.

Conclusion: at-most-once holds for claimed requests at overloaded engines.

--- a/packages/agent/__tests__/admission.test.ts
+++ b/packages/agent/__tests__/admission.test.ts
@@ -178,6 +178,31 @@
   `);
 });
 
+// Guards against full load on an engine that has just said that it is too much, and against a
+// non-idempotent request that is run again elsewhere on the word of a status.
+it('treats an overloaded engine as cold and keeps its answer to a claimed request', async () => {
+  const { ask, endpoint, agent } = await createHarness({ slots: 2, coldLimit: 1, type: 'model' });
+  for (let i = 0; i < 4; i += 1) await ask();
+  const results: string[] = [agent.buildAnnouncement().status];
+  const { answer } = endpoint;
+  endpoint.answer = async (request, signal) => ({
+    ...(await answer(request, signal)),
+    status: 503,
+  });
+  results.push(await ask(), agent.buildAnnouncement().status);
+  const order = { idempotent: false, idempotencyKey: 'key-1' };
+  results.push(await ask(order), await ask(order));
+  expect(results).toMatchInlineSnapshot(`
+    [
+      "ready",
+      "endpointBusy notRun=true",
+      "cold",
+      "503 /orders",
+      "503 /orders (replayed)",
+    ]
+  `);
+});
+
 // Guards against work admitted under a state that the entry knows to be outdated.
 it('fetches a newer state before it answers', async () => {
   const { ask, status, view, endpoint } = await createHarness();
--- a/packages/agent/__tests__/suspects.test.ts
+++ b/packages/agent/__tests__/suspects.test.ts
@@ -146,11 +146,8 @@
   endpoint.runMs = 1_000;
   const running = dispatch().reply;
   await virtual.run(100);
-  expect([
-    await ask({ fingerprint: 'marked' }),
-    await virtual.runUntil(running),
-    endpoint.highest,
-  ]).toMatchInlineSnapshot(`
+  expect([await ask({ fingerprint: 'marked' }), await virtual.runUntil(running), endpoint.highest])
+    .toMatchInlineSnapshot(`
     [
       "200 /orders",
       "200 /orders",
--- a/packages/agent/src/executor/create-executor.ts
+++ b/packages/agent/src/executor/create-executor.ts
@@ -95,7 +95,8 @@
       signal.removeEventListener('abort', abort);
       if (answer.status === overloadStatus) {
         warmUp.recordOverload(start.round);
-        if (gate.readService()?.type === 'model') throw await buildOverload(answer);
+        // The answer to a claimed request is kept as its outcome: the status alone proves nothing.
+        if (!claim && gate.readService()?.type === 'model') throw await buildOverload(answer);
       }
       directory.recordRun(request);
       const running = { ...execution, controller, flight, removeFlight, start };
