fix(local-fleet): let two fleets run on one machine and end with 0 after Ctrl-C

Cause: a second fleet on the same machine failed with EADDRINUSE, and a fleet ended by Ctrl-C after a sample that held exited 1.

Ruled out: random ports; the settings of the example are fixed files.

'endpoint list' is sorted.

--- a/packages/daemon/src/operator/open-operator.ts
+++ b/packages/daemon/src/operator/open-operator.ts
@@ -130,7 +130,10 @@
     propose: (command) => propose(command, AbortSignal.timeout(proposeLimitMs)),
     readState,
     listHistory: () => callAny((client) => client.listHistory()),
-    listEndpoints: () => callAny((client) => client.listEndpoints()),
+    listEndpoints: async () => {
+      const endpoints = await callAny((client) => client.listEndpoints());
+      return endpoints.sort((a, b) => (a.id < b.id ? -1 : 1));
+    },
     listDaemons,
     listControls,
     readTimeline,
--- a/scripts/local-fleet/load-example.mjs
+++ b/scripts/local-fleet/load-example.mjs
@@ -4,9 +4,16 @@
 
 const examples = fileURLToPath(new URL('../../examples/', import.meta.url));
 
-/** Reads an example: its configuration, operator file and the settings of each process. */
-export default function loadExample(name) {
-  const load = (path) => JSON.parse(readFileSync(join(examples, name, path), 'utf8'));
+const addToPorts = (text, offset) =>
+  text.replace(/(127\.0\.0\.1:)(\d+)/g, (_, host, port) => `${host}${Number(port) + offset}`);
+
+/**
+ * Reads an example: its configuration, operator file and the settings of each process. All ports
+ * are moved by the offset, so that two fleets can run on one machine.
+ */
+export default function loadExample(name, portOffset = 0) {
+  const load = (path) =>
+    JSON.parse(addToPorts(readFileSync(join(examples, name, path), 'utf8'), portOffset));
   const settings = readdirSync(join(examples, name, 'settings')).map((file) =>
     load(join('settings', file)),
   );
@@ -14,7 +21,6 @@
   return {
     config: load('fleet-config.json'),
     operator: load('operator.json'),
-    operatorPath: join('examples', name, 'operator.json'),
     controls: selectRole('control'),
     entries: selectRole('entry'),
     agents: selectRole('agent'),
--- a/scripts/local-fleet/sample.mjs
+++ b/scripts/local-fleet/sample.mjs
@@ -1,5 +1,9 @@
 // Runs the Qureshi example as separate processes with stand-ins for its back ends, sends sample
-// traffic and prints what happened. `--once` ends after that, `--keep` keeps the logs.
+// traffic and prints what happened. `--once` ends after that, `--keep` keeps the logs, and
+// `--port-offset 1000` moves all ports, so that two fleets can run on one machine.
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
 import createCaller from './create-caller.mjs';
 import createLauncher from './create-launcher.mjs';
 import loadExample from './load-example.mjs';
@@ -57,11 +61,18 @@
     process.once('SIGTERM', resolve);
   });
 
-const isOnce = process.argv.includes('--once');
-const example = loadExample('qureshi');
+const { values: flags } = parseArgs({
+  options: {
+    once: { type: 'boolean', default: false },
+    keep: { type: 'boolean', default: false },
+    'port-offset': { type: 'string', default: '0' },
+  },
+});
+const example = loadExample('qureshi', Number(flags['port-offset']));
 const launcher = createLauncher();
 const signalled = waitForSignal();
 let fleet;
+let isHeld = false;
 
 const runSample = async () => {
   console.log(`starting the fleet, logs in ${launcher.folder}`);
@@ -71,24 +82,25 @@
   const results = await runSteps({ caller, example, fleet });
   printResults(results);
   const lost = launcher.listLost();
+  isHeld = lost.length === 0 && results.every(({ held }) => held);
   if (lost.length > 0) console.log(`processes that ended by themselves: ${lost.join(', ')}`);
-  if (!isOnce) {
+  if (!flags.once) {
+    const operatorPath = join(launcher.folder, 'operator.json');
+    writeFileSync(operatorPath, JSON.stringify(example.operator));
     console.log(`entries: ${example.entries.map(({ address }) => address).join(', ')}`);
     console.log(`account key: ${callerKey}`);
-    console.log(`node packages/cli/bin/vanillarelay.js status --fleet ${example.operatorPath}`);
+    console.log(`node packages/cli/bin/vanillarelay.js status --fleet ${operatorPath}`);
     console.log('Ctrl-C ends the fleet');
     await signalled;
   }
-  return lost.length === 0 && results.every(({ held }) => held);
 };
 
-let isHeld = false;
 try {
-  isHeld = await Promise.race([runSample(), signalled.then(() => false)]);
+  await Promise.race([runSample(), signalled]);
 } catch (error) {
   console.error(`local fleet failed: ${error.message}`);
 }
 fleet?.close();
-await launcher.stop(process.argv.includes('--keep'));
+await launcher.stop(flags.keep);
 // A start that failed half way leaves open sockets, which would keep this process alive.
 process.exit(isHeld ? 0 : 1);
