--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -77,15 +77,18 @@
   const streams = createStreamHandlers({
     link,
     openAgent,
-    wrapAnswer: (headers, body, requestId) =>
+    flights,
+    wrapAnswer: (headers, body, requestId, flight) =>
       passAnswer({
         clock,
         requestId,
         headers,
         body,
         needsFinalEvent: false,
-        recordChunk: () => {},
-        recordEnd: () => {},
+        recordChunk: () => {
+          flight.seenAt = clock.monotonic();
+        },
+        recordEnd: () => flights.remove(flight),
       }),
   });
 
@@ -95,7 +98,7 @@
     signal: AbortSignal,
   ): Promise<CallerReply> => {
     const startedAt = clock.monotonic();
-    const account = checkCaller(request.headers.authorization);
+    const account = request.account ?? checkCaller(request.headers.authorization);
     const { config } = readState();
     if (streams.isStreamRequest(request)) return streams.handle(request, requestId, signal);
     const parsed = parseRequest({ request, requestId, account, config });
