fix(entry): say 'not run' only when nothing has run under the key

Cause: an agent's refusal speaks of one attempt. Ruled out: a read of the record (it needs the same round to a quorum and does not stop the attempt). Change: before an entry says 'not run' for a request with an idempotency key it voids the attempt; the log's answer names the record of the key, whose kept answer is replayed; without an answer of the log the outcome is named unknown, and so is a refusal by the account limit. Conclusion: 'not run' holds for all earlier sends whose claim is in the log; a send that is still on its way through another entry is not covered (docs/promises.md).

--- a/packages/agent/src/admission/create-admission.ts
+++ b/packages/agent/src/admission/create-admission.ts
@@ -93,6 +93,7 @@
         account: request.account,
         priority: request.priority,
         exclusive: request.exclusive,
+        deadlineAt: request.deadlineAt,
         grant: () => {
           clearWait();
           resolve(takeSlot(request.exclusive));
--- a/packages/agent/src/admission/create-fair-queue.ts
+++ b/packages/agent/src/admission/create-fair-queue.ts
@@ -27,7 +27,9 @@
     const level = levels.get(item.priority) ?? new Map<AccountId, QueueItem[]>();
     levels.set(item.priority, level);
     const items = level.get(item.account) ?? [];
-    items.push(item);
+    // A request that waited elsewhere before keeps its place among the later ones.
+    const later = items.findIndex(({ deadlineAt }) => deadlineAt > item.deadlineAt);
+    items.splice(later < 0 ? items.length : later, 0, item);
     level.set(item.account, items);
     addCount(item.account, 1);
     return true;
--- a/packages/agent/src/admission/queue-item.ts
+++ b/packages/agent/src/admission/queue-item.ts
@@ -5,6 +5,8 @@
   account: AccountId;
   /** 0 is served first. */
   priority: number;
+  /** Monotonic time; of one account, the earliest is served first. */
+  deadlineAt: number;
   /** Runs only when nothing else runs. */
   exclusive: boolean;
   grant: () => void;
--- a/packages/control/src/state/apply-record-command.ts
+++ b/packages/control/src/state/apply-record-command.ts
@@ -38,8 +38,8 @@
 
 /** Every claim on an expired record is refused, so that a void of any attempt holds as well. */
 function refuseExpired({ type }: RecordCommand, { index }: Stamp): CommandResult {
-  if (type === 'void') return { ok: true, index };
   const view = { status: 'unknown', bodyHash: '' };
+  if (type === 'void') return { ok: true, index, value: { record: view } };
   const message = 'the record of this key has expired, the outcome is no longer known';
   return buildRefusal(ResultCode.recordExpired, message, { record: view });
 }
--- a/packages/entry/src/attempts/create-runner.ts
+++ b/packages/entry/src/attempts/create-runner.ts
@@ -128,7 +128,7 @@
     const { refusal } = dispatched;
     const isSettled = refusal.notRun || request.idempotent;
     if (isSettled || refusal.code === ResultCode.cancelled) return dispatched;
-    const isVoided = await voidAttempt({ clock, random, propose }, request, attemptId);
+    const { isVoided } = await voidAttempt({ clock, random, propose }, request, attemptId);
     timeline.record('attempt.voided', { granted: isVoided }, request.requestId);
     const outcome = isVoided
       ? { ...refusal, notRun: true }
--- /dev/null
+++ b/packages/entry/src/build-kept-answer.ts
@@ -0,0 +1,18 @@
+import type { RequestId } from '@vanillarelay/core';
+import type { CallerReply } from './caller-reply.js';
+
+/** The kept answer of an earlier request under the same idempotency key. */
+export function buildKeptAnswer(
+  { status, contentType, body }: { status: number; contentType: string; body: string },
+  requestId: RequestId,
+): CallerReply {
+  async function* writeBody() {
+    yield Buffer.from(body, 'base64');
+  }
+  const headers = {
+    'content-type': contentType,
+    'x-request-id': requestId,
+    'idempotent-replayed': 'true',
+  };
+  return { status, headers, body: writeBody() };
+}
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -18,12 +18,15 @@
 import type { Link } from '@vanillarelay/link';
 import { createAccountIndex } from './accounts/create-account-index.js';
 import { createAccountLimiter } from './accounts/create-account-limiter.js';
+import { createRunCheck } from './attempts/create-run-check.js';
 import { createRunner } from './attempts/create-runner.js';
+import { buildKeptAnswer } from './build-kept-answer.js';
 import { buildProblem } from './build-problem.js';
 import type { CallerReply } from './caller-reply.js';
 import type { CallerRequest } from './caller-request.js';
 import { placeReturningChat } from './placement/place-returning-chat.js';
 import type { Place } from './placement/place.js';
+import type { ParsedRequest } from './requests/parsed-request.js';
 import { parseRequest } from './requests/parse-request.js';
 import { createStreamHandlers } from './streams/create-stream-handlers.js';
 import { passAnswer } from './streams/pass-answer.js';
@@ -51,6 +54,7 @@
   const accounts = createAccountIndex();
   const limiter = createAccountLimiter({ clock });
   const { run, flights } = createRunner({ ...options, place });
+  const runCheck = createRunCheck(options);
   let isStopping = false;
 
   const isReady = (): boolean =>
@@ -92,18 +96,13 @@
       }),
   });
 
-  const runRequest = async (
-    request: CallerRequest,
-    requestId: RequestId,
+  const runParsed = async (
+    parsed: ParsedRequest,
+    startedAt: number,
     signal: AbortSignal,
   ): Promise<CallerReply> => {
-    const startedAt = clock.monotonic();
-    const account = request.account ?? checkCaller(request.headers.authorization);
-    const { config } = readState();
-    if (streams.isStreamRequest(request)) return streams.handle(request, requestId, signal);
-    const parsed = parseRequest({ request, requestId, account, config });
-    limiter.admit({ account, config, shares: link.readView().shares });
     const { reply, flight } = await run(parsed, signal);
+    const { requestId } = parsed;
     const { service } = parsed;
     histograms.record('queue', service, flight.startedAt - startedAt);
     const headers: Record<string, string> = {
@@ -133,6 +132,24 @@
     return { status: reply.status, headers, body };
   };
 
+  const runRequest = async (
+    request: CallerRequest,
+    requestId: RequestId,
+    signal: AbortSignal,
+  ): Promise<CallerReply> => {
+    const startedAt = clock.monotonic();
+    const account = request.account ?? checkCaller(request.headers.authorization);
+    const { config } = readState();
+    if (streams.isStreamRequest(request)) return streams.handle(request, requestId, signal);
+    const parsed = parseRequest({ request, requestId, account, config });
+    limiter.admit({ account, config, shares: link.readView().shares });
+    try {
+      return await runParsed(parsed, startedAt, signal);
+    } catch (error) {
+      return buildKeptAnswer(await runCheck.resolve(parsed, error), requestId);
+    }
+  };
+
   /** A refusal as answer to a caller. */
   const refuse = (error: unknown): CallerReply =>
     buildProblem(toRefusal(error), createId<RequestId>());
@@ -143,6 +160,7 @@
       return await runRequest(request, requestId, signal);
     } catch (error) {
       const refusal = toRefusal(error);
+      refusal.notRun &&= runCheck.isCertain(error, request.headers['idempotency-key']);
       options.timeline.record(
         'request.failed',
         { code: refusal.code, notRun: refusal.notRun },
