fix(agent): bound the load by the mean with the engine's own load as it is now

Cause: the mean of the last frame is late, most of all for the engine's own part; an only engine served one request at a time for up to a frame (a 70 ms wait in the overhead bench, 5 ms of run). Ruled out: a floor above one request (breaks the bound for small loads). Change: the frame's mean plus the change of this engine's own load, the new request included. Conclusion: the bound follows rising load without waiting for a frame.

--- a/packages/agent/__tests__/admission.test.ts
+++ b/packages/agent/__tests__/admission.test.ts
@@ -11,10 +11,18 @@
   return counts;
 };
 
+/** Lets the endpoint be one of many, so that its own load hardly moves the mean. */
+const addOthers = (view: { members: Map<string, unknown> }) => {
+  for (let index = 0; index < 99; index += 1) {
+    view.members.set(`other-${index}`, { service: 'orders', status: 'ready' });
+  }
+};
+
 // Guards against an engine loaded beyond the multiple of the mean, and against one that gets no
 // work at all while the mean is 0.
 it('bounds the running requests by the mean of the last frame', async () => {
   const { dispatch, virtual, endpoint, view } = await createHarness({ slots: 8, coldLimit: 8 });
+  addOthers(view);
   view.means.orders = 1.2;
   endpoint.runMs = 1_000;
   const replies = Array.from({ length: 6 }, () => dispatch().reply);
@@ -35,9 +43,19 @@
     `);
 });
 
+// Guards against an only endpoint that serves one request at a time until a frame tells its mean.
+it('does not bound an only endpoint by its own late mean', async () => {
+  const { dispatch, virtual, endpoint, view } = await createHarness({ slots: 8, coldLimit: 8 });
+  view.means.orders = 0;
+  endpoint.runMs = 1_000;
+  const replies = Array.from({ length: 6 }, () => dispatch().reply);
+  expect(count(await virtual.runUntil(Promise.all(replies)))).toEqual({ '200 /orders': 6 });
+});
+
 // Guards against requests stuck in the queue when only a frame, and no ended request, makes room.
 it('admits waiting requests when the mean rises', async () => {
   const { dispatch, virtual, endpoint, view } = await createHarness({ slots: 8, coldLimit: 8 });
+  addOthers(view);
   view.means.orders = 0;
   endpoint.runMs = 1_000;
   const replies = [1, 2, 3].map(() => dispatch({ patienceMs: 200 }).reply);
--- a/packages/agent/__tests__/create-harness.ts
+++ b/packages/agent/__tests__/create-harness.ts
@@ -48,6 +48,7 @@
     } as unknown as DaemonState,
     members: new Map<string, Member>(),
     means: { orders: slots } as Record<string, number>,
+    loads: new Map<string, number>(),
   };
   const status = { contact: 'attached', nextState: undefined as DaemonState | undefined };
   const endpoint = createEndpoint(virtual.createProcess('endpoint-1'));
--- a/packages/agent/src/admission/create-gate.ts
+++ b/packages/agent/src/admission/create-gate.ts
@@ -4,6 +4,7 @@
   ResultCode,
   type DataCentreId,
   type EndpointId,
+  type Member,
   type ServiceConfig,
   type ServiceId,
 } from '@vanillarelay/core';
@@ -49,8 +50,18 @@
     if (!isEndpointUp()) throw build(ResultCode.notReady, 'endpoint is down', shortRetryMs);
   };
 
-  const readLoadBound = (): number =>
-    computeLoadBound(readService()?.loadMultiple ?? 1, findLink().readView().means[service] ?? 0);
+  /** Requests that may run here at once, when `running` run and one more is to be admitted. */
+  const readLoadBound = (running: number): number => {
+    const view = findLink().readView();
+    const count = countServing([...view.members.values()]);
+    // The frame's mean with this endpoint's load as it is now: alone it is its own mean.
+    const change = running + 1 - (view.loads.get(id) ?? 0);
+    const mean = (view.means[service] ?? 0) + change / Math.max(1, count);
+    return computeLoadBound(readService()?.loadMultiple ?? 1, mean);
+  };
+
+  const countServing = (members: Member[]): number =>
+    members.filter((member) => member.service === service && member.status !== 'leaving').length;
 
   return { checkOpen, readService, readLoadBound, isDeparting, isDataCentreOut };
 }
--- a/packages/agent/src/create-agent.ts
+++ b/packages/agent/src/create-agent.ts
@@ -34,7 +34,8 @@
   });
   const { readService } = gate;
   const warmUp = createWarmUp({ slots, timeline, readService });
-  const readLimit = () => Math.min(slots, warmUp.readLimit(), gate.readLoadBound());
+  const readLimit = () =>
+    Math.min(slots, warmUp.readLimit(), gate.readLoadBound(admission.countRunning()));
   const admission = createAdmission({ clock, readLimit, checkOpen: gate.checkOpen });
   const directory = createChatDirectory(options);
   const streams = createStreamTable({ clock });
