--- a/packages/bench/src/measures/bench-fleet-options.ts
+++ b/packages/bench/src/measures/bench-fleet-options.ts
@@ -1,4 +1,5 @@
 import type { DataCentreId } from '@vanillarelay/core';
+import type { FakeEngine } from '@vanillarelay/stand-ins';
 import type { Policy } from '../policies/policy.js';
 
 /** The fleet that a measure runs on. */
@@ -13,6 +14,8 @@
   dataCentres?: readonly DataCentreId[];
   /** One-way delay between VMs, in milliseconds. */
   delayMs?: number;
+  /** Called before a request begins at an engine. */
+  observeStart?: (engine: FakeEngine) => void;
   /** Whether engines start cold. */
   startsCold?: boolean;
 }
--- a/packages/bench/src/measures/create-bench-fleet.ts
+++ b/packages/bench/src/measures/create-bench-fleet.ts
@@ -51,7 +51,11 @@
       const base = { ...engineTimes, clock, random, startsCold, cacheTokens };
       const engine = createFakeEngine({ ...base, instance: `${id}@${clock.now()}` });
       engines.set(id, engine);
-      return engine;
+      const run: FakeEngine['run'] = (request, signal) => {
+        options.observeStart?.(engine);
+        return engine.run(request, signal);
+      };
+      return { ...engine, run };
     },
   });
   for (let index = 0; index < options.engines; index += 1) {
--- a/packages/bench/src/measures/create-skew-sampler.ts
+++ b/packages/bench/src/measures/create-skew-sampler.ts
@@ -3,16 +3,17 @@
 
 const sampleMs = 100;
 
-/** Makes a sampler of the engines' true loads. */
+/** Makes a sampler of the true loads of the engines that are up. */
 export function createSkewSampler(
   clock: Clock,
   engines: ReadonlyMap<string, FakeEngine>,
   multiple: number,
 ) {
-  const sums = { samples: 0, mean: 0, skew: 0, worst: 0, excess: 0 };
+  const sums = { samples: 0, mean: 0, skew: 0, worst: 0, excess: 0, startExcess: 0 };
 
   const recordSample = (): void => {
-    const loads = [...engines.values()].map((engine) => engine.readStats().running);
+    const up = [...engines.values()].filter((engine) => engine.isUp());
+    const loads = up.map((engine) => engine.readStats().running);
     const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
     const highest = Math.max(...loads);
     sums.samples += 1;
@@ -23,6 +24,14 @@
     sums.excess = Math.max(sums.excess, highest - Math.max(1, Math.ceil(multiple * mean)));
   };
 
+  /** Notes how far a request that begins now is above the bound at its engine. */
+  const recordStart = (engine: FakeEngine): void => {
+    const up = [...engines.values()].filter((each) => each.isUp());
+    const total = up.reduce((sum, each) => sum + each.readStats().running, 0);
+    const bound = Math.max(1, Math.ceil((multiple * (total + 1)) / Math.max(1, up.length)));
+    sums.startExcess = Math.max(sums.startExcess, engine.readStats().running + 1 - bound);
+  };
+
   const run = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       recordSample();
@@ -30,5 +39,5 @@
     }
   };
 
-  return { run, sums };
+  return { run, recordStart, sums };
 }
--- a/packages/bench/src/measures/measure-reuse.ts
+++ b/packages/bench/src/measures/measure-reuse.ts
@@ -1,4 +1,5 @@
 import { toId, type AccountId } from '@vanillarelay/core';
+import type { FakeEngine } from '@vanillarelay/stand-ins';
 import { startTraffic } from '../load/start-traffic.js';
 import { createBenchFleet } from './create-bench-fleet.js';
 import { createChatSender } from './create-chat-sender.js';
@@ -17,7 +18,11 @@
 
 /** Runs returning chats through one policy while engines lose their caches one after another. */
 export async function measureReuse(options: ReuseOptions): Promise<ReuseResult> {
-  const { context, engines } = await createBenchFleet(options);
+  let observeStart: (engine: FakeEngine) => void = () => {};
+  const { context, engines } = await createBenchFleet({
+    ...options,
+    observeStart: (engine) => observeStart(engine),
+  });
   const { virtual, random } = context;
   const { clock } = virtual;
   const stop = new AbortController();
@@ -26,6 +31,7 @@
   void startTraffic({ ...traffic, clock, random, chats, send: sender.send }, stop.signal);
   await virtual.run(options.warmUpMs);
   const sampler = createSkewSampler(clock, engines, options.multiple);
+  observeStart = sampler.recordStart;
   sender.start();
   void sampler.run(stop.signal);
   let next = 0;
@@ -58,6 +64,7 @@
     skewMean: sums.skew / sums.samples,
     skewWorst: sums.worst,
     worstExcess: sums.excess,
+    startExcess: sums.startExcess,
     firstByteP50: totals.firstByte.getValueAtPercentile(50),
     firstByteP95: totals.firstByte.getValueAtPercentile(95),
     firstByteP99: totals.firstByte.getValueAtPercentile(99),
--- a/packages/bench/src/measures/reuse-result.ts
+++ b/packages/bench/src/measures/reuse-result.ts
@@ -17,6 +17,8 @@
   skewWorst: number;
   /** Most requests above the bound, rounded up, at any sample. */
   worstExcess: number;
+  /** Most requests above the bound at the moment at which one began, by the true mean. */
+  startExcess: number;
   /** Time to the first byte, in milliseconds. */
   firstByteP50: number;
   firstByteP95: number;
--- a/packages/stand-ins/src/engine/create-fake-engine.ts
+++ b/packages/stand-ins/src/engine/create-fake-engine.ts
@@ -139,6 +139,7 @@
     listCacheEvents: events.list,
     listOrders: orders.list,
     readStats: () => ({ ...stats }),
+    isUp: () => !isDown,
     countCached: (chat) => countTokens(cache.find(chat) ?? ''),
   };
 }
--- a/packages/stand-ins/src/engine/fake-engine.ts
+++ b/packages/stand-ins/src/engine/fake-engine.ts
@@ -14,6 +14,8 @@
   listCacheEvents(after: number): CacheEvent[];
   listOrders(): readonly EngineOrder[];
   readStats(): FakeEngineStats;
+  /** False from a crash until the restart. */
+  isUp(): boolean;
   /** Tokens of a chat in the cache, without lag; for an omniscient baseline. */
   countCached(chat: string): number;
 }
