--- a/scripts/bench/run-measures.mjs
+++ b/scripts/bench/run-measures.mjs
@@ -28,7 +28,7 @@
   console.table(dataCentre.flatMap(({ options, result }) => formatPhases(options, result)));
   writeResults(isQuick ? 'quick' : 'full', { command, results, reuse, dataCentre });
   console.log('3: control traffic (real processes)');
-  const args = ['scripts/bench/exchange.mjs', ...(isQuick ? ['--quick'] : [])];
+  const args = ['scripts/bench/exchange.mjs', ...(isQuick ? ['today'] : [])];
   spawnSync(process.execPath, args, { stdio: 'inherit' });
 }
 
