refactor(cli): make one command for both ways of a data centre

Cause: take-out and bring-back, and the traffic of two measures, stood twice. Ruled out: merging the start functions of the in-process fleet, which differ in all but their start. Conclusion: the logic stands once.

--- /dev/null
+++ b/packages/bench/src/measures/chat-traffic.ts
@@ -0,0 +1,16 @@
+import { toId, type AccountId } from '@vanillarelay/core';
+import type { TrafficOptions } from '../load/traffic-options.js';
+
+type ChatTraffic = Pick<
+  TrafficOptions,
+  'accounts' | 'pauseMs' | 'longPause' | 'turns' | 'turnCharacters'
+>;
+
+/** Returning chats of the measures: most pauses are short, one of ten is longer. */
+export const chatTraffic: ChatTraffic = {
+  accounts: [{ id: toId<AccountId>('bench'), weight: 1 }],
+  pauseMs: 6_500,
+  longPause: { share: 0.1, factor: 4 },
+  turns: 10,
+  turnCharacters: [100, 900],
+};
--- a/packages/bench/src/measures/measure-data-centre.ts
+++ b/packages/bench/src/measures/measure-data-centre.ts
@@ -1,6 +1,7 @@
-import { toId, type AccountId, type ChangeId, type DataCentreId } from '@vanillarelay/core';
+import { toId, type ChangeId, type DataCentreId } from '@vanillarelay/core';
 import { startAgent, startEntry, type FleetContext } from '@vanillarelay/scenarios';
 import { startTraffic } from '../load/start-traffic.js';
+import { chatTraffic } from './chat-traffic.js';
 import { createBenchFleet } from './create-bench-fleet.js';
 import { createChatSender } from './create-chat-sender.js';
 import type { DataCentreOptions } from './data-centre-options.js';
@@ -10,13 +11,6 @@
 type Phase = DataCentreResult['phases'][number];
 
 const chatsPerEngine = 24;
-const traffic = {
-  accounts: [{ id: toId<AccountId>('bench'), weight: 1 }],
-  pauseMs: 6_500,
-  longPause: { share: 0.1, factor: 4 },
-  turns: 10,
-  turnCharacters: [100, 900] as [number, number],
-};
 
 /** Runs returning chats while one data centre leaves and returns. */
 export async function measureDataCentre(options: DataCentreOptions): Promise<DataCentreResult> {
@@ -28,7 +22,7 @@
   const sender = createChatSender(context);
   const chats = chatsPerEngine * options.engines;
   const { clock } = virtual;
-  void startTraffic({ ...traffic, clock, random, chats, send: sender.send }, stop.signal);
+  void startTraffic({ ...chatTraffic, clock, random, chats, send: sender.send }, stop.signal);
   await virtual.run(warmUpMs);
   // The last one holds no control node; what fails with control nodes is shown by the scenarios.
   const target = dataCentres[dataCentres.length - 1]!;
--- a/packages/bench/src/measures/measure-reuse.ts
+++ b/packages/bench/src/measures/measure-reuse.ts
@@ -1,6 +1,6 @@
-import { toId, type AccountId } from '@vanillarelay/core';
 import type { FakeEngine } from '@vanillarelay/stand-ins';
 import { startTraffic } from '../load/start-traffic.js';
+import { chatTraffic } from './chat-traffic.js';
 import { createBenchFleet } from './create-bench-fleet.js';
 import { createChatSender } from './create-chat-sender.js';
 import { createSkewSampler } from './create-skew-sampler.js';
@@ -8,13 +8,6 @@
 import type { ReuseResult } from './reuse-result.js';
 
 const chatsPerEngine = 40;
-const traffic = {
-  accounts: [{ id: toId<AccountId>('bench'), weight: 1 }],
-  pauseMs: 6_500,
-  longPause: { share: 0.1, factor: 4 },
-  turns: 10,
-  turnCharacters: [100, 900] as [number, number],
-};
 
 /** Runs returning chats through one policy while engines lose their caches one after another. */
 export async function measureReuse(options: ReuseOptions): Promise<ReuseResult> {
@@ -28,7 +21,7 @@
   const stop = new AbortController();
   const sender = createChatSender(context);
   const chats = chatsPerEngine * options.engines;
-  void startTraffic({ ...traffic, clock, random, chats, send: sender.send }, stop.signal);
+  void startTraffic({ ...chatTraffic, clock, random, chats, send: sender.send }, stop.signal);
   await virtual.run(options.warmUpMs);
   const sampler = createSkewSampler(clock, engines, options.multiple);
   observeStart = sampler.recordStart;
--- a/packages/cli/src/commands/bring-back-data-centre.ts
+++ b/packages/cli/src/commands/create-data-centre-command.ts
@@ -4,10 +4,19 @@
 import { changeArgs } from './change-args.js';
 import { runChange } from './run-change.js';
 
-/** Makes the command `data-centre bring-back`. */
-export function createBringBackCommand(context: CliContext) {
+interface DataCentreCommand {
+  name: 'take-out' | 'bring-back';
+  description: string;
+  type: 'takeOutDataCentre' | 'bringBackDataCentre';
+}
+
+/** Makes a command that takes a data centre out or brings it back. */
+export function createDataCentreCommand(
+  context: CliContext,
+  { name, description, type }: DataCentreCommand,
+) {
   return defineCommand({
-    meta: { name: 'bring-back', description: 'Send work to a data centre again' },
+    meta: { name, description },
     args: {
       id: { type: 'positional', description: 'Data centre', required: true },
       ...changeArgs,
@@ -15,7 +24,7 @@
     run: ({ args }) =>
       runChange(context, args, (origin) => ({
         ...origin,
-        type: 'bringBackDataCentre',
+        type,
         dataCentre: toId<DataCentreId>(args.id),
       })),
   });
--- a/packages/cli/src/create-main-command.ts
+++ b/packages/cli/src/create-main-command.ts
@@ -1,13 +1,12 @@
 import { runAgent, runControl, runEntry } from '@vanillarelay/daemon';
 import { defineCommand, type CommandDef } from 'citty';
 import { createApplyCommand } from './commands/apply-config.js';
-import { createBringBackCommand } from './commands/bring-back-data-centre.js';
+import { createDataCentreCommand } from './commands/create-data-centre-command.js';
 import { createDrainCommand } from './commands/drain-endpoint.js';
 import { createGenerateCommand } from './commands/generate-config.js';
 import { createGenerateSettingsCommand } from './commands/generate-settings.js';
 import { createLiftMarkCommand } from './commands/lift-mark.js';
 import { createOrderCommand } from './commands/order-engine.js';
-import { createTakeOutCommand } from './commands/take-out-data-centre.js';
 import type { CliContext } from './context/cli-context.js';
 import { createProcessCommand } from './processes/create-process-command.js';
 import { createStandInCommands } from './processes/create-stand-in-commands.js';
@@ -47,8 +46,16 @@
         diff: createDiffConfigQuery(context),
       }),
       'data-centre': createGroup('data-centre', 'Data centres', {
-        'take-out': createTakeOutCommand(context),
-        'bring-back': createBringBackCommand(context),
+        'take-out': createDataCentreCommand(context, {
+          name: 'take-out',
+          description: 'Send no new work to a data centre',
+          type: 'takeOutDataCentre',
+        }),
+        'bring-back': createDataCentreCommand(context, {
+          name: 'bring-back',
+          description: 'Send work to a data centre again',
+          type: 'bringBackDataCentre',
+        }),
         list: createListDataCentresQuery(context),
       }),
       endpoint: createGroup('endpoint', 'Endpoints', {
