refactor(entry): use the record type of core for kept answers

Cause: a read-through found the shape of a kept answer written three times beside RecordView, a copy of the member list on each admission, and an unused field of the scenarios' calls. Change: RecordView in all three places, members counted without a copy, field removed; behaviour as before.

--- a/packages/agent/src/admission/create-gate.ts
+++ b/packages/agent/src/admission/create-gate.ts
@@ -53,15 +53,21 @@
   /** Requests that may run here at once, when `running` run and one more is to be admitted. */
   const readLoadBound = (running: number): number => {
     const view = findLink().readView();
-    const count = countServing([...view.members.values()]);
+    const count = countServing(view.members);
     // The frame's mean with this endpoint's load as it is now: alone it is its own mean.
     const change = running + 1 - (view.loads.get(id) ?? 0);
     const mean = (view.means[service] ?? 0) + change / Math.max(1, count);
     return computeLoadBound(readService()?.loadMultiple ?? 1, mean);
   };
 
-  const countServing = (members: Member[]): number =>
-    members.filter((member) => member.service === service && member.status !== 'leaving').length;
+  const countServing = (members: ReadonlyMap<EndpointId, Member>): number => {
+    let count = 0;
+    // Asked on each admission, so the members are not copied.
+    members.forEach((member) => {
+      if (member.service === service && member.status !== 'leaving') count += 1;
+    });
+    return count;
+  };
 
   return { checkOpen, readService, readLoadBound, isDeparting, isDataCentreOut };
 }
--- a/packages/entry/src/attempts/create-run-check.ts
+++ b/packages/entry/src/attempts/create-run-check.ts
@@ -6,10 +6,10 @@
   type ControlClient,
   type Id,
   type Random,
+  type RecordView,
 } from '@vanillarelay/core';
 import type { ParsedRequest } from '../requests/parsed-request.js';
 import { voidAttempt } from './void-attempt.js';
-import type { VoidResult } from './void-result.js';
 
 interface RunCheckOptions {
   clock: Clock;
@@ -18,7 +18,7 @@
   createId: <T extends Id<string>>() => T;
 }
 
-type KeptAnswer = NonNullable<NonNullable<VoidResult['record']>['answer']>;
+type KeptAnswer = NonNullable<RecordView['answer']>;
 
 const retryAfterMs = 1_000;
 
--- a/packages/entry/src/build-kept-answer.ts
+++ b/packages/entry/src/build-kept-answer.ts
@@ -1,9 +1,9 @@
-import type { RequestId } from '@vanillarelay/core';
+import type { RecordView, RequestId } from '@vanillarelay/core';
 import type { CallerReply } from './caller-reply.js';
 
 /** The kept answer of an earlier request under the same idempotency key. */
 export function buildKeptAnswer(
-  { status, contentType, body }: { status: number; contentType: string; body: string },
+  { status, contentType, body }: NonNullable<RecordView['answer']>,
   requestId: RequestId,
 ): CallerReply {
   async function* writeBody() {
--- a/packages/scenarios/src/language/call.ts
+++ b/packages/scenarios/src/language/call.ts
@@ -13,6 +13,4 @@
   text?: string;
   /** The answer broke off visibly. */
   isBroken?: boolean;
-  /** Text of a whole answer, for chats. */
-  expected?: string;
 }
