--- a/packages/control/src/raft/create-raft-node.ts
+++ b/packages/control/src/raft/create-raft-node.ts
@@ -11,6 +11,7 @@
 import type { RaftOptions } from './raft-options.js';
 import type { RaftPeer } from './raft-peer.js';
 import { releaseLeadership } from './release-leadership.js';
+import { removeMember } from './remove-member.js';
 import { replaceMember } from './replace-member.js';
 import { runElections } from './run-elections.js';
 import { stopNode } from './stop-node.js';
@@ -42,6 +43,14 @@
     confirmLeadership: () => confirmLeadership(context),
     replaceMember: (replacement: Parameters<typeof replaceMember>[1]) =>
       replaceMember(context, replacement),
+    removeMember: (id: string) => removeMember(context, id),
+    /** Members that have not answered this leader for longer than `ms`, by id. */
+    listSilent: (ms: number): string[] => {
+      const since = context.clock.monotonic() - ms;
+      return [...context.progress.values()]
+        .filter(({ answeredAt }) => answeredAt < since)
+        .map(({ member }) => member.id);
+    },
     readQuorumAgeMs: () => computeQuorumAge(context),
     readStatus: () => ({
       id: context.id,
--- a/packages/control/src/raft/replace-member.ts
+++ b/packages/control/src/raft/replace-member.ts
@@ -1,9 +1,9 @@
 import { RelayError, ResultCode, withDeadline } from '@vanillarelay/core';
 import type { GroupMember } from './group-member.js';
-import { isGroupSettled } from './is-group-settled.js';
-import { proposeEntry } from './propose-entry.js';
+import { checkRemaining } from './check-remaining.js';
 import type { RaftContext } from './raft-context.js';
 import { raftTiming } from './raft-timing.js';
+import { updateGroup } from './update-group.js';
 
 interface Replacement {
   /** The member that was lost. */
@@ -56,25 +56,6 @@
   return group?.members ?? [];
 }
 
-/** Proposes a changed membership once the one before is accepted. */
-async function updateGroup(
-  context: RaftContext,
-  change: (members: GroupMember[]) => GroupMember[],
-): Promise<void> {
-  const startedAt = context.clock.monotonic();
-  while (context.role === 'leader' && !isGroupSettled(context)) {
-    if (context.clock.monotonic() - startedAt > raftTiming.proposalTimeoutMs) break;
-    await context.clock.wait(pollMs);
-  }
-  if (context.role === 'leader' && !isGroupSettled(context)) {
-    throw new RelayError(ResultCode.noQuorum, 'an earlier change of the group is not accepted', {
-      notRun: true,
-    });
-  }
-  const members = change(readMembers(context));
-  await proposeEntry(context, 'group', JSON.stringify({ members }));
-}
-
 async function waitForCatchUp(context: RaftContext, diskId: string): Promise<void> {
   const { clock } = context;
   const startedAt = clock.monotonic();
@@ -89,24 +70,3 @@
   }
   throw new RelayError(ResultCode.timeout, 'the new node does not catch up');
 }
-
-/** Refuses to take a member out when the others would be left without a quorum. */
-function checkRemaining(context: RaftContext, isLost: (member: GroupMember) => boolean): void {
-  const { log, progress, clock } = context;
-  const remaining = readMembers(context).filter(
-    (member) => member.role === 'voter' && !isLost(member),
-  );
-  const since = clock.monotonic() - raftTiming.electionTimeoutMinMs;
-  const live = remaining.filter(
-    ({ diskId }) =>
-      diskId === log.identity.diskId || (progress.get(diskId)?.answeredAt ?? -Infinity) >= since,
-  );
-  const isSelfLost = readMembers(context).some(
-    (member) => isLost(member) && member.diskId === log.identity.diskId,
-  );
-  if (isSelfLost || live.length <= remaining.length / 2) {
-    throw new RelayError(ResultCode.noQuorum, 'the other members are not a live quorum', {
-      notRun: true,
-    });
-  }
-}
--- /dev/null
+++ b/packages/control/src/raft/update-group.ts
@@ -0,0 +1,27 @@
+import { RelayError, ResultCode } from '@vanillarelay/core';
+import type { GroupMember } from './group-member.js';
+import { isGroupSettled } from './is-group-settled.js';
+import { proposeEntry } from './propose-entry.js';
+import type { RaftContext } from './raft-context.js';
+import { raftTiming } from './raft-timing.js';
+
+const pollMs = 50;
+
+/** Proposes a changed membership once the one before is accepted. @internal */
+export async function updateGroup(
+  context: RaftContext,
+  change: (members: GroupMember[]) => GroupMember[],
+): Promise<void> {
+  const startedAt = context.clock.monotonic();
+  while (context.role === 'leader' && !isGroupSettled(context)) {
+    if (context.clock.monotonic() - startedAt > raftTiming.proposalTimeoutMs) break;
+    await context.clock.wait(pollMs);
+  }
+  if (context.role === 'leader' && !isGroupSettled(context)) {
+    throw new RelayError(ResultCode.noQuorum, 'an earlier change of the group is not accepted', {
+      notRun: true,
+    });
+  }
+  const members = change(context.group?.members ?? []);
+  await proposeEntry(context, 'group', JSON.stringify({ members }));
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export { toRefusal } from './errors/to-refusal.js';
 export { createSource } from './events/create-source.js';
 export { createTimeline } from './events/create-timeline.js';
+export type { EventDetails } from './events/event-details.js';
 export { mergeTimelines } from './events/merge-timelines.js';
 export type { TimelineEvent } from './events/timeline-event.js';
 export type { TimelineFilter } from './events/timeline-filter.js';
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,11 @@
+export { createFleetNode } from './create-fleet-node.js';
+export type { FleetNode } from './fleet-node.js';
+export type { DaemonInfo } from './messages/daemon-info.js';
+export type { FleetPeer } from './messages/fleet-peer.js';
+export type { HelloReply } from './messages/hello-reply.js';
+export type { HelloRequest } from './messages/hello-request.js';
+export type { SyncReply } from './messages/sync-reply.js';
+export type { SyncRequest } from './messages/sync-request.js';
+export type { SharedCommand } from './state/shared-command.js';
+export type { SharedState } from './state/shared-state.js';
+export type { FleetView } from './sync/fleet-view.js';
--- /dev/null
+++ b/packages/fleet/src/messages/sync-reply.ts
@@ -0,0 +1,27 @@
+import type { EndpointId } from '@vanillarelay/core';
+import type { EndpointRecord } from '@vanillarelay/routing';
+import type { SharedState } from '../state/shared-state.js';
+import type { DaemonInfo } from './daemon-info.js';
+
+/** What a hub answers to an exchange. */
+export interface SyncReply {
+  hubIncarnation: string;
+  cursor: number;
+  /** Endpoints that changed since the asker's cursor. */
+  records: EndpointRecord[];
+  /** Endpoints that were heard of lately. */
+  heard: EndpointId[];
+  /** Present when newer than what the asker has. */
+  state?: SharedState;
+  /** Milliseconds since the hub knew of a live quorum. */
+  quorumAgeMs: number;
+  /** Address of the leader, if known. */
+  leader?: string;
+  /** Addresses of the control group. */
+  hubs: string[];
+  daemonsVersion: number;
+  /** Present when the list changed. */
+  daemons?: DaemonInfo[];
+  /** Requests in flight at each endpoint, without those of the asker. */
+  loads: Record<EndpointId, number>;
+}
--- /dev/null
+++ b/packages/fleet/src/messages/sync-request.ts
@@ -0,0 +1,23 @@
+import type { EndpointId } from '@vanillarelay/core';
+import type { DaemonInfo } from './daemon-info.js';
+
+/** Asks a hub for what has changed, and tells it what this daemon holds. */
+export interface SyncRequest {
+  from: DaemonInfo;
+  /** Hubs exchange only what they heard from their own daemons. */
+  isHub: boolean;
+  /** Index of the shared state that the sender has. */
+  stateIndex: number;
+  /** The hub's incarnation at the sender's last exchange with it. */
+  hubIncarnation: string;
+  /** Position in the hub's order of endpoint changes. */
+  cursor: number;
+  /** Version of the list of daemons that the sender has. */
+  daemonsVersion: number;
+  /** Requests in flight at each endpoint. */
+  loads: Record<EndpointId, number>;
+  /** Endpoints that announced themselves at the sender lately. */
+  heard: EndpointId[];
+  /** How long the hub may wait for a change, in milliseconds. */
+  waitMs: number;
+}
--- /dev/null
+++ b/packages/fleet/src/state/empty-shared-state.ts
@@ -0,0 +1,9 @@
+import type { SharedState } from './shared-state.js';
+
+/** The state before the first change. */
+export const emptySharedState: SharedState = {
+  index: 0,
+  version: 0,
+  source: '',
+  dataCentresOut: [],
+};
--- /dev/null
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -0,0 +1,163 @@
+import { withDeadline, type Clock, type EndpointId, type EventDetails } from '@vanillarelay/core';
+import type { EndpointTable } from '@vanillarelay/routing';
+import type { DaemonInfo } from '../messages/daemon-info.js';
+import type { FleetPeer } from '../messages/fleet-peer.js';
+import type { Founder } from '../messages/founder.js';
+import type { SyncReply } from '../messages/sync-reply.js';
+import { emptySharedState } from '../state/empty-shared-state.js';
+import type { SharedState } from '../state/shared-state.js';
+import type { FleetView } from './fleet-view.js';
+import { sortHubs } from './sort-hubs.js';
+
+interface SyncClientOptions {
+  clock: Clock;
+  readSelf: () => DaemonInfo;
+  /** Addresses of daemons that may know the hubs. */
+  listSeeds: () => string[];
+  /** Whether this daemon is a hub that may be used now. */
+  isOwnHub: () => boolean;
+  mayFound: () => boolean;
+  openPeer: (address: string) => FleetPeer;
+  table: EndpointTable;
+  readLoads: () => Record<EndpointId, number>;
+  /** Calls back with who founds the control group. */
+  receiveFounders: (founders: Founder[]) => void;
+  /** Calls back with the requests in flight at each endpoint, without those of this daemon. */
+  notifyLoads: (loads: Record<EndpointId, number>) => void;
+  /** Calls back when the shared state changed. */
+  notifyState: (state: SharedState) => void;
+  record: (name: string, details?: EventDetails) => void;
+}
+
+const pollWaitMs = 400;
+const minPauseMs = 60;
+const answerSlackMs = 600;
+const helloTimeoutMs = 400;
+const retryMs = 200;
+/** A hub that has not known of a quorum for longer is left for another one. */
+const quorumAgeLimitMs = 1_000;
+/** After its start a daemon takes no state from a hub that is out of touch with the quorum. */
+const firstQuorumAgeMs = 2_000;
+const heardMs = 2_000;
+
+/** Makes the task that keeps this daemon's view in line with one hub, and finds another when it fails. */
+export function createSyncClient(options: SyncClientOptions) {
+  const { clock, readSelf, openPeer, table, record } = options;
+  const abort = new AbortController();
+  const view: FleetView = {
+    state: emptySharedState,
+    isCurrent: false,
+    hubs: [],
+    daemons: [readSelf()],
+    loads: {},
+    contactAt: Number.NEGATIVE_INFINITY,
+  };
+  let hub: string | undefined;
+  let position = { hubIncarnation: '', cursor: 0, daemonsVersion: 0 };
+  let failedHubs = new Set<string>();
+
+  const updateState = (next: SharedState): void => {
+    if (next.index <= view.state.index) return;
+    view.state = next;
+    options.notifyState(next);
+  };
+
+  const applyReply = (reply: SyncReply): void => {
+    const { hubIncarnation, cursor, daemonsVersion, quorumAgeMs } = reply;
+    reply.records.forEach((entry) => table.merge(entry));
+    table.markHeard(reply.heard, 0);
+    position = { hubIncarnation, cursor, daemonsVersion };
+    if (reply.hubs.length > 0) view.hubs = reply.hubs;
+    if (reply.daemons) view.daemons = reply.daemons;
+    view.loads = reply.loads;
+    options.notifyLoads(reply.loads);
+    if (reply.leader === undefined) delete view.leader;
+    else view.leader = reply.leader;
+    if (quorumAgeMs <= quorumAgeLimitMs) view.contactAt = clock.monotonic();
+    const isTrusted = view.isCurrent || quorumAgeMs <= firstQuorumAgeMs;
+    if (reply.state && isTrusted) updateState(reply.state);
+    if (!view.isCurrent && quorumAgeMs <= firstQuorumAgeMs) {
+      view.isCurrent = true;
+      record('fleet.current', { index: view.state.index, version: view.state.version });
+    }
+  };
+
+  const chooseHub = (): string | undefined => {
+    const self = readSelf();
+    if (options.isOwnHub() && !failedHubs.has(self.address)) return self.address;
+    if (hub !== undefined && hub !== self.address && !failedHubs.has(hub)) return hub;
+    return sortHubs(view.hubs, self).find((one) => one !== self.address && !failedHubs.has(one));
+  };
+
+  const exchange = async (address: string): Promise<void> => {
+    if (address !== hub) {
+      position = { hubIncarnation: '', cursor: 0, daemonsVersion: 0 };
+      record('fleet.hubChosen', { hub: address, before: hub ?? '' });
+      hub = address;
+    }
+    const request = {
+      from: readSelf(),
+      isHub: false,
+      stateIndex: view.isCurrent ? view.state.index : -1,
+      ...position,
+      loads: options.readLoads(),
+      heard: table.listHeard(heardMs),
+      waitMs: view.isCurrent ? pollWaitMs : 0,
+    };
+    const reply = await withDeadline(clock, request.waitMs + answerSlackMs, (signal) =>
+      openPeer(address).sync(request, signal),
+    );
+    applyReply(reply);
+    if (reply.quorumAgeMs > quorumAgeLimitMs) failedHubs.add(address);
+  };
+
+  /** Asks the seeds and every known hub who the hubs are. */
+  const findHubs = async (): Promise<void> => {
+    const { address } = readSelf();
+    const asked = [...new Set([...options.listSeeds(), ...view.hubs])];
+    const request = { from: readSelf(), mayFound: options.mayFound() };
+    await Promise.all(
+      asked.map(async (peer) => {
+        try {
+          const reply = await withDeadline(clock, helloTimeoutMs, (signal) =>
+            openPeer(peer).hello(request, signal),
+          );
+          const others = reply.hubs.filter((one) => one !== address || options.isOwnHub());
+          view.hubs = [...new Set([...others, ...view.hubs])];
+          if (reply.founders) options.receiveFounders(reply.founders);
+        } catch (error) {
+          if (view.isCurrent) {
+            record('fleet.seedFailed', { peer, reason: (error as Error).message });
+          }
+        }
+      }),
+    );
+  };
+
+  const run = async (): Promise<void> => {
+    while (!abort.signal.aborted) {
+      const address = chooseHub();
+      if (address === undefined) {
+        failedHubs = new Set();
+        await findHubs();
+        await clock.wait(retryMs, abort.signal);
+        continue;
+      }
+      try {
+        await exchange(address);
+        await clock.wait(minPauseMs, abort.signal);
+      } catch (error) {
+        failedHubs.add(address);
+        record('fleet.hubFailed', { hub: address, reason: (error as Error).message });
+      }
+    }
+  };
+
+  return {
+    view: view as Readonly<FleetView>,
+    start: (): void => void run(),
+    stop: (): void => abort.abort(),
+    /** The hub in use, else any that is known. */
+    listHubs: (): string[] => [...new Set([...(hub === undefined ? [] : [hub]), ...view.hubs])],
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/sync/run-hub-links.ts
@@ -0,0 +1,83 @@
+import { withDeadline, type Clock, type EventDetails } from '@vanillarelay/core';
+import type { EndpointTable } from '@vanillarelay/routing';
+import type { DaemonInfo } from '../messages/daemon-info.js';
+import type { FleetPeer } from '../messages/fleet-peer.js';
+import type { Hub } from './hub.js';
+
+interface HubLinkOptions {
+  clock: Clock;
+  readSelf: () => DaemonInfo;
+  listHubs: () => string[];
+  openPeer: (address: string) => FleetPeer;
+  table: EndpointTable;
+  hub: Hub;
+  record: (name: string, details?: EventDetails) => void;
+  signal: AbortSignal;
+}
+
+const pollWaitMs = 400;
+const answerSlackMs = 600;
+const minPauseMs = 60;
+const retryMs = 300;
+const scanMs = 500;
+
+/** Runs one task for each other hub, which pulls what that hub heard from its own daemons. */
+export async function runHubLinks(options: HubLinkOptions): Promise<void> {
+  const { clock, readSelf, listHubs, signal } = options;
+  const links = new Map<string, AbortController>();
+  while (!signal.aborted) {
+    const others = listHubs().filter((address) => address !== readSelf().address);
+    links.forEach((controller, address) => {
+      if (others.includes(address)) return;
+      controller.abort();
+      links.delete(address);
+    });
+    others
+      .filter((address) => !links.has(address))
+      .forEach((address) => {
+        const controller = new AbortController();
+        links.set(address, controller);
+        void runLink(options, address, controller.signal);
+      });
+    await clock.wait(scanMs, signal);
+  }
+  links.forEach((controller) => controller.abort());
+}
+
+async function runLink(
+  { clock, readSelf, openPeer, table, hub, record }: HubLinkOptions,
+  address: string,
+  signal: AbortSignal,
+): Promise<void> {
+  let position = { hubIncarnation: '', cursor: 0, daemonsVersion: 0 };
+  let isLost = false;
+  while (!signal.aborted) {
+    try {
+      const request = {
+        from: readSelf(),
+        isHub: true,
+        // State comes by the replicated log, never by this exchange.
+        stateIndex: Number.MAX_SAFE_INTEGER,
+        ...position,
+        loads: {},
+        heard: table.listHeard(pollWaitMs + answerSlackMs),
+        waitMs: pollWaitMs,
+      };
+      const reply = await withDeadline(clock, pollWaitMs + answerSlackMs, (one) =>
+        openPeer(address).sync(request, one),
+      );
+      reply.records.forEach((entry) => table.merge(entry));
+      table.markHeard(reply.heard, 0);
+      hub.daemons.updateRemote(address, reply.daemons, reply.loads);
+      const { hubIncarnation, cursor, daemonsVersion } = reply;
+      position = { hubIncarnation, cursor, daemonsVersion };
+      if (isLost) record('fleet.linkRegained', { hub: address });
+      isLost = false;
+      await clock.wait(minPauseMs, signal);
+    } catch (error) {
+      if (!isLost) record('fleet.linkLost', { hub: address, reason: (error as Error).message });
+      isLost = true;
+      await clock.wait(retryMs, signal);
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -0,0 +1,157 @@
+import {
+  createRaftNode,
+  keepMembers,
+  openLogStore,
+  type GroupMember,
+  type RaftPeer,
+} from '@vanillarelay/control';
+import {
+  RelayError,
+  ResultCode,
+  type Clock,
+  type CommandResult,
+  type Disk,
+  type Random,
+  type Timeline,
+} from '@vanillarelay/core';
+import type { Founder } from '../messages/founder.js';
+import { createSharedMachine } from '../state/create-shared-machine.js';
+import { emptySharedState } from '../state/empty-shared-state.js';
+import type { SharedCommand } from '../state/shared-command.js';
+import type { SharedState } from '../state/shared-state.js';
+
+interface VoterOptions {
+  id: string;
+  address: string;
+  clock: Clock;
+  random: Random;
+  timeline: Pick<Timeline, 'record'>;
+  openDisk: () => Promise<Disk>;
+  createDiskId: () => string;
+  openPeer: (address: string) => RaftPeer;
+  /** Daemons with a disk that are alive now. */
+  listNodes: () => { id: string; address: string; diskId: string }[];
+  /** Called when the shared state or the group has changed. */
+  notify: () => void;
+}
+
+/** A failing disk is tried again after this. */
+const reopenDelayMs = 1_000;
+
+type RaftNode = ReturnType<typeof createRaftNode>;
+
+/**
+ * Opens this daemon's part in the replicated log. When the disk fails, the node is dropped with all
+ * that it held in memory and read again from the disk; the daemon itself goes on.
+ */
+export function openVoter(options: VoterOptions) {
+  const { id, address, clock, timeline, notify } = options;
+  let node: RaftNode | undefined;
+  let machine = createSharedMachine(notify);
+  let founders: Founder[] = [];
+  let isStopped = false;
+  let stopKeeper = new AbortController();
+  let wakeFounding = () => {};
+
+  const openNode = async (reportFailure: (error: Error) => void): Promise<RaftNode> => {
+    const disk = await options.openDisk();
+    const log = await openLogStore({ disk, createDiskId: options.createDiskId, reportFailure });
+    if (log.removalReason) timeline.record('log.removed', { reason: log.removalReason });
+    machine = createSharedMachine(notify);
+    return createRaftNode({
+      ...{ id, address, clock, machine, log, reportFailure, timeline },
+      random: options.random,
+      openPeer: options.openPeer,
+      firstGroup: founders,
+    });
+  };
+
+  const runNode = async (): Promise<void> => {
+    let reportFailure: (error: Error) => void = () => {};
+    const failed = new Promise<Error>((resolve) => {
+      reportFailure = resolve;
+    });
+    const opened = await openNode(reportFailure);
+    node = opened;
+    stopKeeper = new AbortController();
+    opened.start();
+    notify();
+    void keepMembers({
+      clock,
+      node: opened,
+      listNodes: options.listNodes,
+      listSilent: opened.listSilent,
+      record: (name, details) => timeline.record(name, details),
+      signal: stopKeeper.signal,
+    });
+    const refounded = new Promise<undefined>((resolve) => {
+      wakeFounding = () => resolve(undefined);
+    });
+    const error = await Promise.race([failed, refounded]);
+    stopKeeper.abort();
+    opened.stop();
+    node = undefined;
+    if (error) throw error;
+  };
+
+  const run = async (): Promise<void> => {
+    while (!isStopped) {
+      try {
+        await runNode();
+      } catch (error) {
+        timeline.record('control.diskFailed', { reason: (error as Error).message });
+        await clock.wait(reopenDelayMs);
+      }
+    }
+  };
+
+  const findNode = (): RaftNode => {
+    if (node) return node;
+    throw new RelayError(ResultCode.storageFailed, 'the log is not open', { notRun: true });
+  };
+
+  const readMembers = (): GroupMember[] => node?.readStatus().members ?? [];
+
+  return {
+    start: (): void => void run(),
+    stop: (): void => {
+      isStopped = true;
+      wakeFounding();
+    },
+    handlers: {
+      requestVote: async (request, signal) => findNode().handlers.requestVote(request, signal),
+      appendEntries: async (request, signal) => findNode().handlers.appendEntries(request, signal),
+      installSnapshot: async (request, signal) =>
+        findNode().handlers.installSnapshot(request, signal),
+      readSender: async (signal) => findNode().handlers.readSender(signal),
+    } satisfies RaftPeer,
+    /** Takes the decision who founds the group; has an effect only on a node without one. */
+    found: (next: Founder[]): void => {
+      if (founders.length > 0 || readMembers().length > 0 || !node) return;
+      founders = next;
+      wakeFounding();
+    },
+    propose: async (command: SharedCommand): Promise<CommandResult> =>
+      findNode().propose(JSON.stringify(command)),
+    readConfirmedState: async (): Promise<SharedState> => {
+      const asked = findNode();
+      if (await asked.confirmLeadership()) return machine.readState();
+      const { leader } = asked.readStatus();
+      throw new RelayError(ResultCode.notLeader, 'this node does not lead', {
+        notRun: true,
+        ...(leader === undefined ? {} : { leader }),
+      });
+    },
+    readState: (): SharedState => (node ? machine.readState() : emptySharedState),
+    readQuorumAgeMs: (): number => node?.readQuorumAgeMs() ?? Infinity,
+    readMembers,
+    isLeader: (): boolean => node?.readStatus().role === 'leader',
+    readDiskId: (): string | undefined => node?.readStatus().diskId,
+    /** Address of the leader, if known. */
+    findLeader: (): string | undefined => {
+      const status = node?.readStatus();
+      return status?.members.find((member) => member.id === status.leader)?.address;
+    },
+    readSummary: () => node?.readStatus(),
+  };
+}
--- /dev/null
+++ b/packages/router/src/create-router.ts
@@ -0,0 +1,71 @@
+import type { Clock, DaemonId, DataCentreId, Hash, Random } from '@vanillarelay/core';
+import {
+  createColdPacer,
+  createHealthTracker,
+  createLoadView,
+  createRetryBudget,
+  createRouteTable,
+  type EndpointTable,
+  type RouteTable,
+  type RoutingConfig,
+} from '@vanillarelay/routing';
+import { createConnectionPool } from './dispatch/create-connection-pool.js';
+import type { RequestResult } from './requests/request-result.js';
+import type { RoutedRequest } from './requests/routed-request.js';
+import { runRequest } from './requests/run-request.js';
+import type { RouterWire } from './wire/router-wire.js';
+
+interface RouterOptions {
+  clock: Clock;
+  random: Random;
+  hash: Hash;
+  self: DaemonId;
+  dataCentre: DataCentreId;
+  wire: RouterWire;
+  endpoints: EndpointTable;
+  listRouters: () => readonly DaemonId[];
+  retryRatio: number;
+  retryWindowMs: number;
+  retryExtra: number;
+}
+
+/** Makes the part of a daemon that decides where requests run, with the state behind it. */
+export function createRouter(options: RouterOptions) {
+  const { clock, random, hash, self, dataCentre, wire, endpoints, listRouters } = options;
+  let table: RouteTable | undefined;
+  let out: ReadonlySet<DataCentreId> = new Set();
+  const loads = createLoadView();
+  const parts = {
+    ...{ clock, random, hash, dataCentre, wire, endpoints, loads },
+    pool: createConnectionPool(),
+    health: createHealthTracker(clock),
+    budget: createRetryBudget({
+      clock,
+      ratio: options.retryRatio,
+      windowMs: options.retryWindowMs,
+      extra: options.retryExtra,
+      countRouters: () => listRouters().length,
+    }),
+    pacer: createColdPacer({ clock, hash, self, listRouters }),
+    isDataCentreOut: (id: DataCentreId) => out.has(id),
+  };
+  return {
+    loads,
+    readTable: () => table,
+    updateConfig: (config: RoutingConfig): void => {
+      if (table && config.version <= table.config.version) return;
+      table = createRouteTable(config);
+    },
+    /** Takes the data centres that are out; those that come back count as cold. */
+    updateDataCentresOut: (ids: readonly DataCentreId[]): void => {
+      const next = new Set(ids);
+      const findColdMs = (service: Parameters<RouteTable['findService']>[0]) =>
+        table?.findService(service)?.coldPeriodMs ?? 0;
+      out.forEach((id) => {
+        if (!next.has(id)) endpoints.markCold(id, findColdMs);
+      });
+      out = next;
+    },
+    run: (request: RoutedRequest): Promise<RequestResult> => runRequest(parts, request),
+  };
+}
--- /dev/null
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -0,0 +1,67 @@
+import { RelayError, ResultCode, type DataCentreId } from '@vanillarelay/core';
+import type { FleetNode, SharedCommand } from '@vanillarelay/fleet';
+import { checkRoutingConfig, type EndpointTable, type RoutingConfig } from '@vanillarelay/routing';
+import type { Log } from '../log/log.js';
+import type { ControlCalls } from './control-calls.js';
+
+interface ControlCallOptions {
+  node: FleetNode;
+  endpoints: EndpointTable;
+  log: Log;
+  decodeConfig: (source: string) => RoutingConfig;
+  isReady: () => boolean;
+}
+
+/** Makes the calls of operators and endpoints over this daemon's part in the fleet. */
+export function createControlCalls(options: ControlCallOptions): ControlCalls {
+  const { node, endpoints, log, decodeConfig, isReady } = options;
+
+  const propose = async (command: SharedCommand): Promise<void> => {
+    const result = await node.propose(command);
+    if (!result.ok) throw new RelayError(result.code, result.message);
+  };
+
+  const moveDataCentre = async (type: SharedCommand['type'], id: DataCentreId): Promise<void> => {
+    await propose({ type, dataCentre: id } as SharedCommand);
+    log.write('dataCentre.changed', { dataCentre: id, change: type });
+  };
+
+  return {
+    putConfig: async (source) => {
+      const config = decodeConfig(source);
+      checkRoutingConfig(config);
+      await propose({ type: 'putConfig', version: config.version, source });
+      log.write('config.accepted', { version: config.version });
+    },
+    readConfig: async () => {
+      const { version, source } = await node.readConfirmedState();
+      if (version > 0) return source;
+      throw new RelayError(ResultCode.notReady, 'there is no configuration yet', { notRun: true });
+    },
+    takeOutDataCentre: (id) => moveDataCentre('takeOutDataCentre', id),
+    bringBackDataCentre: (id) => moveDataCentre('bringBackDataCentre', id),
+    announce: async (record) => {
+      const isNews = endpoints.merge(record);
+      const { id, state, service, address, sequence, coldLeftMs } = record;
+      if (isNews) {
+        log.write('endpoint.announced', { endpoint: id, state, service, address, sequence, coldLeftMs });
+      }
+      // An endpoint that leaves is acknowledged once other hubs know; a ready one may be told late.
+      if (state !== 'ready') await node.announce(record);
+      else if (isNews) node.announce(record).catch(() => {});
+    },
+    removeEndpoint: async (id) => {
+      const known = endpoints.find(id);
+      if (!known) return;
+      endpoints.remove(id);
+      log.write('endpoint.left', { endpoint: id });
+      await node.announce({ ...known.record, state: 'gone', coldLeftMs: 0 });
+    },
+    findHub: (dataCentre) => {
+      const { hubs, daemons } = node.view;
+      const members = daemons.filter(({ address }) => hubs.includes(address));
+      return members.find((info) => info.dataCentre === dataCentre) ?? members[0];
+    },
+    isReady,
+  };
+}
--- /dev/null
+++ b/packages/router/src/daemon/run-router.ts
@@ -0,0 +1,156 @@
+import { randomBytes, randomInt } from 'node:crypto';
+import type { Server } from 'node:http';
+import {
+  createHash,
+  createHlc,
+  createTimeline,
+  toId,
+  type Clock,
+  type DaemonId,
+  type DataCentreId,
+  type Disk,
+  type VmId,
+} from '@vanillarelay/core';
+import { createFleetNode, type DaemonInfo } from '@vanillarelay/fleet';
+import { createEndpointTable, type RoutingConfig } from '@vanillarelay/routing';
+import { createRouter } from '../create-router.js';
+import { createFrontServer } from '../front/create-front-server.js';
+import { createLog } from '../log/create-log.js';
+import { createMetrics } from '../metrics/create-metrics.js';
+import { createFleetServer } from '../transport/create-fleet-server.js';
+import { listenOn } from '../transport/listen-on.js';
+import { openFleetPeer } from '../transport/open-fleet-peer.js';
+import type { RouterWire } from '../wire/router-wire.js';
+import type { ControlCalls } from './control-calls.js';
+import { createControlCalls } from './create-control-calls.js';
+import { loadSettings } from './load-settings.js';
+import type { RouterSettings } from './router-settings.js';
+import { runShutdown } from './run-shutdown.js';
+import { watchSettings } from './watch-settings.js';
+
+interface RouterProgram {
+  settingsPath: string;
+  clock: Clock;
+  openDisk: (folder: string) => Promise<Disk>;
+  wire: RouterWire;
+  decodeConfig: (source: string) => RoutingConfig;
+  /** Makes the servers for operators and endpoints, and for readiness checks. */
+  createControlServer: (calls: ControlCalls, settings: RouterSettings) => Server;
+  createReadyServer: (calls: ControlCalls) => Server;
+}
+
+const randomRange = 2 ** 47;
+const idBytes = 8;
+/** Announcements that may be missed before an endpoint counts as silent. */
+const missedAnnouncements = 4;
+
+/** Runs a router daemon until a signal ends it. */
+export async function runRouter(program: RouterProgram): Promise<void> {
+  const { clock, wire, decodeConfig } = program;
+  const settings = await loadSettings(program.settingsPath);
+  const { id, dataCentre, listen } = settings;
+  const log = createLog({ process: id, dataCentre, monotonic: clock.monotonic });
+  const self: DaemonInfo = {
+    id: toId<DaemonId>(id),
+    incarnation: randomBytes(idBytes).toString('hex'),
+    address: `${settings.ip}:${settings.peerPorts[0]}`,
+    dataCentre: toId<DataCentreId>(dataCentre),
+  };
+  log.write('process.starting', { ...self, isFirstStart: settings.isFirstStart });
+  const timeline = createTimeline({
+    hlc: createHlc(clock),
+    process: self.id,
+    vm: toId<VmId>(id),
+    dataCentre: self.dataCentre,
+  });
+  void timeline.events.observe(({ name, details }) => log.write(name, details));
+  const random = () => randomInt(randomRange) / randomRange;
+  const hash = await createHash();
+  const endpoints = createEndpointTable({
+    clock,
+    silenceMs: settings.announcePeriodMs * missedAnnouncements,
+  });
+  let seeds = toPeerAddresses(settings);
+  const metrics = createMetrics();
+  const router = createRouter({
+    ...{ clock, random, hash, wire, endpoints },
+    self: self.id,
+    dataCentre: self.dataCentre,
+    listRouters: () => node.view.daemons.map((info) => info.id),
+    retryRatio: settings.retries.ratio,
+    retryWindowMs: settings.retries.windowS * msPerS,
+    retryExtra: settings.retries.extra,
+  });
+  const shutdown = { isLeaving: false };
+  const front = createFrontServer({
+    clock,
+    wire,
+    readTable: router.readTable,
+    isClosing: () => shutdown.isLeaving,
+    run: router.run,
+    report: (request, result) => {
+      const ms = Math.round(clock.monotonic() - request.startedAt);
+      metrics.recordRequest(result.outcome, result.status, ms);
+      const isGood = result.outcome === 'answered' && result.sends.length === 1;
+      log.write(isGood ? 'request.answered' : `request.${result.outcome}`, {
+        ...{ request: request.id, route: request.route, version: request.version, ms },
+        ...{ status: result.status, refusal: result.refusal, sends: result.sends },
+      });
+    },
+  });
+  const node = createFleetNode({
+    ...{ self, clock, random, timeline, table: endpoints },
+    ...(settings.dataFolder === ''
+      ? {}
+      : { openDisk: () => program.openDisk(settings.dataFolder) }),
+    createDiskId: () => randomBytes(idBytes).toString('hex'),
+    openPeer: openFleetPeer,
+    listSeeds: () => seeds,
+    isFirstStart: settings.isFirstStart,
+    readLoads: router.loads.readOwn,
+    notifyLoads: router.loads.updateOthers,
+    notifyState: (state) => {
+      router.updateDataCentresOut(state.dataCentresOut);
+      if (state.version === 0) return;
+      router.updateConfig(decodeConfig(state.source));
+      const table = router.readTable();
+      if (table) front.updateLimits(table);
+      const { index, version, dataCentresOut } = state;
+      log.write('state.inForce', { index, version, dataCentresOut });
+    },
+  });
+  const calls = createControlCalls({
+    ...{ node, endpoints, log, decodeConfig },
+    isReady: () => !shutdown.isLeaving && node.view.isCurrent && router.readTable() !== undefined,
+  });
+  const servers = [
+    [front, listen.callers],
+    [program.createReadyServer(calls), listen.readiness],
+    [program.createControlServer(calls, settings), listen.control],
+    [
+      createFleetServer({ handlers: node.handlers, formatMetrics: () => metrics.format() }),
+      self.address,
+    ],
+  ] as const;
+  await Promise.all(servers.map(([server, address]) => listenOn(server, address)));
+  node.start();
+  log.write('process.started', { id, listen, peers: self.address });
+  watchSettings({
+    clock,
+    path: program.settingsPath,
+    log,
+    apply: (next) => {
+      seeds = toPeerAddresses(next);
+    },
+  });
+  await runShutdown({ clock, log, front, shutdown, graceMs: settings.graceS * msPerS });
+  node.stop();
+  log.close();
+}
+
+const msPerS = 1_000;
+
+/** Addresses for calls between daemons; ports are the same on all VMs. */
+function toPeerAddresses({ seeds, peerPorts }: RouterSettings): string[] {
+  return seeds.map((seed) => `${seed.slice(0, seed.lastIndexOf(':'))}:${peerPorts[0]}`);
+}
--- /dev/null
+++ b/packages/router/src/daemon/watch-settings.ts
@@ -0,0 +1,52 @@
+import { stat } from 'node:fs/promises';
+import type { Clock } from '@vanillarelay/core';
+import type { Log } from '../log/log.js';
+import { loadSettings } from './load-settings.js';
+import type { RouterSettings } from './router-settings.js';
+
+interface SettingsWatchOptions {
+  clock: Clock;
+  path: string;
+  log: Log;
+  apply: (settings: RouterSettings) => void;
+}
+
+const checkMs = 1_000;
+
+/** Applies the settings again on SIGHUP and when the file has changed. */
+export function watchSettings({ clock, path, log, apply }: SettingsWatchOptions): void {
+  let lastChange = '';
+
+  const reload = async (reason: string): Promise<void> => {
+    try {
+      apply(await loadSettings(path));
+      log.write('settings.reloaded', { reason });
+    } catch (error) {
+      log.write('settings.refused', { reason, fault: (error as Error).message }, true);
+    }
+  };
+
+  const readChange = async (): Promise<string> => {
+    try {
+      const { mtimeMs, size, ino } = await stat(path);
+      return `${mtimeMs} ${size} ${ino}`;
+    } catch {
+      // A file that is being replaced is looked at again at the next check.
+      return lastChange;
+    }
+  };
+
+  const run = async (): Promise<void> => {
+    lastChange = await readChange();
+    for (;;) {
+      await clock.wait(checkMs);
+      const change = await readChange();
+      if (change === lastChange) continue;
+      lastChange = change;
+      await reload('file changed');
+    }
+  };
+
+  process.on('SIGHUP', () => void reload('SIGHUP'));
+  void run();
+}
--- /dev/null
+++ b/packages/router/src/dispatch/call-endpoint.ts
@@ -0,0 +1,63 @@
+import { request, type IncomingMessage } from 'node:http';
+import { splitAddress } from '../transport/split-address.js';
+import { CallFailure } from './call-failure.js';
+import type { EndpointCall } from './endpoint-call.js';
+
+/** Endpoints are at most a few milliseconds away; a lost opening packet is only sent again after seconds. */
+const connectTimeoutMs = 350;
+
+/** Sends a request to an endpoint; resolves with the answer once its head is in. */
+export function callEndpoint(call: EndpointCall): Promise<IncomingMessage> {
+  const { address, method, path, headers, body, agent, signal, headTimeoutMs } = call;
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    let isSent = false;
+    let failure: CallFailure | undefined;
+    let timer: NodeJS.Timeout | undefined;
+    const outgoing = request({ host, port, method, path, headers, agent });
+
+    const fail = (kind: CallFailure['kind'], message: string): void => {
+      failure = new CallFailure(kind, isSent, message);
+      outgoing.destroy(failure);
+    };
+    const cancel = () => fail('cancelled', 'the call was cancelled');
+    const startTimer = (ms: number, kind: CallFailure['kind']): void => {
+      clearTimeout(timer);
+      timer = setTimeout(() => fail(kind, `${kind} after ${ms} ms`), ms);
+    };
+    const settle = (): void => {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', cancel);
+    };
+    const send = (): void => {
+      if (failure) return;
+      clearTimeout(timer);
+      isSent = true;
+      if (headTimeoutMs !== undefined) startTimer(headTimeoutMs, 'silent');
+      outgoing.end(body);
+    };
+
+    outgoing.once('socket', (socket) => {
+      if (!socket.connecting) {
+        send();
+        return;
+      }
+      startTimer(connectTimeoutMs, 'connectTimeout');
+      socket.once('connect', send);
+    });
+    outgoing.once('response', (answer) => {
+      settle();
+      const leave = () => answer.destroy(new CallFailure('cancelled', true, 'cancelled'));
+      signal.addEventListener('abort', leave, { once: true });
+      answer.once('close', () => signal.removeEventListener('abort', leave));
+      resolve(answer);
+    });
+    outgoing.on('error', (error: NodeJS.ErrnoException) => {
+      settle();
+      const kind = isSent ? 'broken' : 'refused';
+      reject(failure ?? new CallFailure(kind, isSent, error.code ?? error.message));
+    });
+    if (signal.aborted) cancel();
+    else signal.addEventListener('abort', cancel, { once: true });
+  });
+}
--- /dev/null
+++ b/packages/router/src/dispatch/call-failure.ts
@@ -0,0 +1,14 @@
+/** Why a call to an endpoint gave no answer. */
+export class CallFailure extends Error {
+  /** Whether any byte of the request may have left; otherwise it cannot have run. */
+  readonly isSent: boolean;
+
+  readonly kind: 'refused' | 'connectTimeout' | 'silent' | 'broken' | 'cancelled';
+
+  constructor(kind: CallFailure['kind'], isSent: boolean, message: string) {
+    super(message);
+    this.name = 'CallFailure';
+    this.kind = kind;
+    this.isSent = isSent;
+  }
+}
--- /dev/null
+++ b/packages/router/src/dispatch/create-connection-pool.ts
@@ -0,0 +1,38 @@
+import { Agent, type ClientRequest } from 'node:http';
+import type { Duplex } from 'node:stream';
+
+const maxIdleConnections = 16;
+const idleMs = 8_000;
+
+/** Makes the pool of connections to all endpoints; each carries one request at a time. */
+export function createConnectionPool(): Agent {
+  const agent = new Agent({
+    keepAlive: true,
+    scheduling: 'lifo',
+    maxFreeSockets: maxIdleConnections,
+    timeout: idleMs,
+  });
+  const { keepSocketAlive, reuseSocket } = agent as Agent & PoolHooks;
+  const hooks: PoolHooks = {
+    // Bytes on an idle connection belong to no request, so the connection is not used again.
+    keepSocketAlive: (socket) => {
+      const isKept = keepSocketAlive.call(agent, socket);
+      if (isKept) socket.on('data', dropSocket);
+      return isKept;
+    },
+    reuseSocket: (socket, request) => {
+      socket.removeListener('data', dropSocket);
+      reuseSocket.call(agent, socket, request);
+    },
+  };
+  return Object.assign(agent, hooks);
+}
+
+interface PoolHooks {
+  keepSocketAlive(socket: Duplex): boolean;
+  reuseSocket(socket: Duplex, request: ClientRequest): void;
+}
+
+function dropSocket(this: Duplex): void {
+  this.destroy();
+}
--- /dev/null
+++ b/packages/router/src/front/create-front-server.ts
@@ -0,0 +1,111 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { RelayError, ResultCode, toRefusal, type Clock } from '@vanillarelay/core';
+import type { RouteTable } from '@vanillarelay/routing';
+import type { RequestResult } from '../requests/request-result.js';
+import type { RoutedRequest } from '../requests/routed-request.js';
+import { readBody } from '../transport/read-body.js';
+import type { RouterWire } from '../wire/router-wire.js';
+import { createCaller } from './create-caller.js';
+import { sendRefusal } from './send-refusal.js';
+
+interface FrontServerOptions {
+  clock: Clock;
+  wire: RouterWire;
+  /** The configuration in force; undefined until there is one. */
+  readTable: () => RouteTable | undefined;
+  /** Whether this daemon is about to end and keeps no connection. */
+  isClosing: () => boolean;
+  run: (request: RoutedRequest) => Promise<RequestResult>;
+  /** Called once for each request, with what became of it. */
+  report: (request: ReportedRequest, result: RequestResult) => void;
+}
+
+interface ReportedRequest {
+  id: string;
+  route?: string;
+  startedAt: number;
+  version?: number;
+}
+
+const maxHeaderBytes = 64 * 1024;
+const defaultIdleMs = 60_000;
+/** Callers use a connection up to their limit; it is kept a little longer, so that none is cut. */
+const idleSlack = 1.25;
+const malformed = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+const tooLarge =
+  'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+
+/** Makes the server that takes callers' requests. */
+export function createFrontServer(options: FrontServerOptions): Server & {
+  updateLimits(table: RouteTable): void;
+} {
+  const { clock, wire, readTable, isClosing } = options;
+
+  const admit = async (message: IncomingMessage, caller: RoutedRequest['caller']) => {
+    const startedAt = clock.monotonic();
+    const path = message.url ?? '';
+    const { method = 'GET', rawHeaders } = message;
+    const host = message.headers.host ?? '';
+    const table = readTable();
+    if (!table) {
+      throw new RelayError(ResultCode.notReady, 'no configuration yet', {
+        notRun: true,
+        retryAfterMs: notReadyRetryMs,
+      });
+    }
+    const facts = wire.parseRequest({ method, path, host, rawHeaders });
+    const route = table.findRoute(host, path.split('?', 1)[0] ?? path);
+    if (!route) throw new RelayError(ResultCode.unknownPath, 'no route', { notRun: true });
+    const account = facts.key === undefined ? undefined : table.findAccount(facts.key);
+    const isOpen = route.isPublic || table.config.accounts.length === 0;
+    if (!account && !isOpen) {
+      throw new RelayError(ResultCode.unauthorized, 'unknown key', { notRun: true });
+    }
+    const body = await readBody(message, table.config.bounds.maxBodyBytes);
+    return {
+      ...{ method, path, facts, body, table, route, caller, startedAt },
+      ...(account ? { account } : {}),
+    };
+  };
+
+  const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const caller = createCaller(message, response, isClosing);
+    const startedAt = clock.monotonic();
+    let reported: ReportedRequest = { id: '', startedAt };
+    try {
+      const request = await admit(message, caller);
+      const { facts, route, table } = request;
+      reported = { id: facts.id, route: route.name, startedAt, version: table.config.version };
+      const result = await options.run(request);
+      const { refusal } = result;
+      const isUnanswered = refusal && !caller.isBegun() && !caller.signal.aborted;
+      const status = isUnanswered ? sendRefusal(caller, refusal) : result.status;
+      options.report(reported, { ...result, status });
+    } catch (error) {
+      const refusal = toRefusal(error);
+      const isLeft = caller.signal.aborted;
+      if (caller.isBegun()) caller.breakOff();
+      const status = isLeft || caller.isBegun() ? 0 : sendRefusal(caller, refusal);
+      const outcome = isLeft ? 'callerLeft' : 'refused';
+      options.report(reported, { outcome, status, refusal, sends: [] });
+    }
+  };
+
+  const server = createServer({ maxHeaderSize: maxHeaderBytes }, (message, response) => {
+    void serve(message, response);
+  });
+  server.keepAliveTimeout = defaultIdleMs;
+  server.requestTimeout = 0;
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    if (!socket.writable) return;
+    socket.end(error.code === 'HPE_HEADER_OVERFLOW' ? tooLarge : malformed);
+  });
+  const updateLimits = ({ config }: RouteTable): void => {
+    const { idleTimeoutMs, headerTimeoutMs } = config.bounds;
+    server.keepAliveTimeout = Math.ceil(idleTimeoutMs * idleSlack);
+    server.headersTimeout = headerTimeoutMs;
+  };
+  return Object.assign(server, { updateLimits });
+}
+
+const notReadyRetryMs = 300;
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,17 @@
+export type { ControlCalls } from './daemon/control-calls.js';
+export type { RouterSettings } from './daemon/router-settings.js';
+export { runRouter } from './daemon/run-router.js';
+export { createRouter } from './create-router.js';
+export { createFrontServer } from './front/create-front-server.js';
+export type { RequestResult } from './requests/request-result.js';
+export { createFleetServer } from './transport/create-fleet-server.js';
+export { listenOn } from './transport/listen-on.js';
+export { openFleetPeer } from './transport/open-fleet-peer.js';
+export { readBody } from './transport/read-body.js';
+export { hopHeaders } from './wire/hop-headers.js';
+export type { AnswerFacts } from './wire/answer-facts.js';
+export type { Grant } from './wire/grant.js';
+export type { PromptPart } from './wire/prompt-part.js';
+export type { RequestFacts } from './wire/request-facts.js';
+export type { RequestHead } from './wire/request-head.js';
+export type { RouterWire } from './wire/router-wire.js';
--- /dev/null
+++ b/packages/router/src/requests/relay-events.ts
@@ -0,0 +1,67 @@
+import type { IncomingMessage } from 'node:http';
+import type { Clock } from '@vanillarelay/core';
+import { createEventSplitter } from '../dispatch/create-event-splitter.js';
+import { selectAnswerHeaders } from '../wire/select-answer-headers.js';
+import type { AttemptOutcome } from './attempt-outcome.js';
+import type { StreamProgress } from './stream-progress.js';
+import type { Caller } from './caller.js';
+
+interface EventRelay {
+  answer: IncomingMessage;
+  caller: Caller;
+  progress: StreamProgress;
+  clock: Clock;
+  /** Time to the first event, and between events, after which the endpoint counts as silent. */
+  firstEventMs: number | undefined;
+  pauseMs: number | undefined;
+}
+
+/**
+ * Passes whole events on as they arrive. The head goes with the first event, so that an endpoint
+ * that breaks before it can be replaced.
+ */
+export async function relayEvents(relay: EventRelay): Promise<AttemptOutcome> {
+  const { answer, caller, progress, clock, firstEventMs, pauseMs } = relay;
+  const splitter = createEventSplitter();
+  let isSilent = false;
+  let cancelTimer = () => {};
+  const startTimer = (ms: number | undefined): void => {
+    cancelTimer();
+    if (ms === undefined) return;
+    cancelTimer = clock.startTimer(ms, () => {
+      isSilent = true;
+      answer.destroy();
+    });
+  };
+  const fail = (reason: string): AttemptOutcome => {
+    if (caller.signal.aborted) return { type: 'cancelled' };
+    if (caller.isBegun()) return { type: 'broken', reason };
+    return { type: 'failed', reason, isSilent };
+  };
+  startTimer(firstEventMs);
+  try {
+    for await (const chunk of answer as AsyncIterable<Buffer>) {
+      const events = splitter.push(chunk);
+      if (events.length === 0) continue;
+      const last = events.findLast(({ id }) => id !== undefined)?.id;
+      if (!caller.isBegun()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
+      if (last !== undefined) progress.lastEventId = last;
+      progress.events += events.length;
+      startTimer(pauseMs);
+      await caller.sendPart(joinEvents(events));
+    }
+  } catch (error) {
+    return fail(isSilent ? 'silent' : (error as Error).message);
+  } finally {
+    cancelTimer();
+  }
+  if (!answer.complete || splitter.countRest() > 0) return fail('stream cut off');
+  if (!caller.isBegun()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
+  caller.finish();
+  return { type: 'answered', status: 200 };
+}
+
+function joinEvents(events: { bytes: Buffer }[]): Buffer {
+  const [first] = events;
+  return events.length === 1 && first ? first.bytes : Buffer.concat(events.map((e) => e.bytes));
+}
--- /dev/null
+++ b/packages/router/src/requests/routed-request.ts
@@ -0,0 +1,17 @@
+import type { Route, RoutedAccount, RouteTable } from '@vanillarelay/routing';
+import type { RequestFacts } from '../wire/request-facts.js';
+import type { Caller } from './caller.js';
+
+/** A request that was read and matched to its route. */
+export interface RoutedRequest {
+  method: string;
+  path: string;
+  facts: RequestFacts;
+  body: Buffer;
+  table: RouteTable;
+  route: Route;
+  account?: RoutedAccount;
+  caller: Caller;
+  /** Monotonic time at which it arrived. */
+  startedAt: number;
+}
--- /dev/null
+++ b/packages/router/src/requests/router-parts.ts
@@ -0,0 +1,26 @@
+import type { Agent } from 'node:http';
+import type { Clock, DataCentreId, Hash, Random } from '@vanillarelay/core';
+import type {
+  ColdPacer,
+  EndpointTable,
+  HealthTracker,
+  LoadView,
+  RetryBudget,
+} from '@vanillarelay/routing';
+import type { RouterWire } from '../wire/router-wire.js';
+
+/** What the requests of one router share. */
+export interface RouterParts {
+  clock: Clock;
+  random: Random;
+  hash: Hash;
+  dataCentre: DataCentreId;
+  wire: RouterWire;
+  pool: Agent;
+  endpoints: EndpointTable;
+  health: HealthTracker;
+  loads: LoadView;
+  budget: RetryBudget;
+  pacer: ColdPacer;
+  isDataCentreOut: (id: DataCentreId) => boolean;
+}
--- /dev/null
+++ b/packages/router/src/requests/run-attempt.ts
@@ -0,0 +1,109 @@
+import type { EndpointId } from '@vanillarelay/core';
+import type { EndpointRecord } from '@vanillarelay/routing';
+import { CallFailure } from '../dispatch/call-failure.js';
+import { callEndpoint } from '../dispatch/call-endpoint.js';
+import type { AttemptOutcome } from './attempt-outcome.js';
+import { relayAnswer } from './relay-answer.js';
+import { relayEvents } from './relay-events.js';
+import type { RoutedRequest } from './routed-request.js';
+import type { RouterParts } from './router-parts.js';
+import type { StreamProgress } from './stream-progress.js';
+
+interface Attempt {
+  request: RoutedRequest;
+  record: EndpointRecord;
+  /** Monotonic time at which the request must be answered. */
+  deadlineAt: number;
+  signal: AbortSignal;
+  progress: StreamProgress;
+  /** Whether another endpoint could be asked after this one. */
+  isLast: boolean;
+}
+
+/** An endpoint that is this many times later than the objective is given up for another one. */
+const silentFactor = 2;
+const minSilentMs = 600;
+const streamType = 'text/event-stream';
+const okStatus = 200;
+/** Statuses that tell a caller that nothing ran; an endpoint proves that by its own header only. */
+const promiseStatuses = new Set([408, 421, 429, 503]);
+
+/** Sends a request to one endpoint and passes its answer on. */
+export async function runAttempt(parts: RouterParts, attempt: Attempt): Promise<AttemptOutcome> {
+  const { clock, wire, loads, pool } = parts;
+  const { request, record, deadlineAt, signal, progress, isLast } = attempt;
+  const { route, account, facts, method, path, body } = request;
+  const silentMs = isLast ? undefined : Math.max(minSilentMs, route.objectiveMs * silentFactor);
+  const headers = wire.buildHeaders(facts, {
+    endpoint: record.id,
+    deadlineMs: Math.max(1, Math.floor(deadlineAt - clock.monotonic())),
+    priority: account?.priority ?? route.priority,
+    ...(account ? { account: account.id } : {}),
+    ...(progress.lastEventId === undefined ? {} : { lastEventId: progress.lastEventId }),
+  });
+  if (body.length > 0 || method !== 'GET') headers.push('Content-Length', String(body.length));
+  loads.start(record.id);
+  try {
+    const answer = await callEndpoint({
+      ...{ method, path, headers, body, signal },
+      address: record.address,
+      agent: pool,
+      ...(silentMs === undefined ? {} : { headTimeoutMs: silentMs }),
+    });
+    const status = answer.statusCode ?? 0;
+    const said = wire.parseAnswer(status, answer.headers);
+    if (said.isOtherEndpoint) {
+      answer.resume();
+      return { type: 'notRun', reason: 'otherEndpoint', isUnreachable: true, isReplaced: true };
+    }
+    if (said.isNotRun) {
+      answer.resume();
+      return { type: 'notRun', reason: `endpoint answered ${status}`, isUnreachable: false };
+    }
+    const fault = findFault(status, said, facts.id);
+    if (fault !== undefined) {
+      answer.destroy();
+      return { type: 'failed', reason: fault, isSilent: false, status };
+    }
+    const isStream = answer.headers['content-type']?.startsWith(streamType) ?? false;
+    if (route.isStream && isStream && status === okStatus) {
+      const pauseMs = isLast ? undefined : Math.max(minSilentMs, route.maxPauseMs * 4);
+      const { caller } = request;
+      return await relayEvents({
+        ...{ answer, caller, progress, clock, pauseMs },
+        firstEventMs: silentMs,
+      });
+    }
+    if (request.caller.isBegun()) {
+      answer.destroy();
+      const reason = `endpoint answered ${status} to a resumed stream`;
+      return { type: 'failed', reason, isSilent: false, status };
+    }
+    return await relayAnswer({ answer, caller: request.caller, isFailureFinal: isLast });
+  } catch (error) {
+    return toOutcome(error, signal);
+  } finally {
+    loads.stop(record.id);
+  }
+}
+
+/** Why an answer cannot be passed on, if so. */
+function findFault(
+  status: number,
+  said: ReturnType<RouterParts['wire']['parseAnswer']>,
+  id: EndpointId | string,
+): string | undefined {
+  if (said.requestId !== undefined && said.requestId !== id) return 'answer to another request';
+  if (promiseStatuses.has(status)) return `endpoint answered ${status} without proof`;
+  if (status < 300 && (!said.isSigned || said.isForeignBody)) return 'answer is not the endpoint’s';
+  return undefined;
+}
+
+function toOutcome(error: unknown, signal: AbortSignal): AttemptOutcome {
+  if (signal.aborted) return { type: 'cancelled' };
+  if (!(error instanceof CallFailure)) throw error;
+  const { isSent, kind, message } = error;
+  const reason = `${kind}: ${message}`;
+  if (!isSent) return { type: 'notRun', reason, isUnreachable: true };
+  return { type: 'failed', reason, isSilent: kind === 'silent' };
+}
--- /dev/null
+++ b/packages/router/src/transport/call-json.ts
@@ -0,0 +1,55 @@
+import { Agent, request } from 'node:http';
+import { RelayError, ResultCode, type Refusal } from '@vanillarelay/core';
+import { readBody } from './read-body.js';
+import { splitAddress } from './split-address.js';
+
+interface JsonCall {
+  address: string;
+  path: string;
+  body: unknown;
+  signal: AbortSignal;
+}
+
+/** A snapshot of the log travels in parts below this size. */
+const maxReplyBytes = 16 * 1024 * 1024;
+const maxIdleConnections = 4;
+const idleMs = 30_000;
+
+const agent = new Agent({ keepAlive: true, maxFreeSockets: maxIdleConnections, timeout: idleMs });
+
+/**
+ * Calls another daemon with one JSON message. An aborted call closes its connection, so that one
+ * that has gone silent is not used again.
+ */
+export async function callJson<T>({ address, path, body, signal }: JsonCall): Promise<T> {
+  const payload = Buffer.from(JSON.stringify(body));
+  const { host, port } = splitAddress(address);
+  const { status, text } = await new Promise<{ status: number; text: string }>(
+    (resolve, reject) => {
+      const call = request(
+        {
+          ...{ host, port, path, agent, signal },
+          method: 'POST',
+          headers: { 'content-type': 'application/json', 'content-length': payload.length },
+        },
+        (answer) => {
+          readBody(answer, maxReplyBytes).then(
+            (bytes) => resolve({ status: answer.statusCode ?? 0, text: bytes.toString() }),
+            reject,
+          );
+        },
+      );
+      call.on('error', reject);
+      call.end(payload);
+    },
+  );
+  const reply = JSON.parse(text) as T & { refusal?: Refusal };
+  if (status === okStatus) return reply;
+  const { code, message, ...details } = reply.refusal ?? {
+    code: ResultCode.connectionFailed,
+    message: `${address}${path} answered ${status}`,
+  };
+  throw new RelayError(code, message, details);
+}
+
+const okStatus = 200;
--- /dev/null
+++ b/packages/router/src/transport/create-fleet-server.ts
@@ -0,0 +1,64 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { RelayError, ResultCode, toRefusal } from '@vanillarelay/core';
+import type { FleetPeer } from '@vanillarelay/fleet';
+import { fleetPaths } from './fleet-paths.js';
+import { readBody } from './read-body.js';
+
+type Handle = (body: never, signal: AbortSignal) => Promise<unknown>;
+
+interface FleetServerOptions {
+  handlers: FleetPeer;
+  /** Text of the metrics, for GET /metrics. */
+  formatMetrics: () => string | Promise<string>;
+}
+
+const maxBodyBytes = 16 * 1024 * 1024;
+const idleMs = 60_000;
+const metricsPath = '/metrics';
+
+/** Makes the server for the calls between daemons. */
+export function createFleetServer({ handlers, formatMetrics }: FleetServerOptions): Server {
+  const routes = new Map<string, Handle>([
+    [fleetPaths.hello, handlers.hello],
+    [fleetPaths.sync, handlers.sync],
+    [fleetPaths.announce, handlers.announce],
+    [fleetPaths.propose, handlers.propose],
+    [fleetPaths.readState, (_, signal) => handlers.readState(signal)],
+    [fleetPaths.requestVote, handlers.raft.requestVote],
+    [fleetPaths.appendEntries, handlers.raft.appendEntries],
+    [fleetPaths.installSnapshot, handlers.raft.installSnapshot],
+    [fleetPaths.readSender, (_, signal) => handlers.raft.readSender(signal)],
+  ]);
+
+  const answer = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const { url = '' } = message;
+    if (url === metricsPath) {
+      response.end(await formatMetrics());
+      return;
+    }
+    const left = new AbortController();
+    response.once('close', () => left.abort());
+    try {
+      const handle = routes.get(url);
+      if (!handle) throw new RelayError(ResultCode.unknownPath, `no call ${url}`);
+      const body = JSON.parse((await readBody(message, maxBodyBytes)).toString()) as never;
+      const reply = await handle(body, left.signal);
+      sendJson(response, 200, reply ?? {});
+    } catch (error) {
+      sendJson(response, 500, { refusal: toRefusal(error) });
+    }
+  };
+
+  return createServer({ keepAliveTimeout: idleMs }, (message, response) => {
+    void answer(message, response);
+  });
+}
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  const payload = Buffer.from(JSON.stringify(body));
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': payload.length,
+  });
+  response.end(payload);
+}
--- /dev/null
+++ b/packages/router/src/transport/open-fleet-peer.ts
@@ -0,0 +1,24 @@
+import type { FleetPeer } from '@vanillarelay/fleet';
+import { callJson } from './call-json.js';
+import { fleetPaths } from './fleet-paths.js';
+
+/** Opens another daemon by its address; connections are made when they are needed. */
+export function openFleetPeer(address: string): FleetPeer {
+  const call = <T>(path: string, body: unknown, signal: AbortSignal): Promise<T> =>
+    callJson<T>({ address, path, body, signal });
+  return {
+    hello: (request, signal) => call(fleetPaths.hello, request, signal),
+    sync: (request, signal) => call(fleetPaths.sync, request, signal),
+    announce: async (message, signal) => {
+      await call(fleetPaths.announce, message, signal);
+    },
+    propose: (command, signal) => call(fleetPaths.propose, command, signal),
+    readState: (signal) => call(fleetPaths.readState, {}, signal),
+    raft: {
+      requestVote: (request, signal) => call(fleetPaths.requestVote, request, signal),
+      appendEntries: (request, signal) => call(fleetPaths.appendEntries, request, signal),
+      installSnapshot: (request, signal) => call(fleetPaths.installSnapshot, request, signal),
+      readSender: (signal) => call(fleetPaths.readSender, {}, signal),
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/wire/grant.ts
@@ -0,0 +1,13 @@
+import type { AccountId, EndpointId } from '@vanillarelay/core';
+
+/** What this system tells an endpoint about a request besides what the caller sent. */
+export interface Grant {
+  endpoint: EndpointId;
+  /** Time that is left, in milliseconds; the endpoint stops work after it. */
+  deadlineMs: number;
+  account?: AccountId;
+  /** Rank for the endpoint's own queue; 0 is the most urgent. */
+  priority: number;
+  /** The stream goes on after this event. */
+  lastEventId?: string;
+}
--- /dev/null
+++ b/packages/router/src/wire/prompt-part.ts
@@ -0,0 +1,5 @@
+/** A part of a prompt that engines can keep in their cache. */
+export interface PromptPart {
+  id: string;
+  tokens: number;
+}
--- /dev/null
+++ b/packages/routing/src/config/route-target.ts
@@ -0,0 +1,7 @@
+import type { ServiceId } from '@vanillarelay/core';
+
+/** A service that takes a share of a route's requests. */
+export interface RouteTarget {
+  service: ServiceId;
+  weight: number;
+}
--- /dev/null
+++ b/packages/routing/src/endpoints/endpoint-table.ts
@@ -0,0 +1,4 @@
+import type { createEndpointTable } from './create-endpoint-table.js';
+
+/** Endpoints that announced themselves. */
+export type EndpointTable = ReturnType<typeof createEndpointTable>;
--- /dev/null
+++ b/packages/routing/src/placement/placement-request.ts
@@ -0,0 +1,9 @@
+import type { EndpointId } from '@vanillarelay/core';
+
+/** What placement needs to know of a request. */
+export interface PlacementRequest {
+  /** Names what an engine's cache should hold; absent for requests without a prompt. */
+  affinityKey?: string;
+  /** Endpoints that this request was sent to before. */
+  tried: ReadonlySet<EndpointId>;
+}
