fix(router): tell a reset answer without a length from one that has ended

Change: when a connection ends, a write of no bytes asks the socket for its error before the answer counts as complete.

Conclusion: seven ways of cutting an answer give the caller a failure; a proper end gives the answer.

--- /dev/null
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -0,0 +1,157 @@
+import { once } from 'node:events';
+import { createServer, type IncomingHttpHeaders, type RequestListener } from 'node:http';
+import { createServer as createSocketServer, type AddressInfo, type Socket } from 'node:net';
+import { createHash, toId, type EndpointId, type RequestId } from '@vanillarelay/core';
+import { createSystemClock } from '@vanillarelay/daemon';
+import {
+  createFrontServer,
+  createRouter,
+  type RequestResult,
+  type RouterWire,
+} from '@vanillarelay/router';
+import {
+  createEndpointTable,
+  type EndpointRecord,
+  type Route,
+  type RoutingConfig,
+} from '@vanillarelay/routing';
+
+const silenceMs = 60_000;
+
+/** A wire with header names of its own, so that these tests know no deployment. */
+const wire: RouterWire = {
+  parseRequest: ({ rawHeaders }) => {
+    const find = (name: string) => {
+      const at = rawHeaders.findIndex((one, i) => i % 2 === 0 && one.toLowerCase() === name);
+      return at < 0 ? undefined : rawHeaders[at + 1];
+    };
+    const deadline = find('x-deadline');
+    const lastEventId = find('last-event-id');
+    const part = find('x-part');
+    return {
+      id: toId<RequestId>(find('x-id') ?? ''),
+      promptParts: part === undefined ? [] : [{ id: part, tokens: 1 }],
+      promptTokens: 0,
+      passedHeaders: ['x-id', find('x-id') ?? '', 'host', 'test'],
+      ...(deadline === undefined ? {} : { deadlineMs: Number(deadline) }),
+      ...(lastEventId === undefined ? {} : { lastEventId }),
+    };
+  },
+  buildHeaders: ({ passedHeaders }, { deadlineMs, endpoint, lastEventId }) => [
+    ...passedHeaders,
+    ...['x-deadline', String(deadlineMs), 'x-endpoint', endpoint],
+    ...(lastEventId === undefined ? [] : ['last-event-id', lastEventId]),
+  ],
+  parseAnswer: (status: number, headers: IncomingHttpHeaders) => ({
+    ...(typeof headers['x-id'] === 'string' ? { requestId: headers['x-id'] } : {}),
+    isSigned: headers['x-signed'] !== undefined,
+    isNotRun: headers['x-not-run'] !== undefined,
+    isOtherEndpoint: status === 421,
+    isForeignBody: false,
+  }),
+};
+
+const plainRoute: Route = {
+  name: 'lookup',
+  host: '127.0.0.1',
+  pathPrefix: '/lookup/',
+  repeat: 'idempotent',
+  isStream: false,
+  isResumable: false,
+  hasPrompt: false,
+  timeoutMs: 2_000,
+  objectiveMs: 200,
+  maxPauseMs: 250,
+  priority: 0,
+  maxEndpoints: 2,
+  isPublic: true,
+  targets: [{ service: 'desk' as never, weight: 1 }],
+};
+
+const routes: Route[] = [
+  plainRoute,
+  { ...plainRoute, name: 'order', pathPrefix: '/order/', repeat: 'nonIdempotent', maxEndpoints: 1 },
+  {
+    ...plainRoute,
+    ...{ name: 'chat', pathPrefix: '/chat/', repeat: 'nonIdempotent' as const },
+    ...{ isStream: true, isResumable: true, hasPrompt: true },
+  },
+];
+
+const config: RoutingConfig = {
+  version: 1,
+  routes,
+  services: [
+    { id: 'desk' as never, healthPath: '/', maxConnections: 99, coldPeriodMs: 0, coldRatePerS: 0 },
+  ],
+  accounts: [],
+  bounds: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 65_536,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  },
+};
+
+/** Runs a router on loopback with endpoints that a test makes by hand. */
+export async function createRouterFixture() {
+  const clock = createSystemClock();
+  const endpoints = createEndpointTable({ clock, silenceMs });
+  const results: RequestResult[] = [];
+  const closers: (() => void)[] = [];
+  const router = createRouter({
+    ...{ clock, wire, endpoints },
+    random: () => 0,
+    hash: await createHash(),
+    self: 'router-1' as never,
+    dataCentre: 'lahore' as never,
+    listRouters: () => ['router-1' as never],
+    ...{ retryRatio: 0.2, retryWindowMs: 10_000, retryExtra: 100 },
+  });
+  router.updateConfig(config);
+  const front = createFrontServer({
+    ...{ clock, wire, readTable: router.readTable, run: router.run },
+    isClosing: () => false,
+    report: (_, result) => results.push(result),
+  });
+  front.listen(0, '127.0.0.1');
+  await once(front, 'listening');
+  closers.push(() => {
+    front.close();
+    front.closeAllConnections();
+  });
+
+  const announce = (id: string, port: number, change: Partial<EndpointRecord> = {}): void => {
+    endpoints.merge({
+      ...{ id: toId<EndpointId>(id), bornAt: 1, sequence: 1, service: 'desk' as never },
+      ...{ address: `127.0.0.1:${port}`, dataCentre: 'lahore' as never, slots: 4 },
+      ...{ state: 'ready' as const, coldLeftMs: 0, ...change },
+    });
+  };
+
+  return {
+    ...{ clock, router, endpoints, results, announce },
+    url: `http://127.0.0.1:${(front.address() as AddressInfo).port}`,
+    /** An endpoint that answers as the listener says. */
+    addEndpoint: async (id: string, listener: RequestListener): Promise<void> => {
+      const server = createServer(listener).listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      closers.push(() => {
+        server.close();
+        server.closeAllConnections();
+      });
+      announce(id, (server.address() as AddressInfo).port);
+    },
+    /** An endpoint that writes bytes of its own to each connection that sent a request. */
+    addRawEndpoint: async (id: string, answer: (socket: Socket) => void): Promise<void> => {
+      const server = createSocketServer((socket) => {
+        socket.on('error', () => {});
+        socket.on('data', () => answer(socket));
+      }).listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      closers.push(() => server.close());
+      announce(id, (server.address() as AddressInfo).port);
+    },
+    close: (): void => closers.forEach((close) => close()),
+  };
+}
--- a/packages/router/src/dispatch/call-endpoint.ts
+++ b/packages/router/src/dispatch/call-endpoint.ts
@@ -1,4 +1,5 @@
 import { request, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import { splitAddress } from '../transport/split-address.js';
 import { CallFailure } from './call-failure.js';
 import type { EndpointCall } from './endpoint-call.js';
@@ -6,13 +7,17 @@
 /** Endpoints are at most a few milliseconds away; a lost opening packet is only sent again after seconds. */
 const connectTimeoutMs = 350;
 
-/** Sends a request to an endpoint; resolves with the answer once its head is in. */
+/**
+ * Sends a request to an endpoint; resolves with the answer once its head is in. A reset that follows
+ * the last bytes closely is told as an ordinary end of the connection; only a write then shows it.
+ */
 export function callEndpoint(call: EndpointCall): Promise<IncomingMessage> {
   const { address, method, path, headers, body, agent, signal, headTimeoutMs } = call;
   const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
     let isSent = false;
     let failure: CallFailure | undefined;
+    let answered: IncomingMessage | undefined;
     let timer: NodeJS.Timeout | undefined;
     const outgoing = request({ host, port, method, path, headers, agent });
 
@@ -37,7 +42,15 @@
       outgoing.end(body);
     };
 
+    const checkEnd = function (this: Socket): void {
+      this.write('', (error) => {
+        if (error) answered?.destroy(new CallFailure('broken', true, 'connection reset'));
+      });
+    };
+
     outgoing.once('socket', (socket) => {
+      socket.prependListener('end', checkEnd);
+      outgoing.once('close', () => socket.removeListener('end', checkEnd));
       if (!socket.connecting) {
         send();
         return;
@@ -47,6 +60,7 @@
     });
     outgoing.once('response', (answer) => {
       settle();
+      answered = answer;
       const leave = () => answer.destroy(new CallFailure('cancelled', true, 'cancelled'));
       signal.addEventListener('abort', leave, { once: true });
       answer.once('close', () => signal.removeEventListener('abort', leave));
@@ -55,7 +69,10 @@
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
       settle();
       const kind = isSent ? 'broken' : 'refused';
-      reject(failure ?? new CallFailure(kind, isSent, error.code ?? error.message));
+      failure ??= new CallFailure(kind, isSent, error.code ?? error.message);
+      reject(failure);
+      // An answer without a length would count as complete when its connection is reset.
+      answered?.destroy(failure);
     });
     if (signal.aborted) cancel();
     else signal.addEventListener('abort', cancel, { once: true });
--- a/packages/routing/src/config/create-route-table.ts
+++ b/packages/routing/src/config/create-route-table.ts
@@ -20,8 +20,13 @@
     config,
     /** The route of this host with the longest prefix of the path. */
     findRoute: (host: string, path: string): Route | undefined =>
-      hosts.get(host.toLowerCase())?.find(({ pathPrefix }) => path.startsWith(pathPrefix)),
+      findHost(hosts, host.toLowerCase())?.find(({ pathPrefix }) => path.startsWith(pathPrefix)),
     findAccount: (key: string): RoutedAccount | undefined => accounts.get(key),
     findService: (id: ServiceId): RoutedService | undefined => services.get(id),
   };
 }
+
+/** Routes of a host; a port in the caller's header does not matter unless a route names it. */
+function findHost(hosts: Map<string, Route[]>, host: string): Route[] | undefined {
+  return hosts.get(host) ?? hosts.get(host.replace(/:\d+$/, ''));
+}
