--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,4 +1,5 @@
 // Bundles the platform's program into one file, so that a start reads and compiles little.
+import { readdirSync } from 'node:fs';
 import { build } from 'esbuild';
 
 await build({
@@ -8,12 +9,17 @@
   platform: 'node',
   target: 'node20',
   format: 'esm',
-  conditions: ['source'],
+  // Sources instead of the compiled packages, so that nothing else has to be built first.
   alias: Object.fromEntries(
-    ['core', 'control', 'config', 'routing', 'fleet', 'router', 'daemon'].map((name) => [
-      `@vanillarelay/${name}`,
-      `./packages/${name}/src/index.ts`,
-    ]),
+    readdirSync('packages', { withFileTypes: true })
+      .filter((entry) => entry.isDirectory())
+      .map(({ name }) => [`@vanillarelay/${name}`, `./packages/${name}/src/index.ts`]),
   ),
-  banner: { js: "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);" },
+  banner: {
+    // Bundled packages in the older module format ask for Node's modules by `require`.
+    js: [
+      "import { createRequire as createRequireHere } from 'node:module';",
+      'const require = createRequireHere(import.meta.url);',
+    ].join('\n'),
+  },
 });
