perf(router): copy cached prompts from their former home

Ruled out: keeping prompts at their old homes by a pointer in each router, since a router sees a sliver of the traffic and the old home is often the one that leaves.

Change: a request that goes to a home that joined lately, or past its home, names the endpoint that should hold the prompt, so that the engine copies it.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -82,7 +82,7 @@
   version: 1,
   routes,
   services: [
-    { id: 'desk' as never, healthPath: '/', maxConnections: 99, coldPeriodMs: 0, coldRatePerS: 0 },
+    { id: 'desk' as never, healthPath: '/', maxConnections: 99, coldPeriodMs: 0, coldRatePerS: 0, canCopyCache: false },
   ],
   accounts: [],
   bounds: {
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -16,6 +16,8 @@
   deadlineAt: number;
   signal: AbortSignal;
   progress: StreamProgress;
+  /** Address of an endpoint that should hold the prompt. */
+  cacheSource: string | undefined;
   /** Whether another endpoint could be asked after this one. */
   isLast: boolean;
 }
@@ -31,7 +33,7 @@
 /** Sends a request to one endpoint and passes its answer on. */
 export async function runAttempt(parts: RouterParts, attempt: Attempt): Promise<AttemptOutcome> {
   const { clock, wire, loads, pool } = parts;
-  const { request, record, deadlineAt, signal, progress, isLast } = attempt;
+  const { request, record, deadlineAt, signal, progress, isLast, cacheSource } = attempt;
   const { route, account, facts, method, path, body } = request;
   const silentMs = isLast ? undefined : Math.max(minSilentMs, route.objectiveMs * silentFactor);
   const headers = wire.buildHeaders(facts, {
@@ -39,6 +41,7 @@
     deadlineMs: Math.max(1, Math.floor(deadlineAt - clock.monotonic())),
     priority: account?.priority ?? route.priority,
     ...(account ? { account: account.id } : {}),
+    ...(cacheSource === undefined ? {} : { cacheSource }),
     ...(progress.lastEventId === undefined ? {} : { lastEventId: progress.lastEventId }),
   });
   if (body.length > 0 || method !== 'GET') headers.push('Content-Length', String(body.length));
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -2,6 +2,7 @@
 import { chooseEndpoint, chooseService } from '@vanillarelay/routing';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { buildAffinityKey } from './build-affinity-key.js';
+import { findCacheSource } from './find-cache-source.js';
 import { listCandidates } from './list-candidates.js';
 import type { RequestResult } from './request-result.js';
 import type { RoutedRequest } from './routed-request.js';
@@ -140,6 +141,7 @@
   const isLast = !canRepeat(request) || runs + 1 >= request.route.maxEndpoints;
   const outcome = await runAttempt(parts, {
     ...{ request, deadlineAt, signal, progress, isLast },
+    cacheSource: readCacheSource(parts, request, state.service, id),
     record: entry.record,
   });
   if (outcome.type === 'answered') health.recordSuccess(id);
@@ -153,6 +155,17 @@
   return outcome;
 }
 
+function readCacheSource(
+  parts: RouterParts,
+  { route, facts, table }: RoutedRequest,
+  service: ServiceId,
+  id: EndpointId,
+): string | undefined {
+  const key = route.hasPrompt ? buildAffinityKey(facts) : undefined;
+  if (key === undefined || !table.findService(service)?.canCopyCache) return undefined;
+  return findCacheSource(parts, service, key, id);
+}
+
 /** Whether a request may run more than once. */
 function canRepeat({ route }: RoutedRequest): boolean {
   return route.repeat === 'idempotent' || (route.isStream && route.isResumable);
--- a/packages/router/src/wire/grant.ts
+++ b/packages/router/src/wire/grant.ts
@@ -8,6 +8,8 @@
   account?: AccountId;
   /** Rank for the endpoint's own queue; 0 is the most urgent. */
   priority: number;
+  /** Address of an endpoint that holds the prompt in its cache. */
+  cacheSource?: string;
   /** The stream goes on after this event. */
   lastEventId?: string;
 }
--- a/packages/routing/src/config/routed-service.ts
+++ b/packages/routing/src/config/routed-service.ts
@@ -10,4 +10,6 @@
   coldPeriodMs: number;
   /** Requests a second that a cold endpoint bears; 0 when it needs no such care. */
   coldRatePerS: number;
+  /** Whether its endpoints copy cached prompts from each other. */
+  canCopyCache: boolean;
 }
--- a/packages/routing/src/endpoints/create-endpoint-table.ts
+++ b/packages/routing/src/endpoints/create-endpoint-table.ts
@@ -34,6 +34,7 @@
     lastChange += 1;
     entries.set(record.id, {
       record,
+      firstSeenAt: known?.record.bornAt === record.bornAt ? known.firstSeenAt : at,
       coldUntil: record.coldLeftMs > 0 ? at + record.coldLeftMs : 0,
       heardAt: record.isSilent ? (known?.heardAt ?? -Infinity) : at,
       change: lastChange,
--- a/packages/routing/src/endpoints/endpoint-entry.ts
+++ b/packages/routing/src/endpoints/endpoint-entry.ts
@@ -5,6 +5,8 @@
   record: EndpointRecord;
   /** Monotonic time until which it counts as cold. */
   coldUntil: number;
+  /** Monotonic time at which this process first heard of this incarnation. */
+  firstSeenAt: number;
   /** Monotonic time of its last announcement that this process knows of. */
   heardAt: number;
   /** Position in the order of changes of this table. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,6 +19,7 @@
 export { createSlidingCount } from './limits/create-sliding-count.js';
 export type { RetryBudget } from './limits/retry-budget.js';
 export type { Candidate } from './placement/candidate.js';
+export { chooseCacheSource } from './placement/choose-cache-source.js';
 export { chooseEndpoint } from './placement/choose-endpoint.js';
 export { createHealthTracker } from './placement/create-health-tracker.js';
 export { createLoadView } from './placement/create-load-view.js';
