feat(routing): judge endpoints by what all routers saw of them

Change: routers exchange counts of good and bad outcomes, aged by a half-life of 2 s, with the loads they already exchange. An endpoint is avoided when it fails clearly more often than its service. Plain idempotent requests are sent elsewhere after 300 ms instead of 600 ms.

--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -4,7 +4,6 @@
   withDeadline,
   type Clock,
   type Disk,
-  type EndpointId,
   type EventDetails,
   type Random,
   type Timeline,
@@ -12,6 +11,7 @@
 import type { EndpointRecord, EndpointTable } from '@vanillarelay/routing';
 import type { DaemonInfo } from './messages/daemon-info.js';
 import type { FleetPeer } from './messages/fleet-peer.js';
+import type { Observations } from './messages/observations.js';
 import type { SharedCommand } from './state/shared-command.js';
 import type { SharedState } from './state/shared-state.js';
 import { createHub } from './sync/create-hub.js';
@@ -33,8 +33,10 @@
   listSeeds: () => string[];
   /** Whether the whole fleet starts for the first time, with empty disks. */
   isFirstStart: boolean;
-  readLoads: () => Record<EndpointId, number>;
-  notifyLoads: (loads: Record<EndpointId, number>) => void;
+  /** What this daemon holds and saw. */
+  readObservations: () => Observations;
+  /** Calls back with what the other daemons hold and saw. */
+  notifyObservations: (observations: Observations) => void;
   notifyState: (state: SharedState) => void;
 }
 
@@ -122,9 +124,9 @@
     mayFound: () =>
       options.isFirstStart && voter?.readDiskId() !== undefined && !isMember(),
     openPeer: openAny,
-    readLoads: options.readLoads,
+    readObservations: options.readObservations,
     receiveFounders: (founders) => voter?.found(founders),
-    notifyLoads: options.notifyLoads,
+    notifyObservations: options.notifyObservations,
     notifyState: options.notifyState,
   });
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,7 @@
 export type { FleetPeer } from './messages/fleet-peer.js';
 export type { HelloReply } from './messages/hello-reply.js';
 export type { HelloRequest } from './messages/hello-request.js';
+export type { Observations } from './messages/observations.js';
 export type { SyncReply } from './messages/sync-reply.js';
 export type { SyncRequest } from './messages/sync-request.js';
 export type { SharedCommand } from './state/shared-command.js';
--- a/packages/fleet/src/messages/sync-reply.ts
+++ b/packages/fleet/src/messages/sync-reply.ts
@@ -2,6 +2,7 @@
 import type { EndpointRecord } from '@vanillarelay/routing';
 import type { SharedState } from '../state/shared-state.js';
 import type { DaemonInfo } from './daemon-info.js';
+import type { Observations } from './observations.js';
 
 /** What a hub answers to an exchange. */
 export interface SyncReply {
@@ -22,6 +23,6 @@
   daemonsVersion: number;
   /** Present when the list changed. */
   daemons?: DaemonInfo[];
-  /** Requests in flight at each endpoint, without those of the asker. */
-  loads: Record<EndpointId, number>;
+  /** What the other daemons hold and saw. */
+  observations: Observations;
 }
--- a/packages/fleet/src/messages/sync-request.ts
+++ b/packages/fleet/src/messages/sync-request.ts
@@ -1,4 +1,5 @@
 import type { EndpointId } from '@vanillarelay/core';
+import type { Observations } from './observations.js';
 import type { DaemonInfo } from './daemon-info.js';
 
 /** Asks a hub for what has changed, and tells it what this daemon holds. */
@@ -14,8 +15,8 @@
   cursor: number;
   /** Version of the list of daemons that the sender has. */
   daemonsVersion: number;
-  /** Requests in flight at each endpoint. */
-  loads: Record<EndpointId, number>;
+  /** What the sender holds and saw itself. */
+  observations: Observations;
   /** Endpoints that announced themselves at the sender lately. */
   heard: EndpointId[];
   /** How long the hub may wait for a change, in milliseconds. */
--- a/packages/fleet/src/sync/create-daemon-table.ts
+++ b/packages/fleet/src/sync/create-daemon-table.ts
@@ -1,11 +1,17 @@
-import type { Clock, DaemonId, EndpointId } from '@vanillarelay/core';
+import type { Clock, DaemonId } from '@vanillarelay/core';
 import type { DaemonInfo } from '../messages/daemon-info.js';
-
-type Loads = Record<EndpointId, number>;
+import type { Observations } from '../messages/observations.js';
+import { sumObservations } from './sum-observations.js';
 
 interface Row {
   info: DaemonInfo;
-  loads: Loads;
+  observations: Observations;
+  at: number;
+}
+
+interface RemoteRow {
+  daemons: DaemonInfo[];
+  observations: Observations;
   at: number;
 }
 
@@ -15,7 +21,7 @@
 /** Makes a hub's table of the daemons that exchange with it, and of those that the other hubs have. */
 export function createDaemonTable(clock: Pick<Clock, 'monotonic'>) {
   const direct = new Map<DaemonId, Row>();
-  const remote = new Map<string, { daemons: DaemonInfo[]; loads: Loads; at: number }>();
+  const remote = new Map<string, RemoteRow>();
   let known = '';
   let version = 1;
 
@@ -37,20 +43,22 @@
     return [...all.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
   };
 
-  const addLoads = (sum: Loads, loads: Loads): void => {
-    Object.entries(loads).forEach(([id, count]) => {
-      sum[id as EndpointId] = (sum[id as EndpointId] ?? 0) + count;
-    });
-  };
-
   return {
-    receive: (info: DaemonInfo, loads: Loads): void => {
-      direct.set(info.id, { info, loads, at: clock.monotonic() });
+    receive: (info: DaemonInfo, observations: Observations): void => {
+      direct.set(info.id, { info, observations, at: clock.monotonic() });
     },
     /** What another hub told of its own daemons. */
-    updateRemote: (hub: string, daemons: DaemonInfo[] | undefined, loads: Loads): void => {
+    updateRemote: (
+      hub: string,
+      daemons: DaemonInfo[] | undefined,
+      observations: Observations,
+    ): void => {
       const last = remote.get(hub);
-      remote.set(hub, { daemons: daemons ?? last?.daemons ?? [], loads, at: clock.monotonic() });
+      remote.set(hub, {
+        daemons: daemons ?? last?.daemons ?? [],
+        observations,
+        at: clock.monotonic(),
+      });
     },
     listDirect: (): DaemonInfo[] => listDirect().map(({ info }) => info),
     listAll,
@@ -65,19 +73,14 @@
       }
       return version;
     },
-    sumDirectLoads: (): Loads => {
-      const sum: Loads = {};
-      listDirect().forEach(({ loads }) => addLoads(sum, loads));
-      return sum;
-    },
-    /** Loads of all daemons but one. */
-    sumLoadsWithout: (id: DaemonId): Loads => {
-      const sum: Loads = {};
-      listDirect()
-        .filter(({ info }) => info.id !== id)
-        .forEach(({ loads }) => addLoads(sum, loads));
-      listRemote().forEach(({ loads }) => addLoads(sum, loads));
-      return sum;
-    },
+    sumDirect: (): Observations =>
+      sumObservations(listDirect().map(({ observations }) => observations)),
+    /** What all daemons but one know. */
+    sumWithout: (id: DaemonId): Observations =>
+      sumObservations(
+        [...listDirect().filter(({ info }) => info.id !== id), ...listRemote()].map(
+          ({ observations }) => observations,
+        ),
+      ),
   };
 }
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -69,7 +69,7 @@
       hubs: listHubs(),
       daemonsVersion: version,
       ...(isKnown && daemonsVersion === version ? {} : { daemons: list }),
-      loads: isHub ? daemons.sumDirectLoads() : daemons.sumLoadsWithout(from.id),
+      observations: isHub ? daemons.sumDirect() : daemons.sumWithout(from.id),
     };
   };
 
@@ -106,7 +106,7 @@
     wake,
     daemons,
     sync: async (request: SyncRequest, signal: AbortSignal): Promise<SyncReply> => {
-      if (!request.isHub) daemons.receive(request.from, request.loads);
+      if (!request.isHub) daemons.receive(request.from, request.observations);
       table.markHeard(request.heard, 0);
       await waitForNews(request, signal);
       return buildReply(request);
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -1,8 +1,9 @@
-import { withDeadline, type Clock, type EndpointId, type EventDetails } from '@vanillarelay/core';
+import { withDeadline, type Clock, type EventDetails } from '@vanillarelay/core';
 import type { EndpointTable } from '@vanillarelay/routing';
 import type { DaemonInfo } from '../messages/daemon-info.js';
 import type { FleetPeer } from '../messages/fleet-peer.js';
 import type { Founder } from '../messages/founder.js';
+import type { Observations } from '../messages/observations.js';
 import type { SyncReply } from '../messages/sync-reply.js';
 import { emptySharedState } from '../state/empty-shared-state.js';
 import type { SharedState } from '../state/shared-state.js';
@@ -19,11 +20,11 @@
   mayFound: () => boolean;
   openPeer: (address: string) => FleetPeer;
   table: EndpointTable;
-  readLoads: () => Record<EndpointId, number>;
+  readObservations: () => Observations;
   /** Calls back with who founds the control group. */
   receiveFounders: (founders: Founder[]) => void;
-  /** Calls back with the requests in flight at each endpoint, without those of this daemon. */
-  notifyLoads: (loads: Record<EndpointId, number>) => void;
+  /** Calls back with what the other daemons hold and saw. */
+  notifyObservations: (observations: Observations) => void;
   /** Calls back when the shared state changed. */
   notifyState: (state: SharedState) => void;
   record: (name: string, details?: EventDetails) => void;
@@ -49,7 +50,6 @@
     isCurrent: false,
     hubs: [],
     daemons: [readSelf()],
-    loads: {},
     contactAt: Number.NEGATIVE_INFINITY,
   };
   let hub: string | undefined;
@@ -69,8 +69,7 @@
     position = { hubIncarnation, cursor, daemonsVersion };
     if (reply.hubs.length > 0) view.hubs = reply.hubs;
     if (reply.daemons) view.daemons = reply.daemons;
-    view.loads = reply.loads;
-    options.notifyLoads(reply.loads);
+    options.notifyObservations(reply.observations);
     if (reply.leader === undefined) delete view.leader;
     else view.leader = reply.leader;
     if (quorumAgeMs <= quorumAgeLimitMs) view.contactAt = clock.monotonic();
@@ -100,7 +99,7 @@
       isHub: false,
       stateIndex: view.isCurrent ? view.state.index : -1,
       ...position,
-      loads: options.readLoads(),
+      observations: options.readObservations(),
       heard: table.listHeard(heardMs),
       waitMs: view.isCurrent ? pollWaitMs : 0,
     };
--- a/packages/fleet/src/sync/fleet-view.ts
+++ b/packages/fleet/src/sync/fleet-view.ts
@@ -1,4 +1,3 @@
-import type { EndpointId } from '@vanillarelay/core';
 import type { DaemonInfo } from '../messages/daemon-info.js';
 import type { SharedState } from '../state/shared-state.js';
 
@@ -10,8 +9,6 @@
   hubs: string[];
   leader?: string;
   daemons: DaemonInfo[];
-  /** Requests in flight at each endpoint, without those of this daemon. */
-  loads: Record<EndpointId, number>;
   /** Monotonic time of the last exchange with a hub that knew of a live quorum. */
   contactAt: number;
 }
--- a/packages/fleet/src/sync/run-hub-links.ts
+++ b/packages/fleet/src/sync/run-hub-links.ts
@@ -59,7 +59,7 @@
         // State comes by the replicated log, never by this exchange.
         stateIndex: Number.MAX_SAFE_INTEGER,
         ...position,
-        loads: {},
+        observations: { loads: {}, outcomes: {} },
         heard: table.listHeard(pollWaitMs + answerSlackMs),
         waitMs: pollWaitMs,
       };
@@ -68,7 +68,7 @@
       );
       reply.records.forEach((entry) => table.merge(entry));
       table.markHeard(reply.heard, 0);
-      hub.daemons.updateRemote(address, reply.daemons, reply.loads);
+      hub.daemons.updateRemote(address, reply.daemons, reply.observations);
       const { hubIncarnation, cursor, daemonsVersion } = reply;
       position = { hubIncarnation, cursor, daemonsVersion };
       if (isLost) record('fleet.linkRegained', { hub: address });
--- /dev/null
+++ b/packages/fleet/src/sync/sum-observations.ts
@@ -0,0 +1,19 @@
+import type { EndpointId } from '@vanillarelay/core';
+import type { Observations } from '../messages/observations.js';
+
+/** Adds up what several daemons know of endpoints. */
+export function sumObservations(parts: readonly Observations[]): Observations {
+  const sum: Observations = { loads: {}, outcomes: {} };
+  parts.forEach(({ loads, outcomes }) => {
+    Object.entries(loads).forEach(([key, count]) => {
+      const id = key as EndpointId;
+      sum.loads[id] = (sum.loads[id] ?? 0) + count;
+    });
+    Object.entries(outcomes).forEach(([key, [good, bad]]) => {
+      const id = key as EndpointId;
+      const [knownGood, knownBad] = sum.outcomes[id] ?? [0, 0];
+      sum.outcomes[id] = [knownGood + good, knownBad + bad];
+    });
+  });
+  return sum;
+}
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -1,4 +1,5 @@
 import type { Clock, DaemonId, DataCentreId, Hash, Random } from '@vanillarelay/core';
+import type { Observations } from '@vanillarelay/fleet';
 import {
   createColdPacer,
   createHealthTracker,
@@ -50,7 +51,12 @@
     isDataCentreOut: (id: DataCentreId) => out.has(id),
   };
   return {
-    loads,
+    /** What this daemon's requests hold and show of endpoints, for the other daemons. */
+    readObservations: () => ({ loads: loads.readOwn(), outcomes: parts.health.readOwn() }),
+    updateObservations: ({ loads: counts, outcomes }: Observations): void => {
+      loads.updateOthers(counts);
+      parts.health.updateOthers(outcomes);
+    },
     readTable: () => table,
     updateConfig: (config: RoutingConfig): void => {
       if (table && config.version <= table.config.version) return;
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -107,8 +107,8 @@
     openPeer: openFleetPeer,
     listSeeds: () => seeds,
     isFirstStart: settings.isFirstStart,
-    readLoads: router.loads.readOwn,
-    notifyLoads: router.loads.updateOthers,
+    readObservations: router.readObservations,
+    notifyObservations: router.updateObservations,
     notifyState: (state) => {
       router.updateDataCentresOut(state.dataCentresOut);
       if (state.version === 0) return;
--- a/packages/router/src/requests/list-candidates.ts
+++ b/packages/router/src/requests/list-candidates.ts
@@ -22,6 +22,7 @@
   const taking = endpoints
     .listService(id)
     .filter(({ record }) => record.state === 'ready' && !isDataCentreOut(record.dataCentre));
+  const failing = health.listFailing(taking.map(({ record }) => record.id));
   const open = taking.flatMap(({ record, coldUntil }) => {
     const load = loads.estimate(record.id);
     const coldRate = service?.coldRatePerS ?? 0;
@@ -33,7 +34,7 @@
       slots: record.slots,
       load,
       isAvoided: record.isSilent === true || health.isAvoided(record.id),
-      isFailing: health.isFailing(record.id),
+      isFailing: failing.has(record.id),
     };
   });
   return { open, total: taking.length };
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -25,6 +25,7 @@
 /** An endpoint that is this many times later than the objective is given up for another one. */
 const silentFactor = 2;
 const minSilentMs = 600;
+const minPlainSilentMs = 300;
 const streamType = 'text/event-stream';
 const okStatus = 200;
 /** Statuses that tell a caller that nothing ran; an endpoint proves that by its own header only. */
@@ -35,7 +36,8 @@
   const { clock, wire, loads, pool } = parts;
   const { request, record, deadlineAt, signal, progress, isLast, cacheSource } = attempt;
   const { route, account, facts, method, path, body } = request;
-  const silentMs = isLast ? undefined : Math.max(minSilentMs, route.objectiveMs * silentFactor);
+  const minMs = route.isStream ? minSilentMs : minPlainSilentMs;
+  const silentMs = isLast ? undefined : Math.max(minMs, route.objectiveMs * silentFactor);
   const headers = wire.buildHeaders(facts, {
     endpoint: record.id,
     deadlineMs: Math.max(1, Math.floor(deadlineAt - clock.monotonic())),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -25,4 +25,5 @@
 export { createLoadView } from './placement/create-load-view.js';
 export type { HealthTracker } from './placement/health-tracker.js';
 export type { LoadView } from './placement/load-view.js';
+export type { OutcomeCounts } from './placement/outcome-counts.js';
 export type { PlacementRequest } from './placement/placement-request.js';
