--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -30,7 +30,7 @@
   record: (name: string, details?: EventDetails) => void;
 }
 
-const pollWaitMs = 400;
+const pollWaitMs = 200;
 const minPauseMs = 60;
 const answerSlackMs = 600;
 const helloTimeoutMs = 400;
@@ -40,6 +40,8 @@
 /** After its start a daemon takes no state from a hub that is out of touch with the quorum. */
 const firstQuorumAgeMs = 2_000;
 const heardMs = 2_000;
+/** Another hub is tried for this long after one failed or lost touch with the quorum. */
+const doubtMs = 1_500;
 
 /** Makes the task that keeps this daemon's view in line with one hub, and finds another when it fails. */
 export function createSyncClient(options: SyncClientOptions) {
@@ -54,7 +56,12 @@
   };
   let hub: string | undefined;
   let position = { hubIncarnation: '', cursor: 0, daemonsVersion: 0 };
-  let failedHubs = new Set<string>();
+  /** Hubs that failed or are out of touch with the quorum, and until when others are tried first. */
+  const doubts = new Map<string, { until: number; isReachable: boolean }>();
+
+  const addDoubt = (address: string, isReachable: boolean): void => {
+    doubts.set(address, { until: clock.monotonic() + doubtMs, isReachable });
+  };
 
   const updateState = (next: SharedState): void => {
     if (next.index <= view.state.index) return;
@@ -81,11 +88,16 @@
     }
   };
 
+  /** A hub without doubt, this daemon's own first; else one that answers without a quorum. */
   const chooseHub = (): string | undefined => {
     const self = readSelf();
-    if (options.isOwnHub() && !failedHubs.has(self.address)) return self.address;
-    if (hub !== undefined && hub !== self.address && !failedHubs.has(hub)) return hub;
-    return sortHubs(view.hubs, self).find((one) => one !== self.address && !failedHubs.has(one));
+    const others = sortHubs(view.hubs, self).filter((one) => one !== self.address);
+    const own = options.isOwnHub() ? [self.address] : [];
+    const current = hub === undefined || hub === self.address ? [] : [hub];
+    const order = [...own, ...current, ...others];
+    const isDoubted = (one: string) => (doubts.get(one)?.until ?? 0) > clock.monotonic();
+    const trusted = order.find((one) => !isDoubted(one));
+    return trusted ?? order.find((one) => doubts.get(one)?.isReachable);
   };
 
   const exchange = async (address: string): Promise<void> => {
@@ -107,7 +119,8 @@
       openPeer(address).sync(request, signal),
     );
     applyReply(reply);
-    if (reply.quorumAgeMs > quorumAgeLimitMs) failedHubs.add(address);
+    if (reply.quorumAgeMs > quorumAgeLimitMs) addDoubt(address, true);
+    else doubts.delete(address);
   };
 
   /** Asks the seeds and every known hub who the hubs are. */
@@ -137,7 +150,6 @@
     while (!abort.signal.aborted) {
       const address = chooseHub();
       if (address === undefined) {
-        failedHubs = new Set();
         await findHubs();
         await clock.wait(retryMs, abort.signal);
         continue;
@@ -146,7 +158,7 @@
         await exchange(address);
         await clock.wait(minPauseMs, abort.signal);
       } catch (error) {
-        failedHubs.add(address);
+        addDoubt(address, false);
         record('fleet.hubFailed', { hub: address, reason: (error as Error).message });
       }
     }
--- a/packages/fleet/src/sync/run-hub-links.ts
+++ b/packages/fleet/src/sync/run-hub-links.ts
@@ -15,7 +15,7 @@
   signal: AbortSignal;
 }
 
-const pollWaitMs = 400;
+const pollWaitMs = 200;
 const answerSlackMs = 600;
 const minPauseMs = 60;
 const retryMs = 300;
--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -106,7 +106,7 @@
     self: 'router-1' as never,
     dataCentre: 'lahore' as never,
     listRouters: () => ['router-1' as never],
-    ...{ retryRatio: 0.2, retryWindowMs: 10_000, retryExtra: 100 },
+    ...{ retryRatio: 0.2, retryWindowMs: 10_000, retryExtra: 100, coldMultiplier: 1.5, coldSlack: 5 },
   });
   router.updateConfig(config);
   const front = createFrontServer({
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -28,6 +28,8 @@
   retryRatio: number;
   retryWindowMs: number;
   retryExtra: number;
+  coldMultiplier: number;
+  coldSlack: number;
 }
 
 /** Makes the part of a daemon that decides where requests run, with the state behind it. */
@@ -47,7 +49,11 @@
       extra: options.retryExtra,
       countRouters: () => listRouters().length,
     }),
-    pacer: createColdPacer({ clock, hash, self, listRouters }),
+    pacer: createColdPacer({
+      ...{ clock, hash, self, listRouters },
+      multiplier: options.coldMultiplier,
+      slack: options.coldSlack,
+    }),
     isDataCentreOut: (id: DataCentreId) => out.has(id),
   };
   return {
--- a/packages/router/src/daemon/router-settings.ts
+++ b/packages/router/src/daemon/router-settings.ts
@@ -29,6 +29,11 @@
     /** Repeats allowed on top in each window, for all routers together. */
     extra: z.number().check(z.nonnegative()),
   }),
+  /** What a cold endpoint bears in any second: its rate times the multiplier, plus the slack. */
+  coldEndpoints: z.object({
+    multiplier: z.number().check(z.minimum(1)),
+    slackPerS: z.number().check(z.nonnegative()),
+  }),
 });
 
 type RouterSettings = z.infer<typeof RouterSettings>;
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -80,6 +80,8 @@
     retryRatio: settings.retries.ratio,
     retryWindowMs: settings.retries.windowS * msPerS,
     retryExtra: settings.retries.extra,
+    coldMultiplier: settings.coldEndpoints.multiplier,
+    coldSlack: settings.coldEndpoints.slackPerS,
   });
   const shutdown = { isLeaving: false };
   const front = createFrontServer({
--- a/packages/router/src/requests/list-candidates.ts
+++ b/packages/router/src/requests/list-candidates.ts
@@ -1,12 +1,18 @@
 import type { ServiceId } from '@vanillarelay/core';
-import type { Candidate, RoutedService } from '@vanillarelay/routing';
+import type { Candidate, EndpointEntry, RoutedService } from '@vanillarelay/routing';
 import type { RouterParts } from './router-parts.js';
 
+/** Why endpoints of a service were left out, or doubted, with how many. */
+type PassedOver = Partial<Record<'out' | 'leaving' | 'cold' | 'full' | NonNullable<Candidate['doubt']>, number>>;
+
 interface CandidateList {
   /** Endpoints that may take a request now. */
   open: Candidate[];
   /** Endpoints of the service that take work at all. */
   total: number;
+  /** Mean load of the endpoints that take work. */
+  mean: number;
+  passedOver: PassedOver;
 }
 
 /** Requests that an endpoint may hold for each of its slots; more would wait too long there. */
@@ -14,28 +20,65 @@
 
 /** Lists the endpoints of a service that may take one more request. */
 export function listCandidates(
-  { clock, endpoints, health, loads, pacer, isDataCentreOut }: RouterParts,
+  parts: RouterParts,
   id: ServiceId,
   service: RoutedService | undefined,
 ): CandidateList {
-  const now = clock.monotonic();
-  const taking = endpoints
-    .listService(id)
-    .filter(({ record }) => record.state === 'ready' && !isDataCentreOut(record.dataCentre));
+  const { endpoints, health, loads } = parts;
+  const passedOver: PassedOver = {};
+  const count = (reason: keyof PassedOver): void => {
+    passedOver[reason] = (passedOver[reason] ?? 0) + 1;
+  };
+  const taking = endpoints.listService(id).filter((entry) => {
+    const reason = findRefusal(parts, entry);
+    if (reason) count(reason);
+    return !reason;
+  });
   const failing = health.listFailing(taking.map(({ record }) => record.id));
-  const open = taking.flatMap(({ record, coldUntil }) => {
+  const open = taking.flatMap((entry): Candidate[] => {
+    const { record } = entry;
     const load = loads.estimate(record.id);
-    const coldRate = service?.coldRatePerS ?? 0;
-    if (coldUntil > now && coldRate > 0 && !pacer.hasRoom(record.id, coldRate)) return [];
-    if (load >= record.slots * requestsPerSlot) return [];
-    return {
-      id: record.id,
-      dataCentre: record.dataCentre,
-      slots: record.slots,
-      load,
-      isAvoided: record.isSilent === true || health.isAvoided(record.id),
-      isFailing: failing.has(record.id),
-    };
+    const reason = findLimit(parts, entry, service, load);
+    if (reason) {
+      count(reason);
+      return [];
+    }
+    const doubt = findDoubt(parts, entry, failing);
+    if (doubt) count(doubt);
+    const { dataCentre, slots } = record;
+    return [{ id: record.id, dataCentre, slots, load, ...(doubt ? { doubt } : {}) }];
   });
-  return { open, total: taking.length };
+  const held = taking.reduce((sum, { record }) => sum + loads.estimate(record.id), 0);
+  const mean = held / Math.max(1, taking.length);
+  return { open, total: taking.length, mean, passedOver };
+}
+
+function findRefusal(
+  { isDataCentreOut }: RouterParts,
+  { record }: EndpointEntry,
+): 'out' | 'leaving' | undefined {
+  if (record.state !== 'ready') return 'leaving';
+  return isDataCentreOut(record.dataCentre) ? 'out' : undefined;
+}
+
+function findLimit(
+  { clock, pacer }: RouterParts,
+  { record, coldUntil }: EndpointEntry,
+  service: RoutedService | undefined,
+  load: number,
+): 'cold' | 'full' | undefined {
+  const coldRate = service?.coldRatePerS ?? 0;
+  const isCold = coldUntil > clock.monotonic() && coldRate > 0;
+  if (isCold && !pacer.hasRoom(record.id, coldRate)) return 'cold';
+  return load >= record.slots * requestsPerSlot ? 'full' : undefined;
+}
+
+function findDoubt(
+  { health }: RouterParts,
+  { record }: EndpointEntry,
+  failing: ReadonlySet<string>,
+): Candidate['doubt'] {
+  if (record.isSilent) return 'silent';
+  if (health.isAvoided(record.id)) return 'unreachable';
+  return failing.has(record.id) ? 'failing' : undefined;
 }
--- a/packages/router/src/requests/request-result.ts
+++ b/packages/router/src/requests/request-result.ts
@@ -1,9 +1,19 @@
 import type { EndpointId, Refusal } from '@vanillarelay/core';
 
+interface Send {
+  endpoint: EndpointId;
+  /** Why this endpoint was chosen. */
+  reason: string;
+  /** Endpoints that were left out or doubted, by reason. */
+  passedOver: object;
+  outcome: string;
+  ms: number;
+}
+
 /** How a request ended, for the log and the metrics. */
 export interface RequestResult {
   outcome: 'answered' | 'refused' | 'failed' | 'callerLeft' | 'brokenOff';
   status: number;
   refusal?: Refusal;
-  sends: { endpoint: EndpointId; reason: string; outcome: string; ms: number }[];
+  sends: Send[];
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -76,7 +76,10 @@
     const chosen = await waitForEndpoint(parts, request, state);
     if (request.caller.signal.aborted) return { ...result, outcome: 'callerLeft' };
     if (signal.aborted) return endLate(request, state);
-    if ('code' in chosen) return endWithout(request, state, chosen.code, chosen.reason);
+    if ('code' in chosen) {
+      const reason = `${chosen.reason} ${JSON.stringify(chosen.passedOver)}`;
+      return endWithout(request, state, chosen.code, reason);
+    }
     if (result.sends.length > 0 && !budget.spend(service)) {
       return endWithout(request, state, ResultCode.retryBudgetSpent, 'retry budget spent');
     }
@@ -86,6 +89,7 @@
     result.sends.push({
       endpoint: chosen.id,
       reason: chosen.reason,
+      passedOver: chosen.passedOver,
       outcome: state.lastReason,
       ms: Math.round(clock.monotonic() - sentAt),
     });
@@ -98,7 +102,10 @@
   }
 }
 
-type Choice = { id: EndpointId; reason: string } | { code: ResultCode; reason: string };
+type Choice = (
+  | { id: EndpointId; reason: string }
+  | { code: ResultCode; reason: string }
+) & { passedOver: object };
 
 /** Chooses an endpoint; waits a part of the objective when all are full or cold. */
 async function waitForEndpoint(
@@ -110,17 +117,17 @@
   const waitUntil = clock.monotonic() + route.objectiveMs * waitShare;
   const affinityKey = route.hasPrompt ? buildAffinityKey(facts) : undefined;
   for (;;) {
-    const { open, total } = listCandidates(parts, service, table.findService(service));
+    const { open, total, mean, passedOver } = listCandidates(parts, service, table.findService(service));
     const placement = chooseEndpoint(
       open,
-      { tried, ...(affinityKey === undefined ? {} : { affinityKey }) },
+      { tried, mean, ...(affinityKey === undefined ? {} : { affinityKey }) },
       { hash, random, dataCentre },
     );
-    if (placement) return placement;
-    if (total === 0) return { code: ResultCode.noEndpoint, reason: 'no endpoint takes work' };
-    if (tried.size >= total) return { code: ResultCode.noEndpoint, reason: 'all were tried' };
+    if (placement) return { ...placement, passedOver };
+    if (total === 0) return { code: ResultCode.noEndpoint, reason: 'no endpoint takes work', passedOver };
+    if (tried.size >= total) return { code: ResultCode.noEndpoint, reason: 'all were tried', passedOver };
     if (signal.aborted || clock.monotonic() >= waitUntil) {
-      return { code: ResultCode.endpointBusy, reason: 'all endpoints are full or cold' };
+      return { code: ResultCode.endpointBusy, reason: 'all are full or cold', passedOver };
     }
     await clock.wait(roomPollMs, signal);
   }
--- a/packages/routing/src/limits/create-cold-pacer.ts
+++ b/packages/routing/src/limits/create-cold-pacer.ts
@@ -1,4 +1,4 @@
-import { findRendezvousFirst, type Clock, type DaemonId, type EndpointId, type Hash } from '@vanillarelay/core';
+import { sortByRendezvous, type Clock, type DaemonId, type EndpointId, type Hash } from '@vanillarelay/core';
 
 interface ColdPacerOptions {
   clock: Pick<Clock, 'monotonic'>;
@@ -6,45 +6,61 @@
   self: DaemonId;
   /** Routers that may send, this one included. */
   listRouters: () => readonly DaemonId[];
+  /** What a cold endpoint bears in any second: its rate times the multiplier, plus the slack. */
+  multiplier: number;
+  slack: number;
 }
 
-const windowMs = 1_000;
-/** Part of a cold endpoint's rate that is given out; the rest covers what routers count late. */
-const safeShare = 0.7;
+interface Bucket {
+  tokens: number;
+  at: number;
+}
+
+const msPerS = 1_000;
+/** Part of what a cold endpoint bears that is given out; the rest covers a late list of routers. */
+const safeShare = 0.85;
 
-/** Makes the limit on requests to cold endpoints, which all routers keep together by even shares. */
-export function createColdPacer({ clock, hash, self, listRouters }: ColdPacerOptions) {
-  const sent = new Map<EndpointId, number[]>();
+/**
+ * Makes the limit on requests to cold endpoints, which all routers keep together without asking each
+ * other. Each has a bucket that holds one request and fills with its share of the rate; so many
+ * routers take part that their buckets and the rate together stay below what the endpoint bears.
+ */
+export function createColdPacer(options: ColdPacerOptions) {
+  const { clock, hash, self, listRouters, multiplier, slack } = options;
+  const buckets = new Map<EndpointId, Bucket>();
 
-  /** Requests in a window that this router may send; some routers get none when shares are under one. */
-  const computeShare = (id: EndpointId, ratePerS: number): number => {
+  /** Requests a second that this router may send. */
+  const computeRate = (id: EndpointId, ratePerS: number): number => {
+    const bearable = (ratePerS * multiplier + slack) * safeShare;
     const routers = listRouters();
-    const rate = Math.max(1, Math.floor(ratePerS * safeShare));
-    const share = rate / Math.max(1, routers.length);
-    if (share >= 1) return Math.floor(share);
-    const skip = new Set<DaemonId>();
-    while (skip.size < rate) {
-      const next = findRendezvousFirst(hash, id, routers, skip);
-      if (next === undefined) return 0;
-      if (next === self) return 1;
-      skip.add(next);
-    }
-    return 0;
+    const most = Math.max(1, Math.floor(bearable / 2));
+    const count = Math.min(Math.max(1, routers.length), most);
+    const isIn = routers.length <= most || isAmongFirst(id, most, routers);
+    return isIn ? Math.max(0, bearable - count) / count : 0;
   };
 
-  const countSent = (id: EndpointId): number => {
-    const since = clock.monotonic() - windowMs;
-    const times = (sent.get(id) ?? []).filter((at) => at > since);
-    if (times.length > 0) sent.set(id, times);
-    else sent.delete(id);
-    return times.length;
+  const isAmongFirst = (id: EndpointId, count: number, routers: readonly DaemonId[]): boolean =>
+    sortByRendezvous(hash, id, routers).slice(0, count).includes(self);
+
+  const readBucket = (id: EndpointId, ratePerS: number): Bucket => {
+    const at = clock.monotonic();
+    const known = buckets.get(id) ?? { tokens: 1, at };
+    const rate = computeRate(id, ratePerS);
+    if (rate === 0) return { tokens: 0, at };
+    const tokens = Math.min(1, known.tokens + ((at - known.at) / msPerS) * rate);
+    return { tokens, at };
   };
 
   return {
-    hasRoom: (id: EndpointId, ratePerS: number): boolean =>
-      countSent(id) < computeShare(id, ratePerS),
+    hasRoom: (id: EndpointId, ratePerS: number): boolean => {
+      const bucket = readBucket(id, ratePerS);
+      buckets.set(id, bucket);
+      return bucket.tokens >= 1;
+    },
+    /** Counts a request that is sent. */
     record: (id: EndpointId): void => {
-      sent.set(id, [...(sent.get(id) ?? []), clock.monotonic()]);
+      const bucket = buckets.get(id);
+      if (bucket) bucket.tokens -= 1;
     },
   };
 }
--- a/packages/routing/src/placement/candidate.ts
+++ b/packages/routing/src/placement/candidate.ts
@@ -7,7 +7,6 @@
   slots: number;
   /** Requests that it holds, estimated. */
   load: number;
-  /** Whether it is avoided after failures, silent, or out of its share of a cold endpoint's rate. */
-  isAvoided: boolean;
-  isFailing: boolean;
+  /** Why it is used only when sounder endpoints have too much to do, if so. */
+  doubt?: 'silent' | 'unreachable' | 'failing';
 }
--- a/packages/routing/src/placement/choose-endpoint.ts
+++ b/packages/routing/src/placement/choose-endpoint.ts
@@ -1,4 +1,4 @@
-import { findRendezvousFirst, type DataCentreId, type EndpointId, type Hash } from '@vanillarelay/core';
+import { sortByRendezvous, type DataCentreId, type EndpointId, type Hash } from '@vanillarelay/core';
 import type { Candidate } from './candidate.js';
 import type { PlacementRequest } from './placement-request.js';
 
@@ -11,19 +11,25 @@
 interface Placement {
   id: EndpointId;
   /** Why this endpoint was taken, for the log. */
-  reason: 'home' | 'nextHome' | 'leastLoaded' | 'onlyAvoidedLeft';
+  reason: 'home' | 'nextHome' | 'leastLoaded' | 'doubted';
 }
 
-/** A home is passed over above this multiple of the mean load, plus the allowance. */
-const homeLoadFactor = 1.5;
-const homeLoadAllowance = 2;
+/**
+ * An endpoint takes every request up to the mean load plus the allowance and none above the factor
+ * and twice the allowance; in between it takes a share. Routers know loads with a lag, and a sharp
+ * bound would make all of them pass it over, and come back to it, at the same time.
+ */
+const loadFactor = 1.5;
+const loadAllowance = 1.5;
 /** Load, as a share of the slots, that a nearer endpoint is worth. */
 const nearDiscount = 0.15;
 
 /**
  * Chooses the endpoint of a request. One with a prompt goes to the home of that prompt, the first
  * in its rendezvous order that is not loaded far above the mean; every router finds the same home.
- * Others go to the least loaded, a near one first. Returns undefined when there is no candidate.
+ * Others go to the least loaded, a near one first. Endpoints in doubt get what would load the sound
+ * ones far above the mean of all, so that doubts never pile the work onto a few. Returns undefined
+ * when there is no candidate.
  */
 export function chooseEndpoint(
   candidates: readonly Candidate[],
@@ -31,38 +37,47 @@
   options: PlacementOptions,
 ): Placement | undefined {
   const untried = candidates.filter(({ id }) => !request.tried.has(id));
-  const sound = untried.filter(({ isAvoided, isFailing }) => !isAvoided && !isFailing);
-  const usable = sound.length > 0 ? sound : untried.filter(({ isAvoided }) => !isAvoided);
-  if (usable.length === 0) {
-    const last = chooseLeastLoaded(untried, options);
-    return last && { id: last, reason: 'onlyAvoidedLeft' };
-  }
-  if (request.affinityKey !== undefined) {
-    const home = chooseHome(usable, candidates, request.affinityKey, options.hash);
+  const sound = untried.filter(({ doubt }) => doubt === undefined);
+  const { mean, affinityKey } = request;
+  if (affinityKey !== undefined) {
+    const home = chooseHome(sound, affinityKey, mean, options);
     if (home) return home;
   }
+  const bound = computeUpperBound(mean);
+  const light = untried.filter(({ load }) => load < bound);
+  const soundAndLight = light.filter(({ doubt }) => doubt === undefined);
+  const usable = [soundAndLight, light, sound, untried].find(({ length }) => length > 0) ?? [];
   const id = chooseLeastLoaded(usable, options);
-  return id && { id, reason: 'leastLoaded' };
+  if (id === undefined) return undefined;
+  const isDoubted = usable.some((one) => one.id === id && one.doubt !== undefined);
+  return { id, reason: isDoubted ? 'doubted' : 'leastLoaded' };
 }
 
 function chooseHome(
-  usable: readonly Candidate[],
-  all: readonly Candidate[],
+  sound: readonly Candidate[],
   key: string,
-  hash: Hash,
+  mean: number,
+  { hash, random }: PlacementOptions,
 ): Placement | undefined {
-  const mean = all.reduce((sum, { load }) => sum + load, 0) / all.length;
-  const bound = homeLoadFactor * mean + homeLoadAllowance;
-  const loads = new Map(usable.map(({ id, load }) => [id, load]));
-  const ids = [...loads.keys()];
-  const skip = new Set<EndpointId>();
-  while (skip.size < ids.length) {
-    const id = findRendezvousFirst(hash, key, ids, skip);
-    if (id === undefined) return undefined;
-    if ((loads.get(id) ?? 0) < bound) return { id, reason: skip.size === 0 ? 'home' : 'nextHome' };
-    skip.add(id);
-  }
-  return undefined;
+  const lower = mean + loadAllowance;
+  const upper = computeUpperBound(mean);
+  const loads = new Map(sound.map(({ id, load }) => [id, load]));
+  const order = sortByRendezvous(hash, key, sound.map(toId));
+  const draw = random();
+  const id = order.find((one) => {
+    const share = (upper - (loads.get(one) ?? 0)) / (upper - lower);
+    return share > draw;
+  });
+  if (id === undefined) return undefined;
+  return { id, reason: id === order[0] ? 'home' : 'nextHome' };
+}
+
+function computeUpperBound(mean: number): number {
+  return loadFactor * mean + 2 * loadAllowance;
+}
+
+function toId({ id }: Candidate): EndpointId {
+  return id;
 }
 
 function chooseLeastLoaded(
--- a/packages/routing/src/placement/placement-request.ts
+++ b/packages/routing/src/placement/placement-request.ts
@@ -4,6 +4,8 @@
 export interface PlacementRequest {
   /** Names what an engine's cache should hold; absent for requests without a prompt. */
   affinityKey?: string;
+  /** Mean load of all endpoints of the service that take work. */
+  mean: number;
   /** Endpoints that this request was sent to before. */
   tried: ReadonlySet<EndpointId>;
 }
