--- a/packages/routing/src/placement/choose-endpoint.ts
+++ b/packages/routing/src/placement/choose-endpoint.ts
@@ -15,12 +15,14 @@
 }
 
 /**
- * An endpoint takes every request up to the mean load plus the allowance and none above the factor
- * and twice the allowance; in between it takes a share. Routers know loads with a lag, and a sharp
- * bound would make all of them pass it over, and come back to it, at the same time.
+ * An endpoint takes every request below the lower bound and none above the upper one; in between it
+ * takes a share. Routers know loads with a lag, and a sharp bound would make all of them pass it
+ * over, and come back to it, at the same time.
  */
-const loadFactor = 1.5;
-const loadAllowance = 1.5;
+const lowerFactor = 1.4;
+const lowerAllowance = 2;
+const upperFactor = 1.8;
+const upperAllowance = 3;
 /** Load, as a share of the slots, that a nearer endpoint is worth. */
 const nearDiscount = 0.15;
 
@@ -59,7 +61,7 @@
   mean: number,
   { hash, random }: PlacementOptions,
 ): Placement | undefined {
-  const lower = mean + loadAllowance;
+  const lower = lowerFactor * mean + lowerAllowance;
   const upper = computeUpperBound(mean);
   const loads = new Map(sound.map(({ id, load }) => [id, load]));
   const order = sortByRendezvous(hash, key, sound.map(toId));
@@ -73,7 +75,7 @@
 }
 
 function computeUpperBound(mean: number): number {
-  return loadFactor * mean + 2 * loadAllowance;
+  return upperFactor * mean + upperAllowance;
 }
 
 function toId({ id }: Candidate): EndpointId {
