test(fleet): discovery, lost disks, cuts and departures on virtual time

Cause: the new package had no tests. Each test guards one failure: several groups at the first start, an accepted configuration lost with all processes or a disk, a second loss after a repair, a control node at another address, a cut-off leader that answers reads, a hub out of touch, versions that go back, departures that are forgotten, a disk that refuses writes.

--- /dev/null
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -0,0 +1,168 @@
+import { toId, type DaemonId, type DataCentreId, type EndpointId } from '@vanillarelay/core';
+import { createFleetNode, type FleetNode, type FleetPeer } from '@vanillarelay/fleet';
+import { createEndpointTable, type EndpointRecord, type EndpointTable } from '@vanillarelay/routing';
+import {
+  createFakeDisk,
+  createFakeNetwork,
+  createSeededRandom,
+  createVirtualClock,
+  wrapProcessDisk,
+  type VirtualProcess,
+} from '@vanillarelay/scenarios';
+
+interface TestDaemon {
+  id: string;
+  address: string;
+  process: VirtualProcess;
+  disk: ReturnType<typeof createFakeDisk> | undefined;
+  node: FleetNode;
+  table: EndpointTable;
+  /** Versions of the configuration in the order in which they came into force. */
+  versions: number[];
+}
+
+interface TestFleetOptions {
+  seed: number;
+  /** Daemons with a disk, and without one. */
+  disks?: number;
+  others?: number;
+}
+
+const dataCentres = 3;
+const silenceMs = 4_800;
+/** Calls of one change; each takes up to a second of virtual time. */
+const maxTries = 20;
+
+/** Runs daemons on virtual time that know nothing of each other but three seeds. */
+export function createTestFleet({ seed, disks = 3, others = 4 }: TestFleetOptions) {
+  const random = createSeededRandom(seed);
+  const virtual = createVirtualClock();
+  const network = createFakeNetwork({ virtual, random });
+  const daemons = new Map<string, TestDaemon>();
+  let counter = 0;
+  const createId = () => {
+    counter += 1;
+    return `id-${counter}`;
+  };
+  const buildAddress = (index: number) => `10.${(index % dataCentres) + 1}.0.${index + 1}:7000`;
+  const addresses = Array.from({ length: disks + others }, (_, index) => buildAddress(index));
+  const seeds = addresses.slice(0, 3);
+
+  const findByAddress = (address: string): TestDaemon | undefined =>
+    [...daemons.values()].find((daemon) => daemon.address === address);
+
+  const openPeer =
+    (from: VirtualProcess) =>
+    (address: string): FleetPeer => {
+      const open = <T extends object>(select: (peer: FleetPeer) => T): T =>
+        network.open<T>(from, () => {
+          const target = findByAddress(address);
+          return target && { process: target.process, handlers: select(target.node.handlers) };
+        });
+      const calls = wrapJson(open((peer) => peer));
+      const raft = wrapJson(open((peer) => peer.raft));
+      return new Proxy(calls, {
+        get: (peer, name) => (name === 'raft' ? raft : peer[name as keyof FleetPeer]),
+      });
+    };
+
+  const start = (index: number, { isFirstStart = false, address = buildAddress(index) } = {}) => {
+    const id = `daemon-${index}`;
+    const process = virtual.createProcess(id);
+    const known = daemons.get(id);
+    const disk = known ? known.disk : index < disks ? createFakeDisk({ random }) : undefined;
+    const table = createEndpointTable({ clock: process.clock, silenceMs });
+    const versions: number[] = [];
+    const node = createFleetNode({
+      self: {
+        id: toId<DaemonId>(id),
+        incarnation: createId(),
+        address,
+        dataCentre: toId<DataCentreId>(`dc-${index % dataCentres}`),
+      },
+      clock: process.clock,
+      ...{ random, table, isFirstStart },
+      timeline: { record: () => {} },
+      ...(disk
+        ? { openDisk: async () => wrapProcessDisk({ process, disk: disk.disk, syncMs: 1 }) }
+        : {}),
+      createDiskId: createId,
+      openPeer: openPeer(process),
+      listSeeds: () => seeds,
+      readObservations: () => ({ loads: {}, outcomes: {} }),
+      notifyObservations: () => {},
+      notifyState: ({ version }) => versions.push(version),
+    });
+    daemons.set(id, { id, address, process, disk, node, table, versions });
+    node.start();
+    return id;
+  };
+
+  const find = (id: string): TestDaemon => {
+    const daemon = daemons.get(id);
+    if (!daemon) throw new Error(`no daemon ${id}`);
+    return daemon;
+  };
+
+  const kill = (id: string): void => {
+    const { process, node, disk } = find(id);
+    process.kill();
+    node.stop();
+    disk?.crash();
+  };
+
+  const buildRecord = (change: Partial<EndpointRecord> = {}): EndpointRecord => ({
+    ...{ id: toId<EndpointId>('e1'), bornAt: 1, sequence: 1, service: 'desk' as never },
+    ...{ address: '10.1.9.9:80', dataCentre: 'dc-0' as never, slots: 4 },
+    ...{ state: 'ready' as const, coldLeftMs: 0, ...change },
+  });
+
+  return {
+    ...{ virtual, network, find, kill, start, buildRecord, seed },
+    all: addresses.map((_, index) => `daemon-${index}`),
+    startAll: () => addresses.map((_, index) => start(index, { isFirstStart: true })),
+    restart: (id: string) => start(Number(id.split('-')[1])),
+    wipe: (id: string) => find(id).disk?.wipe(),
+    cut: (a: string, b: string) => network.cut(a, b),
+    heal: (a: string, b: string) => network.clearCut(a, b),
+    /** Sends a configuration through one daemon, again until it is accepted. */
+    put: async (id: string, version: number): Promise<void> => {
+      for (let tries = 0; tries < maxTries; tries += 1) {
+        try {
+          const source = `config ${version}`;
+          await virtual.runUntil(find(id).node.propose({ type: 'putConfig', version, source }));
+          return;
+        } catch {
+          await virtual.run(200);
+        }
+      }
+      throw new Error(`${id} accepted no configuration (seed ${seed})`);
+    },
+    /** What a daemon answers to a read of the configuration; undefined when it is not certain. */
+    read: async (id: string): Promise<number | undefined> => {
+      try {
+        return (await virtual.runUntil(find(id).node.readConfirmedState())).version;
+      } catch {
+        return undefined;
+      }
+    },
+    readVersion: (id: string) => find(id).node.view.state.version,
+  };
+}
+
+/** Copies arguments and answers as JSON, as they travel between real daemons. */
+function wrapJson<T extends object>(peer: T): T {
+  return new Proxy({} as T, {
+    get: (_, name) => {
+      if (name === 'then') return undefined;
+      return async (...args: unknown[]) => {
+        const method = (peer as Record<PropertyKey, (...a: unknown[]) => Promise<unknown>>)[name];
+        const copied = args.map((arg) =>
+          arg instanceof AbortSignal ? arg : (JSON.parse(JSON.stringify(arg)) as unknown),
+        );
+        const reply = await method?.(...copied);
+        return reply === undefined ? undefined : (JSON.parse(JSON.stringify(reply)) as unknown);
+      };
+    },
+  });
+}
--- /dev/null
+++ b/packages/fleet/__tests__/fleet.test.ts
@@ -0,0 +1,188 @@
+import { describe, expect, it } from 'vitest';
+import { createTestFleet } from './create-test-fleet.js';
+
+const seeds = [1, 2, 3, 4, 5];
+/** Bound of the users' platform for a configuration to be in force. */
+const inForceMs = 2_000;
+/** Bound of the users' platform for an acknowledgement. */
+const acknowledgeMs = 4_000;
+
+async function startSettled(seed: number, options: { disks?: number; others?: number } = {}) {
+  const fleet = createTestFleet({ seed, ...options });
+  fleet.startAll();
+  await fleet.virtual.run(8_000);
+  return fleet;
+}
+
+type Fleet = Awaited<ReturnType<typeof startSettled>>;
+
+const listVersions = (fleet: Fleet, ids = fleet.all) => ids.map((id) => fleet.readVersion(id));
+const readMembers = (fleet: Fleet, id: string) =>
+  fleet.find(id).node.readControlSummary()?.members ?? [];
+const findLeader = (fleet: Fleet) =>
+  fleet.all.find((id) => {
+    const { process, node } = fleet.find(id);
+    return process.isAlive() && node.readControlSummary()?.role === 'leader';
+  }) ?? '';
+
+describe.each(seeds)('a fleet that knows only its seeds (seed %i)', (seed) => {
+  // Guards against several groups, or none, when all daemons start at once.
+  it('founds one control group on all disks and brings a configuration into force', async () => {
+    const fleet = await startSettled(seed, { disks: 5, others: 6 });
+    expect(readMembers(fleet, 'daemon-0').map(({ id }) => id).sort()).toEqual(
+      fleet.all.slice(0, 5),
+    );
+    await fleet.put('daemon-9', 7);
+    await fleet.virtual.run(inForceMs);
+    expect(listVersions(fleet)).toEqual(fleet.all.map(() => 7));
+    expect(await fleet.read('daemon-10')).toBe(7);
+  });
+
+  // Guards against losing an accepted configuration when every process ends or loses power at once.
+  it('keeps an accepted configuration when all are killed right after it', async () => {
+    const fleet = await startSettled(seed);
+    await fleet.put('daemon-5', 3);
+    fleet.all.forEach(fleet.kill);
+    fleet.all.forEach((id) => fleet.restart(id));
+    await fleet.virtual.run(3_000);
+    expect(listVersions(fleet)).toEqual(fleet.all.map(() => 3));
+    expect(await fleet.read('daemon-4')).toBe(3);
+  });
+
+  // Guards against a node with an emptied disk that votes for a group without the accepted change.
+  it('keeps an accepted configuration when one disk is lost and the others lose power', async () => {
+    const fleet = await startSettled(seed);
+    await fleet.put('daemon-4', 5);
+    const wiped = findLeader(fleet);
+    fleet.all.forEach(fleet.kill);
+    fleet.wipe(wiped);
+    fleet.all.forEach((id) => fleet.restart(id));
+    await fleet.virtual.run(10_000);
+    expect(await fleet.read('daemon-6')).toBe(5);
+    expect(listVersions(fleet)).toEqual(fleet.all.map(() => 5));
+    const voters = readMembers(fleet, wiped).filter(({ role }) => role === 'voter');
+    expect(voters.map(({ id }) => id).sort()).toEqual(fleet.all.slice(0, 3));
+  });
+
+  // Guards against a second loss right after a repair, before the repaired node counts.
+  it('bears the loss of a second disk some seconds after the first', async () => {
+    const fleet = await startSettled(seed);
+    await fleet.put('daemon-4', 2);
+    for (const id of ['daemon-0', 'daemon-1', 'daemon-2']) {
+      fleet.kill(id);
+      fleet.wipe(id);
+      fleet.restart(id);
+      await fleet.virtual.run(acknowledgeMs);
+    }
+    expect(await fleet.read('daemon-5')).toBe(2);
+    await fleet.put('daemon-6', 4);
+    expect(await fleet.read('daemon-3')).toBe(4);
+  });
+
+  // Guards against a control node that is gone for good and whose place nobody takes.
+  it('gives the place of a lost control node to one at another address', async () => {
+    const fleet = await startSettled(seed, { disks: 4, others: 3 });
+    fleet.kill('daemon-2');
+    await fleet.virtual.run(1_000);
+    await fleet.put('daemon-5', 9);
+    fleet.wipe('daemon-2');
+    fleet.start(2, { address: '10.2.0.99:7000' });
+    await fleet.virtual.run(acknowledgeMs);
+    const voters = readMembers(fleet, findLeader(fleet)).filter(({ role }) => role === 'voter');
+    expect(voters.map(({ address }) => address)).toContain('10.2.0.99:7000');
+    expect(voters).toHaveLength(4);
+    expect(fleet.readVersion('daemon-2')).toBe(9);
+  });
+
+  // Guards against a cut-off leader that answers a read with what others have replaced.
+  it('never reads an older configuration than the newest accepted one', async () => {
+    const fleet = await startSettled(seed);
+    await fleet.put('daemon-4', 1);
+    const leader = findLeader(fleet);
+    fleet.all.filter((id) => id !== leader).forEach((id) => fleet.cut(leader, id));
+    await fleet.put('daemon-4', 2);
+    expect(await fleet.read(leader)).toBeUndefined();
+    expect(await fleet.read('daemon-5')).toBe(2);
+    fleet.all.filter((id) => id !== leader).forEach((id) => fleet.heal(leader, id));
+    await fleet.virtual.run(inForceMs);
+    expect(fleet.readVersion(leader)).toBe(2);
+  });
+
+  // Guards against daemons that stay with a hub that is cut off from the other control nodes.
+  it('moves daemons away from a hub that lost touch with the others', async () => {
+    const fleet = await startSettled(seed);
+    const leader = findLeader(fleet);
+    ['daemon-0', 'daemon-1', 'daemon-2']
+      .filter((id) => id !== leader)
+      .forEach((id) => fleet.cut(leader, id));
+    await fleet.virtual.run(3_000);
+    await fleet.put('daemon-3', 6);
+    await fleet.virtual.run(inForceMs);
+    const others = fleet.all.filter((id) => id !== leader);
+    expect(listVersions(fleet, others)).toEqual(others.map(() => 6));
+  });
+
+  // Guards against versions that go back in a daemon, and a resent older change that wins.
+  it('lets the highest version win, in every daemon in rising order', async () => {
+    const fleet = await startSettled(seed);
+    for (const version of [2, 5, 3, 9, 4]) await fleet.put('daemon-6', version);
+    await fleet.virtual.run(inForceMs);
+    fleet.all.forEach((id) => {
+      const { versions } = fleet.find(id);
+      expect(versions).toEqual([...versions].sort((a, b) => a - b));
+      expect(versions.at(-1)).toBe(9);
+    });
+  });
+
+  // Guards against new work for an endpoint whose departure was acknowledged.
+  it('tells every daemon of a leaving endpoint, also when the daemon that heard it is killed', async () => {
+    const fleet = await startSettled(seed);
+    const ready = fleet.buildRecord();
+    fleet.find('daemon-3').table.merge(ready);
+    await fleet.virtual.runUntil(fleet.find('daemon-3').node.announce(ready));
+    await fleet.virtual.run(1_000);
+    const leaving = fleet.buildRecord({ state: 'leaving', sequence: 2 });
+    await fleet.virtual.runUntil(fleet.find('daemon-4').node.announce(leaving));
+    fleet.kill('daemon-4');
+    fleet.kill('daemon-0');
+    await fleet.virtual.run(2_000);
+    const others = fleet.all.filter((id) => !['daemon-0', 'daemon-4'].includes(id));
+    const states = others.map((id) => fleet.find(id).table.find(ready.id)?.record.state);
+    expect(states).toEqual(others.map(() => 'leaving'));
+  });
+
+  // Guards against a fleet without endpoints until each has announced itself again.
+  it('knows its endpoints again after all were killed', async () => {
+    const fleet = await startSettled(seed);
+    const record = fleet.buildRecord();
+    await fleet.virtual.runUntil(fleet.find('daemon-5').node.announce(record));
+    await fleet.virtual.run(1_000);
+    fleet.all.forEach(fleet.kill);
+    fleet.all.forEach((id) => fleet.restart(id));
+    await fleet.virtual.run(2_000);
+    const states = fleet.all.map((id) => fleet.find(id).table.find(record.id)?.record.state);
+    expect(states).toEqual(fleet.all.map(() => 'ready'));
+  });
+});
+
+// Guards against a leader whose disk takes no more bytes and which ends its process.
+it('goes on, and joins again, when the disk of the leader fails for a while', async () => {
+  const fleet = await startSettled(11);
+  await fleet.put('daemon-4', 1);
+  const leader = findLeader(fleet);
+  const { disk } = fleet.find(leader);
+  if (!disk) throw new Error('the leader has no disk');
+  const { append, write } = disk.disk;
+  const refuse = async () => {
+    throw new Error('ENOSPC');
+  };
+  Object.assign(disk.disk, { append: refuse, write: refuse });
+  await fleet.put('daemon-4', 2);
+  await fleet.virtual.run(inForceMs);
+  expect(listVersions(fleet)).toEqual(fleet.all.map(() => 2));
+  Object.assign(disk.disk, { append, write });
+  await fleet.virtual.run(5_000);
+  expect(fleet.find(leader).node.readControlSummary()?.appliedIndex).toBeGreaterThan(0);
+  await fleet.put('daemon-4', 3);
+  expect(await fleet.read('daemon-5')).toBe(3);
+});
