--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,16 @@
 import relay from './scripts/lint/plugin.mjs';
 
 export default [
-  { ignores: ['**/dist/**', 'node_modules/**', 'bench/results/**', 'coverage/**'] },
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      'journal/**',
+      'node_modules/**',
+      'bench/results/**',
+      'coverage/**',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -52,12 +61,12 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['**/index.ts'],
     rules: { 'relay/one-export': 'error', 'relay/function-verb': 'error' },
   },
   {
-    files: ['packages/{core,config,control,link,agent,entry}/src/**/*.ts'],
+    files: ['packages/{core,config,control,link,agent,entry,routing,fleet}/src/**/*.ts'],
     rules: {
       'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'setImmediate', 'fetch'],
       'no-restricted-properties': [
--- a/packages/control/src/raft/check-remaining.ts
+++ b/packages/control/src/raft/check-remaining.ts
@@ -4,12 +4,13 @@
 import { raftTiming } from './raft-timing.js';
 
 /** Refuses to take a member out when the others would be left without a quorum. @internal */
-export function checkRemaining(context: RaftContext, isLost: (member: GroupMember) => boolean): void {
+export function checkRemaining(
+  context: RaftContext,
+  isLost: (member: GroupMember) => boolean,
+): void {
   const { log, progress, clock, group } = context;
   const members = group?.members ?? [];
-  const remaining = members.filter(
-    (member) => member.role === 'voter' && !isLost(member),
-  );
+  const remaining = members.filter((member) => member.role === 'voter' && !isLost(member));
   const since = clock.monotonic() - raftTiming.electionTimeoutMinMs;
   const live = remaining.filter(
     ({ diskId }) =>
--- a/packages/control/src/raft/keep-members.ts
+++ b/packages/control/src/raft/keep-members.ts
@@ -47,9 +47,7 @@
   foundedSize: number,
 ): Promise<void> {
   const alive = listNodes();
-  const joining = alive.find(
-    ({ diskId }) => !voters.some((voter) => voter.diskId === diskId),
-  );
+  const joining = alive.find(({ diskId }) => !voters.some((voter) => voter.diskId === diskId));
   if (joining) {
     const lost = findLost(voters, joining.id, listSilent(replaceAfterMs));
     if (lost === undefined && voters.length >= maxVoters) return;
--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -1,6 +1,10 @@
 import { toId, type DaemonId, type DataCentreId, type EndpointId } from '@vanillarelay/core';
 import { createFleetNode, type FleetNode, type FleetPeer } from '@vanillarelay/fleet';
-import { createEndpointTable, type EndpointRecord, type EndpointTable } from '@vanillarelay/routing';
+import {
+  createEndpointTable,
+  type EndpointRecord,
+  type EndpointTable,
+} from '@vanillarelay/routing';
 import {
   createFakeDisk,
   createFakeNetwork,
@@ -70,7 +74,8 @@
     const id = `daemon-${index}`;
     const process = virtual.createProcess(id);
     const known = daemons.get(id);
-    const disk = known ? known.disk : index < disks ? createFakeDisk({ random }) : undefined;
+    const newDisk = index < disks && !known ? createFakeDisk({ random }) : undefined;
+    const disk = known?.disk ?? newDisk;
     const table = createEndpointTable({ clock: process.clock, silenceMs });
     const versions: number[] = [];
     const node = createFleetNode({
--- a/packages/fleet/__tests__/fleet.test.ts
+++ b/packages/fleet/__tests__/fleet.test.ts
@@ -29,9 +29,11 @@
   // Guards against several groups, or none, when all daemons start at once.
   it('founds one control group on all disks and brings a configuration into force', async () => {
     const fleet = await startSettled(seed, { disks: 5, others: 6 });
-    expect(readMembers(fleet, 'daemon-0').map(({ id }) => id).sort()).toEqual(
-      fleet.all.slice(0, 5),
-    );
+    expect(
+      readMembers(fleet, 'daemon-0')
+        .map(({ id }) => id)
+        .sort(),
+    ).toEqual(fleet.all.slice(0, 5));
     await fleet.put('daemon-9', 7);
     await fleet.virtual.run(inForceMs);
     expect(listVersions(fleet)).toEqual(fleet.all.map(() => 7));
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -55,8 +55,7 @@
 export function createFleetNode(options: FleetNodeOptions) {
   const { self, clock, timeline, table, openPeer } = options;
   const stopping = new AbortController();
-  const record = (name: string, details?: EventDetails) =>
-    timeline.record(name, details);
+  const record = (name: string, details?: EventDetails) => timeline.record(name, details);
 
   const voter =
     options.openDisk &&
@@ -122,8 +121,7 @@
     record,
     listSeeds: options.listSeeds,
     isOwnHub: () => isMember() && (voter?.readQuorumAgeMs() ?? Infinity) <= ownHubAgeMs,
-    mayFound: () =>
-      options.isFirstStart && voter?.readDiskId() !== undefined && !isMember(),
+    mayFound: () => options.isFirstStart && voter?.readDiskId() !== undefined && !isMember(),
     openPeer: openAny,
     readObservations: options.readObservations,
     receiveFounders: (founders) => voter?.found(founders),
--- a/packages/fleet/src/sync/create-daemon-table.ts
+++ b/packages/fleet/src/sync/create-daemon-table.ts
@@ -1,7 +1,7 @@
 import type { Clock, DaemonId } from '@vanillarelay/core';
 import type { DaemonInfo } from '../messages/daemon-info.js';
 import type { Observations } from '../messages/observations.js';
-import { sumObservations } from './sum-observations.js';
+import { mergeObservations } from './merge-observations.js';
 
 interface Row {
   info: DaemonInfo;
@@ -74,10 +74,10 @@
       return version;
     },
     sumDirect: (): Observations =>
-      sumObservations(listDirect().map(({ observations }) => observations)),
+      mergeObservations(listDirect().map(({ observations }) => observations)),
     /** What all daemons but one know. */
     sumWithout: (id: DaemonId): Observations =>
-      sumObservations(
+      mergeObservations(
         [...listDirect().filter(({ info }) => info.id !== id), ...listRemote()].map(
           ({ observations }) => observations,
         ),
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -166,7 +166,9 @@
 
   return {
     view: view as Readonly<FleetView>,
-    start: (): void => void run(),
+    start: (): void => {
+      void run();
+    },
     stop: (): void => abort.abort(),
     /** The hub in use, else any that is known. */
     listHubs: (): string[] => [...new Set([...(hub === undefined ? [] : [hub]), ...view.hubs])],
--- a/packages/fleet/src/sync/keep-endpoints.ts
+++ b/packages/fleet/src/sync/keep-endpoints.ts
@@ -14,6 +14,7 @@
 /** Changes within this time share one write. */
 const collectMs = 20;
 const retryMs = 1_000;
+const idleMs = 60_000;
 
 /**
  * Keeps the known endpoints on disk and reads them at the start, so that a fleet that lost power as a
@@ -25,18 +26,16 @@
   const disk = await openEndpointDisk(options);
   if (!disk) return;
   let isChanged = false;
-  let wake = () => {};
+  let changed = new AbortController();
   table.observe(() => {
     isChanged = true;
-    wake();
+    changed.abort();
   });
+  signal.addEventListener('abort', () => changed.abort(), { once: true });
   while (!signal.aborted) {
-    if (!isChanged) {
-      await new Promise<void>((resolve) => {
-        wake = resolve;
-        signal.addEventListener('abort', () => resolve(), { once: true });
-      });
-    }
+    if (!isChanged) await clock.wait(idleMs, changed.signal);
+    changed = new AbortController();
+    if (!isChanged) continue;
     await clock.wait(collectMs, signal);
     isChanged = false;
     try {
--- a/packages/fleet/src/sync/sum-observations.ts
+++ b/packages/fleet/src/sync/merge-observations.ts
@@ -2,7 +2,7 @@
 import type { Observations } from '../messages/observations.js';
 
 /** Adds up what several daemons know of endpoints. */
-export function sumObservations(parts: readonly Observations[]): Observations {
+export function mergeObservations(parts: readonly Observations[]): Observations {
   const sum: Observations = { loads: {}, outcomes: {} };
   parts.forEach(({ loads, outcomes }) => {
     Object.entries(loads).forEach(([key, count]) => {
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -113,7 +113,9 @@
   const readMembers = (): GroupMember[] => node?.readStatus().members ?? [];
 
   return {
-    start: (): void => void run(),
+    start: (): void => {
+      void run();
+    },
     stop: (): void => {
       isStopped = true;
       wakeFounding();
--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -82,7 +82,14 @@
   version: 1,
   routes,
   services: [
-    { id: 'desk' as never, healthPath: '/', maxConnections: 99, coldPeriodMs: 0, coldRatePerS: 0, canCopyCache: false },
+    {
+      id: 'desk' as never,
+      healthPath: '/',
+      maxConnections: 99,
+      coldPeriodMs: 0,
+      coldRatePerS: 0,
+      canCopyCache: false,
+    },
   ],
   accounts: [],
   bounds: {
@@ -106,7 +113,13 @@
     self: 'router-1' as never,
     dataCentre: 'lahore' as never,
     listRouters: () => ['router-1' as never],
-    ...{ retryRatio: 0.2, retryWindowMs: 10_000, retryExtra: 100, coldMultiplier: 1.5, coldSlack: 5 },
+    ...{
+      retryRatio: 0.2,
+      retryWindowMs: 10_000,
+      retryExtra: 100,
+      coldMultiplier: 1.5,
+      coldSlack: 5,
+    },
   });
   router.updateConfig(config);
   const front = createFrontServer({
--- a/packages/router/__tests__/cut-answers.test.ts
+++ b/packages/router/__tests__/cut-answers.test.ts
@@ -13,7 +13,11 @@
   const cases: [string, string, (socket: Socket) => unknown][] = [
     ['a short body, reset', `${head}Content-Length: 9\r\n\r\nabc`, reset],
     ['a short body, closed', `${head}Content-Length: 9\r\n\r\nabc`, end],
-    ['chunks without an end, reset', `${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`, reset],
+    [
+      'chunks without an end, reset',
+      `${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`,
+      reset,
+    ],
     ['chunks without an end, closed', `${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`, end],
     ['no length, reset', `${head}\r\nabc`, reset],
     ['no length and Connection: close, reset', `${head}Connection: close\r\n\r\nabc`, reset],
--- /dev/null
+++ b/packages/router/__tests__/requests.test.ts
@@ -0,0 +1,201 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { createRouterFixture } from './create-router-fixture.js';
+
+type Fixture = Awaited<ReturnType<typeof createRouterFixture>>;
+type Listener = Parameters<Fixture['addEndpoint']>[1];
+
+let fixture: Fixture;
+afterEach(() => fixture.close());
+
+const post = (path: string, headers: Record<string, string> = {}) =>
+  fetch(`${fixture.url}${path}`, {
+    method: 'POST',
+    headers: { 'x-id': 'r1', ...headers },
+    body: 'x',
+  });
+
+/** Counts the requests that an endpoint began to run. */
+function createCounted(listener: Listener) {
+  const counted = { runs: 0 };
+  const run: Listener = (message, response) => {
+    counted.runs += 1;
+    message.resume();
+    listener(message, response);
+  };
+  return { counted, run };
+}
+
+const signed = { 'x-signed': '1', 'x-id': 'r1' };
+const answer: Listener = (_, response) => response.writeHead(200, signed).end('ok');
+const shed: Listener = (_, response) => response.writeHead(503, { 'x-not-run': '1' }).end();
+const crash: Listener = (message) => message.socket.destroy();
+
+describe('a request that may not run twice', () => {
+  // Guards against repeating a request whose answer was lost after it may have run.
+  it('is sent once, and the caller hears that its outcome is unknown', async () => {
+    fixture = await createRouterFixture();
+    const first = createCounted(crash);
+    const second = createCounted(crash);
+    await fixture.addEndpoint('e1', first.run);
+    await fixture.addEndpoint('e2', second.run);
+    const { status } = await post('/order/1');
+    expect([status, first.counted.runs + second.counted.runs]).toEqual([502, 1]);
+  });
+
+  // Guards against refusing what another endpoint could still run.
+  it('goes on to another endpoint when the first proves that it did not run it', async () => {
+    fixture = await createRouterFixture();
+    await fixture.addEndpoint('e1', shed);
+    await fixture.addEndpoint('e2', answer);
+    expect((await post('/order/1')).status).toBe(200);
+  });
+
+  // Guards against passing on a status that promises "not run" without proof.
+  it('answers 502 to an endpoint that answers 503 without proof', async () => {
+    fixture = await createRouterFixture();
+    await fixture.addEndpoint('e1', (_, response) => response.writeHead(503, signed).end());
+    expect((await post('/order/1')).status).toBe(502);
+  });
+
+  // Guards against an answer that belongs to another request.
+  it('does not pass on an answer with another id', async () => {
+    fixture = await createRouterFixture();
+    const wrong = { 'x-signed': '1', 'x-id': 'r0' };
+    await fixture.addEndpoint('e1', (_, response) => response.writeHead(200, wrong).end('no'));
+    expect((await post('/order/1')).status).toBe(502);
+  });
+
+  // Guards against a success that no endpoint signed.
+  it('does not pass on a success without a signature', async () => {
+    fixture = await createRouterFixture();
+    await fixture.addEndpoint('e1', (_, response) => response.writeHead(200).end('no'));
+    expect((await post('/order/1')).status).toBe(502);
+  });
+});
+
+describe('a refusal', () => {
+  // Guards against holding a request that nothing can serve.
+  it('comes at once, says that nothing ran, and when to come back', async () => {
+    fixture = await createRouterFixture();
+    const startedAt = performance.now();
+    const { status, headers } = await post('/order/1', { 'x-deadline': '2000' });
+    const ms = performance.now() - startedAt;
+    expect([status, headers.get('retry-after'), ms < 1_000]).toEqual([503, '0.5', true]);
+  });
+
+  // Guards against a refusal that counts an endpoint that was never reached as having run.
+  it('promises that nothing ran when no endpoint could be reached', async () => {
+    fixture = await createRouterFixture();
+    fixture.announce('e1', 1);
+    expect((await post('/order/1')).status).toBe(503);
+  });
+
+  it('is 404 without a route', async () => {
+    fixture = await createRouterFixture();
+    expect((await post('/other/')).status).toBe(404);
+  });
+
+  it('is 413 for a body above the limit', async () => {
+    fixture = await createRouterFixture();
+    const { status } = await fetch(`${fixture.url}/order/1`, {
+      ...{ method: 'POST', headers: { 'x-id': 'r1' }, body: 'x'.repeat(70_000) },
+    });
+    expect(status).toBe(413);
+  });
+});
+
+describe('an idempotent request', () => {
+  // Guards against failing what a second endpoint can answer.
+  it('is repeated at another endpoint after a crash', async () => {
+    fixture = await createRouterFixture();
+    await fixture.addEndpoint('e1', crash);
+    await fixture.addEndpoint('e2', answer);
+    expect((await post('/lookup/1')).status).toBe(200);
+  });
+
+  // Guards against more endpoints than the route allows.
+  it('runs on no more endpoints than its route allows', async () => {
+    fixture = await createRouterFixture();
+    const endpoints = ['e1', 'e2', 'e3', 'e4'].map((id) => ({ id, ...createCounted(crash) }));
+    for (const { id, run } of endpoints) await fixture.addEndpoint(id, run);
+    const { status } = await post('/lookup/1');
+    const runs = endpoints.reduce((sum, { counted }) => sum + counted.runs, 0);
+    expect([status, runs]).toEqual([502, 2]);
+  });
+});
+
+describe('a stream', () => {
+  const writeEvents = (from: number, to: number) =>
+    Array.from({ length: to - from + 1 }, (_, i) => `id: ${from + i}\ndata: ${from + i}\n\n`).join(
+      '',
+    );
+  const head = { ...signed, 'content-type': 'text/event-stream' };
+
+  // Guards against missing, doubled or half events when an endpoint stops in the middle of one.
+  it('goes on at another endpoint after its last whole event', async () => {
+    fixture = await createRouterFixture();
+    const listener: Listener = (message, response) => {
+      message.resume();
+      response.writeHead(200, head);
+      const after = message.headers['last-event-id'];
+      if (after !== undefined) {
+        response.end(writeEvents(Number(after) + 1, 5));
+        return;
+      }
+      response.write(`${writeEvents(1, 3)}id: 4\nda`);
+      setTimeout(() => message.socket.destroy(), 20);
+    };
+    await fixture.addEndpoint('e1', listener);
+    await fixture.addEndpoint('e2', listener);
+    const reply = await post('/chat/1');
+    expect(await reply.text()).toBe(writeEvents(1, 5));
+  });
+
+  // Guards against a stream that looks complete though its end never came.
+  it('breaks off when no endpoint can go on', async () => {
+    fixture = await createRouterFixture();
+    await fixture.addEndpoint('e1', (message, response) => {
+      response.writeHead(200, head);
+      response.write(writeEvents(1, 2));
+      setTimeout(() => message.socket.destroy(), 20);
+    });
+    const reply = await post('/chat/1');
+    await expect(reply.text()).rejects.toThrow();
+  });
+
+  // Guards against engines that work on for a caller who has left.
+  it('ends at the endpoint when its caller leaves', async () => {
+    fixture = await createRouterFixture();
+    const closed = new Promise<string>((resolve) => {
+      void fixture.addEndpoint('e1', (message, response) => {
+        response.writeHead(200, head);
+        response.write(writeEvents(1, 1));
+        message.socket.once('close', () => resolve('closed'));
+      });
+    });
+    await fixture.clock.wait(50);
+    const leaving = new AbortController();
+    const reply = await fetch(`${fixture.url}/chat/1`, {
+      ...{ method: 'POST', headers: { 'x-id': 'r1' }, body: 'x', signal: leaving.signal },
+    });
+    expect(reply.status).toBe(200);
+    leaving.abort();
+    expect(await closed).toBe('closed');
+  });
+});
+
+// Guards against holding a request beyond its route's time.
+it('answers at the time limit when the endpoint is silent', async () => {
+  fixture = await createRouterFixture();
+  await fixture.addEndpoint('e1', (message) => message.resume());
+  const { status } = await post('/order/1', { 'x-deadline': '200' });
+  expect(status).toBe(504);
+});
+
+// Guards against sending to an endpoint that has taken another one's address.
+it('forgets an endpoint whose address another one has', async () => {
+  fixture = await createRouterFixture();
+  await fixture.addEndpoint('e1', (_, response) => response.writeHead(421).end());
+  const { status } = await post('/order/1');
+  expect([status, fixture.endpoints.find('e1' as never)?.record.state]).toEqual([503, 'gone']);
+});
--- a/packages/router/src/daemon/create-control-calls.ts
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -21,7 +21,10 @@
     if (!result.ok) throw new RelayError(result.code, result.message);
   };
 
-  const moveDataCentre = async (type: SharedCommand['type'], id: DataCentreId): Promise<void> => {
+  const proposeDataCentre = async (
+    type: SharedCommand['type'],
+    id: DataCentreId,
+  ): Promise<void> => {
     await propose({ type, dataCentre: id } as SharedCommand);
     log.write('dataCentre.changed', { dataCentre: id, change: type });
   };
@@ -38,13 +41,20 @@
       if (version > 0) return source;
       throw new RelayError(ResultCode.notReady, 'there is no configuration yet', { notRun: true });
     },
-    takeOutDataCentre: (id) => moveDataCentre('takeOutDataCentre', id),
-    bringBackDataCentre: (id) => moveDataCentre('bringBackDataCentre', id),
+    takeOutDataCentre: (id) => proposeDataCentre('takeOutDataCentre', id),
+    bringBackDataCentre: (id) => proposeDataCentre('bringBackDataCentre', id),
     announce: async (record) => {
       const isNews = endpoints.merge(record);
       const { id, state, service, address, sequence, coldLeftMs } = record;
       if (isNews) {
-        log.write('endpoint.announced', { endpoint: id, state, service, address, sequence, coldLeftMs });
+        log.write('endpoint.announced', {
+          endpoint: id,
+          state,
+          service,
+          address,
+          sequence,
+          coldLeftMs,
+        });
       }
       // An endpoint that leaves is acknowledged once other hubs know; a ready one may be told late.
       if (state !== 'ready') await node.announce(record);
--- a/packages/router/src/daemon/load-settings.ts
+++ b/packages/router/src/daemon/load-settings.ts
@@ -14,8 +14,7 @@
   const checked = RouterSettings.safeParse(parsed);
   if (checked.success) return checked.data;
   const faults = checked.error.issues.map(
-    (issue) =>
-      `${issue.path.join('.')}: got ${formatValue(parsed, issue.path)}, ${issue.message}`,
+    (issue) => `${issue.path.join('.')}: got ${formatValue(parsed, issue.path)}, ${issue.message}`,
   );
   throw new RelayError(ResultCode.invalidSettings, faults.join('; '), { notRun: true });
 }
--- a/packages/router/src/daemon/watch-settings.ts
+++ b/packages/router/src/daemon/observe-settings.ts
@@ -4,7 +4,7 @@
 import { loadSettings } from './load-settings.js';
 import type { RouterSettings } from './router-settings.js';
 
-interface SettingsWatchOptions {
+interface SettingsObserverOptions {
   clock: Clock;
   path: string;
   log: Log;
@@ -14,10 +14,10 @@
 const checkMs = 1_000;
 
 /** Applies the settings again on SIGHUP and when the file has changed. */
-export function watchSettings({ clock, path, log, apply }: SettingsWatchOptions): void {
+export function observeSettings({ clock, path, log, apply }: SettingsObserverOptions): void {
   let lastChange = '';
 
-  const reload = async (reason: string): Promise<void> => {
+  const loadAgain = async (reason: string): Promise<void> => {
     try {
       apply(await loadSettings(path));
       log.write('settings.reloaded', { reason });
@@ -43,10 +43,12 @@
       const change = await readChange();
       if (change === lastChange) continue;
       lastChange = change;
-      await reload('file changed');
+      await loadAgain('file changed');
     }
   };
 
-  process.on('SIGHUP', () => void reload('SIGHUP'));
+  process.on('SIGHUP', () => {
+    void loadAgain('SIGHUP');
+  });
   void run();
 }
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -26,7 +26,7 @@
 import { loadSettings } from './load-settings.js';
 import type { RouterSettings } from './router-settings.js';
 import { runShutdown } from './run-shutdown.js';
-import { watchSettings } from './watch-settings.js';
+import { observeSettings } from './observe-settings.js';
 
 interface RouterProgram {
   settingsPath: string;
@@ -64,7 +64,7 @@
     dataCentre: self.dataCentre,
   });
   void timeline.events.observe(({ name, details }) => log.write(name, details));
-  const random = () => randomInt(randomRange) / randomRange;
+  const readRandom = () => randomInt(randomRange) / randomRange;
   const hash = await createHash();
   const endpoints = createEndpointTable({
     clock,
@@ -73,7 +73,7 @@
   let seeds = toPeerAddresses(settings);
   const metrics = createMetrics();
   const router = createRouter({
-    ...{ clock, random, hash, wire, endpoints },
+    ...{ clock, hash, wire, endpoints, random: readRandom },
     self: self.id,
     dataCentre: self.dataCentre,
     listRouters: () => node.view.daemons.map((info) => info.id),
@@ -101,7 +101,7 @@
     },
   });
   const node = createFleetNode({
-    ...{ self, clock, random, timeline, table: endpoints },
+    ...{ self, clock, timeline, table: endpoints, random: readRandom },
     ...(settings.dataFolder === ''
       ? {}
       : { openDisk: () => program.openDisk(settings.dataFolder) }),
@@ -137,7 +137,7 @@
   await Promise.all(servers.map(([server, address]) => listenOn(server, address)));
   node.start();
   log.write('process.started', { id, listen, peers: self.address });
-  watchSettings({
+  observeSettings({
     clock,
     path: program.settingsPath,
     log,
--- a/packages/router/src/dispatch/call-endpoint.ts
+++ b/packages/router/src/dispatch/call-endpoint.ts
@@ -61,9 +61,9 @@
     outgoing.once('response', (answer) => {
       settle();
       answered = answer;
-      const leave = () => answer.destroy(new CallFailure('cancelled', true, 'cancelled'));
-      signal.addEventListener('abort', leave, { once: true });
-      answer.once('close', () => signal.removeEventListener('abort', leave));
+      const cancelAnswer = () => answer.destroy(new CallFailure('cancelled', true, 'cancelled'));
+      signal.addEventListener('abort', cancelAnswer, { once: true });
+      answer.once('close', () => signal.removeEventListener('abort', cancelAnswer));
       resolve(answer);
     });
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/router/src/dispatch/create-connection-pool.ts
+++ b/packages/router/src/dispatch/create-connection-pool.ts
@@ -17,11 +17,11 @@
     // Bytes on an idle connection belong to no request, so the connection is not used again.
     keepSocketAlive: (socket) => {
       const isKept = keepSocketAlive.call(agent, socket);
-      if (isKept) socket.on('data', dropSocket);
+      if (isKept) socket.on('data', closeSocket);
       return isKept;
     },
     reuseSocket: (socket, request) => {
-      socket.removeListener('data', dropSocket);
+      socket.removeListener('data', closeSocket);
       reuseSocket.call(agent, socket, request);
     },
   };
@@ -33,6 +33,6 @@
   reuseSocket(socket: Duplex, request: ClientRequest): void;
 }
 
-function dropSocket(this: Duplex): void {
+function closeSocket(this: Duplex): void {
   this.destroy();
 }
--- a/packages/router/src/log/create-log.ts
+++ b/packages/router/src/log/create-log.ts
@@ -30,7 +30,8 @@
     const budget = budgets.get(event) ?? { at, written: 0, dropped: 0 };
     budgets.set(event, budget);
     if (at - budget.at >= reportMs) {
-      if (budget.dropped > 0) logger.warn({ event: 'log.dropped', of: event, lines: budget.dropped });
+      if (budget.dropped > 0)
+        logger.warn({ event: 'log.dropped', of: event, lines: budget.dropped });
       Object.assign(budget, { at, written: 0, dropped: 0 });
     }
     if (budget.written >= linesPerS) {
--- a/packages/router/src/metrics/create-metrics.ts
+++ b/packages/router/src/metrics/create-metrics.ts
@@ -13,7 +13,6 @@
       add(`relay_requests_total{outcome="${outcome}",status="${status}"}`);
       void ms;
     },
-    format: (): string =>
-      [...counts].map(([name, count]) => `${name} ${count}\n`).join(''),
+    format: (): string => [...counts].map(([name, count]) => `${name} ${count}\n`).join(''),
   };
 }
--- a/packages/router/src/requests/list-candidates.ts
+++ b/packages/router/src/requests/list-candidates.ts
@@ -3,7 +3,9 @@
 import type { RouterParts } from './router-parts.js';
 
 /** Why endpoints of a service were left out, or doubted, with how many. */
-type PassedOver = Partial<Record<'out' | 'leaving' | 'cold' | 'full' | NonNullable<Candidate['doubt']>, number>>;
+type PassedOver = Partial<
+  Record<'out' | 'leaving' | 'cold' | 'full' | NonNullable<Candidate['doubt']>, number>
+>;
 
 interface CandidateList {
   /** Endpoints that may take a request now. */
--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/relay-events.ts
@@ -48,7 +48,7 @@
       if (last !== undefined) progress.lastEventId = last;
       progress.events += events.length;
       startTimer(pauseMs);
-      await caller.sendPart(joinEvents(events));
+      await caller.sendPart(mergeEvents(events));
     }
   } catch (error) {
     return fail(isSilent ? 'silent' : (error as Error).message);
@@ -61,7 +61,7 @@
   return { type: 'answered', status: 200 };
 }
 
-function joinEvents(events: { bytes: Buffer }[]): Buffer {
+function mergeEvents(events: { bytes: Buffer }[]): Buffer {
   const [first] = events;
   return events.length === 1 && first ? first.bytes : Buffer.concat(events.map((e) => e.bytes));
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -41,7 +41,8 @@
   const { route, facts, caller, startedAt } = request;
   const result: RequestResult = { outcome: 'failed', status: 0, sends: [] };
   const service = chooseService(route, random);
-  if (service === undefined) return refuse(request, result, ResultCode.unknownService, 'no service');
+  if (service === undefined)
+    return refuse(request, result, ResultCode.unknownService, 'no service');
   budget.recordRequest(service);
   const limitMs = Math.min(facts.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   const ending = new AbortController();
@@ -98,14 +99,13 @@
     }
     if (request.caller.signal.aborted) return { ...result, outcome: 'callerLeft' };
     if (signal.aborted) return endLate(request, state);
-    if (!mayRepeat(request, state, outcome)) return endFailed(request, state);
+    if (!isRepeatAllowed(request, state, outcome)) return endFailed(request, state);
   }
 }
 
-type Choice = (
-  | { id: EndpointId; reason: string }
-  | { code: ResultCode; reason: string }
-) & { passedOver: object };
+type Choice = ({ id: EndpointId; reason: string } | { code: ResultCode; reason: string }) & {
+  passedOver: object;
+};
 
 /** Chooses an endpoint; waits a part of the objective when all are full or cold. */
 async function waitForEndpoint(
@@ -117,15 +117,21 @@
   const waitUntil = clock.monotonic() + route.objectiveMs * waitShare;
   const affinityKey = route.hasPrompt ? buildAffinityKey(facts) : undefined;
   for (;;) {
-    const { open, total, mean, passedOver } = listCandidates(parts, service, table.findService(service));
+    const { open, total, mean, passedOver } = listCandidates(
+      parts,
+      service,
+      table.findService(service),
+    );
     const placement = chooseEndpoint(
       open,
       { tried, mean, ...(affinityKey === undefined ? {} : { affinityKey }) },
       { hash, random, dataCentre },
     );
     if (placement) return { ...placement, passedOver };
-    if (total === 0) return { code: ResultCode.noEndpoint, reason: 'no endpoint takes work', passedOver };
-    if (tried.size >= total) return { code: ResultCode.noEndpoint, reason: 'all were tried', passedOver };
+    if (total === 0)
+      return { code: ResultCode.noEndpoint, reason: 'no endpoint takes work', passedOver };
+    if (tried.size >= total)
+      return { code: ResultCode.noEndpoint, reason: 'all were tried', passedOver };
     if (signal.aborted || clock.monotonic() >= waitUntil) {
       return { code: ResultCode.endpointBusy, reason: 'all are full or cold', passedOver };
     }
@@ -145,7 +151,7 @@
   const { tried, deadlineAt, signal, progress, runs } = state;
   if (entry.coldUntil > clock.monotonic()) pacer.record(id);
   tried.add(id);
-  const isLast = !canRepeat(request) || runs + 1 >= request.route.maxEndpoints;
+  const isLast = !isRepeatable(request) || runs + 1 >= request.route.maxEndpoints;
   const outcome = await runAttempt(parts, {
     ...{ request, deadlineAt, signal, progress, isLast },
     cacheSource: readCacheSource(parts, request, state.service, id),
@@ -174,18 +180,18 @@
 }
 
 /** Whether a request may run more than once. */
-function canRepeat({ route }: RoutedRequest): boolean {
+function isRepeatable({ route }: RoutedRequest): boolean {
   return route.repeat === 'idempotent' || (route.isStream && route.isResumable);
 }
 
-function mayRepeat(
+function isRepeatAllowed(
   request: RoutedRequest,
   { result, runs }: RunState,
   outcome: AttemptOutcome,
 ): boolean {
   if (result.sends.length >= maxSends) return false;
   if (outcome.type === 'notRun') return true;
-  if (!canRepeat(request) || runs >= request.route.maxEndpoints) return false;
+  if (!isRepeatable(request) || runs >= request.route.maxEndpoints) return false;
   const isBegun = request.caller.isBegun();
   return isBegun ? request.route.isResumable : outcome.type === 'failed';
 }
@@ -237,17 +243,17 @@
   const retryAfterMs = Math.round(
     Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, limitMs * retryAfterShare)),
   );
-  if (request.caller.isBegun()) return breakOff(request, result);
+  if (request.caller.isBegun()) return abortAnswer(request, result);
   const refusal: Refusal = { code, message, notRun: true, retryAfterMs };
   return { ...result, outcome: 'refused', refusal };
 }
 
 function fail(request: RoutedRequest, result: RequestResult, refusal: Refusal): RequestResult {
-  if (request.caller.isBegun()) return { ...breakOff(request, result), refusal };
+  if (request.caller.isBegun()) return { ...abortAnswer(request, result), refusal };
   return { ...result, outcome: 'failed', refusal };
 }
 
-function breakOff({ caller }: RoutedRequest, result: RequestResult): RequestResult {
+function abortAnswer({ caller }: RoutedRequest, result: RequestResult): RequestResult {
   caller.breakOff();
   return { ...result, outcome: 'brokenOff' };
 }
--- a/packages/router/src/transport/create-fleet-server.ts
+++ b/packages/router/src/transport/create-fleet-server.ts
@@ -30,7 +30,10 @@
     [fleetPaths.readSender, (_, signal) => handlers.raft.readSender(signal)],
   ]);
 
-  const answer = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const handleMessage = async (
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> => {
     const { url = '' } = message;
     if (url === metricsPath) {
       response.end(await formatMetrics());
@@ -50,7 +53,7 @@
   };
 
   return createServer({ keepAliveTimeout: idleMs }, (message, response) => {
-    void answer(message, response);
+    void handleMessage(message, response);
   });
 }
 
--- /dev/null
+++ b/packages/routing/__tests__/limits.test.ts
@@ -0,0 +1,121 @@
+import { createHash, type DaemonId, type EndpointId, type Hash } from '@vanillarelay/core';
+import { createColdPacer, createHealthTracker, createRetryBudget } from '@vanillarelay/routing';
+import { beforeAll, describe, expect, it } from 'vitest';
+
+let hash: Hash;
+beforeAll(async () => {
+  hash = await createHash();
+});
+
+const endpoint = 'e1' as EndpointId;
+const service = 'desk' as never;
+
+/** Highest number of times within any second. */
+function countBusiestSecond(times: readonly number[]): number {
+  return Math.max(
+    ...times.map((from) => times.filter((at) => at >= from && at < from + 1_000).length),
+  );
+}
+
+describe('requests to a cold endpoint', () => {
+  const rate = 34;
+  const bound = rate * 1.5 + 5;
+
+  function replay(routers: number, offeredPerS: number): number[] {
+    let now = 0;
+    const names = Array.from({ length: routers }, (_, index) => `router-${index}` as DaemonId);
+    const pacers = names.map((self) =>
+      createColdPacer({
+        ...{ hash, self, multiplier: 1.5, slack: 5 },
+        clock: { monotonic: () => now },
+        listRouters: () => names,
+      }),
+    );
+    const sent: number[] = [];
+    const stepMs = 1_000 / offeredPerS;
+    for (let request = 0; request < offeredPerS * 3; request += 1) {
+      now = request * stepMs;
+      const pacer = pacers[(request * 7) % routers];
+      if (pacer?.hasRoom(endpoint, rate)) {
+        pacer.record(endpoint);
+        sent.push(now);
+      }
+    }
+    return sent;
+  }
+
+  // Guards against a sum over all routers that a cold endpoint does not bear.
+  it.each([1, 3, 12, 41, 300])('stay below the bound with %i routers', (routers) => {
+    const sent = replay(routers, 2_000);
+    expect(countBusiestSecond(sent)).toBeLessThanOrEqual(bound);
+  });
+
+  // Guards against shares so small that a returned endpoint gets next to nothing.
+  it.each([3, 12, 41])('use most of the rate with %i routers', (routers) => {
+    expect(replay(routers, 2_000).length).toBeGreaterThan(rate * 3 * 0.6);
+  });
+});
+
+describe('retry budget', () => {
+  // Guards against routers that together send more repeats than the service bears.
+  it('keeps the repeats of all routers within the ratio and the extra', () => {
+    const routers = 10;
+    let now = 0;
+    const budgets = Array.from({ length: routers }, () =>
+      createRetryBudget({
+        ...{ ratio: 0.2, windowMs: 10_000, extra: 100 },
+        clock: { monotonic: () => now },
+        countRouters: () => routers,
+      }),
+    );
+    let repeats = 0;
+    for (; now < 10_000; now += 10) {
+      budgets.forEach((budget) => budget.recordRequest(service));
+      repeats += budgets.filter((budget) => budget.spend(service)).length;
+    }
+    expect(repeats).toBeLessThanOrEqual(0.2 * 10_000 + 100);
+    expect(repeats).toBeGreaterThan(0.1 * 10_000);
+  });
+});
+
+describe('health of endpoints', () => {
+  const others = ['e2', 'e3', 'e4'] as EndpointId[];
+
+  // Guards against an endpoint that fails part of its requests and is found out by nobody alone.
+  it('takes what other routers saw into account, and forgets it', () => {
+    let now = 0;
+    const tracker = createHealthTracker({ monotonic: () => now });
+    const all = [endpoint, ...others];
+    all.forEach(tracker.recordSuccess);
+    expect([...tracker.listFailing(all)]).toEqual([]);
+    const good: [number, number] = [10, 0];
+    tracker.updateOthers({ [endpoint]: [5, 5], e2: good, e3: good, e4: good } as never);
+    expect([...tracker.listFailing(all)]).toEqual([endpoint]);
+    tracker.updateOthers({});
+    now = 20_000;
+    expect([...tracker.listFailing(all)]).toEqual([]);
+  });
+
+  // Guards against avoiding every endpoint of a service whose requests fail everywhere alike.
+  it('finds no endpoint failing when all fail alike', () => {
+    const tracker = createHealthTracker({ monotonic: () => 0 });
+    const all = [endpoint, ...others];
+    all.forEach((id) => {
+      tracker.recordSuccess(id);
+      tracker.recordFailure(id);
+      tracker.recordFailure(id);
+    });
+    expect([...tracker.listFailing(all)]).toEqual([]);
+  });
+
+  it('avoids an unreachable endpoint for longer each time', () => {
+    let now = 0;
+    const tracker = createHealthTracker({ monotonic: () => now });
+    tracker.recordUnreachable(endpoint);
+    now = 600;
+    const first = tracker.isAvoided(endpoint);
+    tracker.recordUnreachable(endpoint);
+    now = 1_200;
+    expect([first, tracker.isAvoided(endpoint)]).toEqual([false, true]);
+  });
+});
--- a/packages/routing/src/limits/create-cold-pacer.ts
+++ b/packages/routing/src/limits/create-cold-pacer.ts
@@ -1,4 +1,10 @@
-import { sortByRendezvous, type Clock, type DaemonId, type EndpointId, type Hash } from '@vanillarelay/core';
+import {
+  sortByRendezvous,
+  type Clock,
+  type DaemonId,
+  type EndpointId,
+  type Hash,
+} from '@vanillarelay/core';
 
 interface ColdPacerOptions {
   clock: Pick<Clock, 'monotonic'>;
--- a/packages/routing/src/limits/create-sliding-count.ts
+++ b/packages/routing/src/limits/create-sliding-count.ts
@@ -6,7 +6,7 @@
   const partMs = windowMs / parts;
   const counts = new Array<number>(parts + 1).fill(0);
   let current = Math.floor(clock.monotonic() / partMs);
-  const advance = (): void => {
+  const updateParts = (): void => {
     const next = Math.floor(clock.monotonic() / partMs);
     const steps = Math.min(next - current, counts.length);
     for (let step = 1; step <= steps; step += 1) counts[(current + step) % counts.length] = 0;
@@ -14,12 +14,12 @@
   };
   return {
     add: (amount = 1): void => {
-      advance();
+      updateParts();
       const index = current % counts.length;
       counts[index] = (counts[index] ?? 0) + amount;
     },
     read: (): number => {
-      advance();
+      updateParts();
       return counts.reduce((sum, count) => sum + count, 0);
     },
   };
--- a/packages/routing/src/placement/choose-endpoint.ts
+++ b/packages/routing/src/placement/choose-endpoint.ts
@@ -1,4 +1,9 @@
-import { sortByRendezvous, type DataCentreId, type EndpointId, type Hash } from '@vanillarelay/core';
+import {
+  sortByRendezvous,
+  type DataCentreId,
+  type EndpointId,
+  type Hash,
+} from '@vanillarelay/core';
 import type { Candidate } from './candidate.js';
 import type { PlacementRequest } from './placement-request.js';
 
