feat(router): metrics, a catalogue of log events, and `vanillarelay log explain`

Cause: on-call engineers have only logs and metrics; lines of refused requests carried no request id, and nothing put one request's lines of several processes together.

Messages of the settings and configuration schemas name what is allowed.

--- a/packages/cli/src/create-main-command.ts
+++ b/packages/cli/src/create-main-command.ts
@@ -13,6 +13,7 @@
 import { createCheckQuestionnaireQuery } from './queries/check-questionnaires.js';
 import { createCheckSettingsQuery } from './queries/check-settings-files.js';
 import { createDiffConfigQuery } from './queries/diff-config.js';
+import { createExplainLogQuery } from './queries/explain-log.js';
 import { createExplainQuery } from './queries/explain-request.js';
 import { createListDataCentresQuery } from './queries/list-data-centres.js';
 import { createListEndpointsQuery } from './queries/list-endpoints.js';
@@ -70,6 +71,7 @@
       status: createStatusQuery(context),
       timeline: createTimelineQuery(context),
       explain: createExplainQuery(context),
+      log: createGroup('log', 'Log files', { explain: createExplainLogQuery(context) }),
     },
   });
 }
--- /dev/null
+++ b/packages/cli/src/queries/format-log-line.ts
@@ -0,0 +1,11 @@
+import type { LogLine } from './log-line.js';
+
+const hidden = new Set(['time', 'process', 'event', 'level']);
+
+/** A log line as text: time, process, event and its fields. */
+export function formatLogLine(line: LogLine): string {
+  const fields = Object.entries(line)
+    .filter(([name]) => !hidden.has(name))
+    .map(([name, value]) => `${name}=${JSON.stringify(value)}`);
+  return [new Date(line.time).toISOString(), line.process, line.event, ...fields].join('  ');
+}
--- a/packages/router/src/daemon/router-settings.ts
+++ b/packages/router/src/daemon/router-settings.ts
@@ -1,5 +1,9 @@
+import en from 'zod/v4/locales/en.js';
 import * as z from 'zod/mini';
 
+// Messages that name what is allowed; the small build of zod has none of its own.
+z.config(en());
+
 const address = z.string().check(z.regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'allowed: IP:port'));
 const port = z.number().check(z.int(), z.minimum(1), z.maximum(65_535));
 const positive = z.number().check(z.positive());
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -11,14 +11,15 @@
   type Disk,
   type VmId,
 } from '@vanillarelay/core';
+import { serveOn } from '@vanillarelay/daemon';
 import { createFleetNode, type DaemonInfo } from '@vanillarelay/fleet';
 import { createEndpointTable, type RoutingConfig } from '@vanillarelay/routing';
 import { createRouter } from '../create-router.js';
 import { createFrontServer } from '../front/create-front-server.js';
 import { createLog } from '../log/create-log.js';
+import type { LogEvent } from '../log/log-event.js';
 import { createMetrics } from '../metrics/create-metrics.js';
 import { createFleetServer } from '../transport/create-fleet-server.js';
-import { listenOn } from '../transport/listen-on.js';
 import { openFleetPeer } from '../transport/open-fleet-peer.js';
 import type { RouterWire } from '../wire/router-wire.js';
 import type { ControlCalls } from './control-calls.js';
@@ -49,7 +50,7 @@
   const { clock, wire, decodeConfig } = program;
   const settings = await loadSettings(program.settingsPath);
   const { id, dataCentre, listen } = settings;
-  const log = createLog({ process: id, dataCentre, monotonic: clock.monotonic });
+  const log = createLog({ process: id, monotonic: clock.monotonic });
   const self: DaemonInfo = {
     id: toId<DaemonId>(id),
     incarnation: randomBytes(idBytes).toString('hex'),
@@ -63,7 +64,7 @@
     vm: toId<VmId>(id),
     dataCentre: self.dataCentre,
   });
-  void timeline.events.observe(({ name, details }) => log.write(name, details));
+  void timeline.events.observe(({ name, details }) => log.write(name as LogEvent, details));
   const readRandom = () => randomInt(randomRange) / randomRange;
   const hash = await createHash();
   const endpoints = createEndpointTable({
@@ -71,7 +72,7 @@
     silenceMs: settings.announcePeriodMs * missedAnnouncements,
   });
   let seeds = toPeerAddresses(settings);
-  const metrics = createMetrics();
+  const metrics = createMetrics(clock);
   const router = createRouter({
     ...{ clock, hash, wire, endpoints, random: readRandom },
     self: self.id,
@@ -92,7 +93,7 @@
     run: router.run,
     report: (request, result) => {
       const ms = Math.round(clock.monotonic() - request.startedAt);
-      metrics.recordRequest(result.outcome, result.status, ms);
+      metrics.recordRequest(request.route ?? '', result, ms);
       const isGood = result.outcome === 'answered' && result.sends.length === 1;
       log.write(isGood ? 'request.answered' : `request.${result.outcome}`, {
         ...{ request: request.id, route: request.route, version: request.version, ms },
@@ -125,6 +126,17 @@
     ...{ node, endpoints, log, decodeConfig },
     isReady: () => !shutdown.isLeaving && node.view.isCurrent && router.readTable() !== undefined,
   });
+  metrics.addGauges(() => ({
+    relay_config_version: node.view.state.version,
+    relay_state_index: node.view.state.index,
+    relay_routers_known: node.view.daemons.length,
+    relay_endpoints_known: endpoints.listAll().length,
+    relay_hub_contact_age_ms: Math.round(clock.monotonic() - node.view.contactAt),
+    relay_is_leader: node.readControlSummary()?.role === 'leader' ? 1 : 0,
+    relay_log_commit_index: node.readControlSummary()?.commitIndex ?? 0,
+    relay_log_lines_lost: log.countLost(),
+    relay_memory_bytes: process.memoryUsage.rss(),
+  }));
   const servers = [
     [front, listen.callers],
     [program.createReadyServer(calls), listen.readiness],
@@ -134,7 +146,7 @@
       self.address,
     ],
   ] as const;
-  await Promise.all(servers.map(([server, address]) => listenOn(server, address)));
+  await Promise.all(servers.map(([server, address]) => serveOn(server, address)));
   node.start();
   log.write('process.started', { id, listen, peers: self.address });
   observeSettings({
--- a/packages/router/src/dispatch/call-endpoint.ts
+++ b/packages/router/src/dispatch/call-endpoint.ts
@@ -1,6 +1,6 @@
 import { request, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { splitAddress } from '../transport/split-address.js';
+import { splitAddress } from '@vanillarelay/daemon';
 import { CallFailure } from './call-failure.js';
 import type { EndpointCall } from './endpoint-call.js';
 
--- a/packages/router/src/dispatch/endpoint-call.ts
+++ b/packages/router/src/dispatch/endpoint-call.ts
@@ -6,7 +6,7 @@
   method: string;
   path: string;
   headers: string[];
-  body: Buffer;
+  body: Uint8Array;
   agent: Agent;
   /** Aborted when the caller has left or the time is over. */
   signal: AbortSignal;
--- a/packages/router/src/front/create-front-server.ts
+++ b/packages/router/src/front/create-front-server.ts
@@ -1,9 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { RelayError, ResultCode, toRefusal, type Clock } from '@vanillarelay/core';
+import { readBody } from '@vanillarelay/daemon';
 import type { RouteTable } from '@vanillarelay/routing';
 import type { RequestResult } from '../requests/request-result.js';
 import type { RoutedRequest } from '../requests/routed-request.js';
-import { readBody } from '../transport/read-body.js';
 import type { RouterWire } from '../wire/router-wire.js';
 import { createCaller } from './create-caller.js';
 import { sendRefusal } from './send-refusal.js';
@@ -41,11 +41,17 @@
 } {
   const { clock, wire, readTable, isClosing } = options;
 
-  const admit = async (message: IncomingMessage, caller: RoutedRequest['caller']) => {
-    const startedAt = clock.monotonic();
+  const admit = async (
+    message: IncomingMessage,
+    caller: RoutedRequest['caller'],
+    reported: ReportedRequest,
+  ) => {
+    const { startedAt } = reported;
     const path = message.url ?? '';
     const { method = 'GET', rawHeaders } = message;
     const host = message.headers.host ?? '';
+    const facts = wire.parseRequest({ method, path, host, rawHeaders });
+    reported.id = facts.id;
     const table = readTable();
     if (!table) {
       throw new RelayError(ResultCode.notReady, 'no configuration yet', {
@@ -53,9 +59,10 @@
         retryAfterMs: notReadyRetryMs,
       });
     }
-    const facts = wire.parseRequest({ method, path, host, rawHeaders });
+    reported.version = table.config.version;
     const route = table.findRoute(host, path.split('?', 1)[0] ?? path);
     if (!route) throw new RelayError(ResultCode.unknownPath, 'no route', { notRun: true });
+    reported.route = route.name;
     const account = facts.key === undefined ? undefined : table.findAccount(facts.key);
     const isOpen = route.isPublic || table.config.accounts.length === 0;
     if (!account && !isOpen) {
@@ -70,12 +77,9 @@
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
     const caller = createCaller(message, response, isClosing);
-    const startedAt = clock.monotonic();
-    let reported: ReportedRequest = { id: '', startedAt };
+    const reported: ReportedRequest = { id: '', startedAt: clock.monotonic() };
     try {
-      const request = await admit(message, caller);
-      const { facts, route, table } = request;
-      reported = { id: facts.id, route: route.name, startedAt, version: table.config.version };
+      const request = await admit(message, caller, reported);
       const result = await options.run(request);
       const { refusal } = result;
       const isUnanswered = refusal && !caller.isBegun() && !caller.signal.aborted;
--- a/packages/router/src/log/create-log.ts
+++ b/packages/router/src/log/create-log.ts
@@ -1,9 +1,16 @@
-import { pino, type Logger } from 'pino';
+import { pino, type DestinationStream, type Logger } from 'pino';
+import type { LogEvent } from './log-event.js';
 
 interface LogOptions {
   process: string;
-  dataCentre: string;
   monotonic: () => number;
+  /** Where the lines go; standard output by default. */
+  destination?: LogDestination;
+}
+
+interface LogDestination extends DestinationStream {
+  on(event: 'drop', listener: () => void): unknown;
+  flushSync(): void;
 }
 
 /** Lines a second that are written for each event; the rest are counted. */
@@ -16,16 +23,15 @@
  * Makes the structured log of a daemon. It never blocks: what a reader does not take in time is
  * dropped, and each kind of event has a budget, so that a flood of one leaves room for the others.
  */
-export function createLog({ process, dataCentre, monotonic }: LogOptions) {
-  const destination = pino.destination({ sync: false, maxLength: maxBufferedBytes });
+export function createLog({ process, monotonic, destination = openOutput() }: LogOptions) {
   let lostLines = 0;
   destination.on('drop', () => {
     lostLines += 1;
   });
-  const logger: Logger = pino({ base: { process, dataCentre } }, destination);
+  const logger: Logger = pino({ base: { process } }, destination);
   const budgets = new Map<string, { at: number; written: number; dropped: number }>();
 
-  const write = (event: string, fields: object = {}, isUrgent = false): void => {
+  const write = (event: LogEvent, fields: object = {}, isUrgent = false): void => {
     const at = monotonic();
     const budget = budgets.get(event) ?? { at, written: 0, dropped: 0 };
     budgets.set(event, budget);
@@ -55,3 +61,7 @@
     },
   };
 }
+
+function openOutput(): LogDestination {
+  return pino.destination({ sync: false, maxLength: maxBufferedBytes });
+}
--- a/packages/router/src/metrics/create-metrics.ts
+++ b/packages/router/src/metrics/create-metrics.ts
@@ -1,18 +1,63 @@
+import { createHistograms, type Clock } from '@vanillarelay/core';
 import type { RequestResult } from '../requests/request-result.js';
 
-type Outcome = RequestResult['outcome'];
+type Gauges = Record<string, number>;
 
-/** Makes the counters and histograms of a daemon. */
-export function createMetrics() {
+const loopCheckMs = 500;
+
+/** Makes the counters and latency histograms of a daemon, as text that Prometheus reads. */
+export function createMetrics(clock: Clock) {
   const counts = new Map<string, number>();
-  const add = (name: string): void => {
-    counts.set(name, (counts.get(name) ?? 0) + 1);
+  const histograms = createHistograms();
+  let readGauges = (): Gauges => ({});
+
+  const add = (name: string, labels: Record<string, string | number>): void => {
+    const text = Object.entries(labels)
+      .map(([label, value]) => `${label}="${value}"`)
+      .join(',');
+    const key = `${name}{${text}}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  };
+
+  /** Records how late timers fire, which shows a busy event loop. */
+  const runLoopChecks = async (): Promise<void> => {
+    for (;;) {
+      const startedAt = clock.monotonic();
+      await clock.wait(loopCheckMs);
+      histograms.record('relay_loop_delay_ms', '', clock.monotonic() - startedAt - loopCheckMs);
+    }
   };
+  void runLoopChecks();
+
   return {
-    recordRequest: (outcome: Outcome, status: number, ms: number): void => {
-      add(`relay_requests_total{outcome="${outcome}",status="${status}"}`);
-      void ms;
+    recordRequest: (
+      route: string,
+      { outcome, status, refusal, sends }: RequestResult,
+      ms: number,
+    ) => {
+      add('relay_requests_total', { outcome, status });
+      if (refusal) add('relay_refusals_total', { code: refusal.code });
+      if (sends.length > 1) add('relay_repeated_requests_total', { outcome });
+      sends.forEach(({ reason }) => add('relay_sends_total', { reason }));
+      histograms.record('relay_request_ms', route, ms);
+    },
+    /** Values that are read when the metrics are. */
+    addGauges: (read: () => Gauges): void => {
+      readGauges = read;
+    },
+    format: (): string => {
+      const gauges = Object.entries(readGauges()).map(([name, value]) => `${name} ${value}`);
+      const counters = [...counts].map(([name, count]) => `${name} ${count}`);
+      const summaries = histograms.list().flatMap(({ name, service, count, p50, p95, p99 }) => {
+        const formatLabels = (quantile: string) => `{route="${service}",quantile="${quantile}"}`;
+        return [
+          `${name}${formatLabels('0.5')} ${p50}`,
+          `${name}${formatLabels('0.95')} ${p95}`,
+          `${name}${formatLabels('0.99')} ${p99}`,
+          `${name}_count{route="${service}"} ${count}`,
+        ];
+      });
+      return `${[...gauges, ...counters, ...summaries].join('\n')}\n`;
     },
-    format: (): string => [...counts].map(([name, count]) => `${name} ${count}\n`).join(''),
   };
 }
--- a/packages/router/src/requests/routed-request.ts
+++ b/packages/router/src/requests/routed-request.ts
@@ -7,7 +7,7 @@
   method: string;
   path: string;
   facts: RequestFacts;
-  body: Buffer;
+  body: Uint8Array;
   table: RouteTable;
   route: Route;
   account?: RoutedAccount;
--- a/packages/router/src/transport/call-json.ts
+++ b/packages/router/src/transport/call-json.ts
@@ -1,7 +1,6 @@
 import { Agent, request } from 'node:http';
 import { RelayError, ResultCode, type Refusal } from '@vanillarelay/core';
-import { readBody } from './read-body.js';
-import { splitAddress } from './split-address.js';
+import { readBody, splitAddress } from '@vanillarelay/daemon';
 
 interface JsonCall {
   address: string;
@@ -34,7 +33,8 @@
         },
         (answer) => {
           readBody(answer, maxReplyBytes).then(
-            (bytes) => resolve({ status: answer.statusCode ?? 0, text: bytes.toString() }),
+            (bytes) =>
+              resolve({ status: answer.statusCode ?? 0, text: Buffer.from(bytes).toString() }),
             reject,
           );
         },
--- a/packages/router/src/transport/create-fleet-server.ts
+++ b/packages/router/src/transport/create-fleet-server.ts
@@ -1,8 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { RelayError, ResultCode, toRefusal } from '@vanillarelay/core';
+import { readBody } from '@vanillarelay/daemon';
 import type { FleetPeer } from '@vanillarelay/fleet';
 import { fleetPaths } from './fleet-paths.js';
-import { readBody } from './read-body.js';
 
 type Handle = (body: never, signal: AbortSignal) => Promise<unknown>;
 
@@ -44,7 +44,9 @@
     try {
       const handle = routes.get(url);
       if (!handle) throw new RelayError(ResultCode.unknownPath, `no call ${url}`);
-      const body = JSON.parse((await readBody(message, maxBodyBytes)).toString()) as never;
+      const body = JSON.parse(
+        Buffer.from(await readBody(message, maxBodyBytes)).toString(),
+      ) as never;
       const reply = await handle(body, left.signal);
       sendJson(response, 200, reply ?? {});
     } catch (error) {
