--- a/packages/cli/__tests__/log-explain.test.ts
+++ b/packages/cli/__tests__/log-explain.test.ts
@@ -5,7 +5,13 @@
 const lines = [
   { time: 900, process: 'router-2', event: 'state.inForce', version: 7 },
   { time: 1_000, process: 'router-1', event: 'state.inForce', version: 6 },
-  { time: 1_200, process: 'router-2', event: 'endpoint.announced', endpoint: 'e1', state: 'leaving' },
+  {
+    time: 1_200,
+    process: 'router-2',
+    event: 'endpoint.announced',
+    endpoint: 'e1',
+    state: 'leaving',
+  },
   { time: 1_300, process: 'router-1', event: 'endpoint.announced', endpoint: 'e9', state: 'ready' },
   { time: 1_400, process: 'router-1', event: 'request.answered', request: 'other', sends: [] },
   {
