fix(router): take the mean load over all endpoints of a service

A data centre was out; the router's mean left its idle engines out, the platform's bound counts them, so the router's bound was half as high again.

Change: the mean is taken over all endpoints that are not gone; an endpoint takes nothing above 1.7 times the mean plus 2.5 (before 1.8 and 3). A daemon without a hub asks again after 100 ms instead of 200.

--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -34,7 +34,7 @@
 const minPauseMs = 60;
 const answerSlackMs = 600;
 const helloTimeoutMs = 400;
-const retryMs = 200;
+const retryMs = 100;
 /** A hub that has not known of a quorum for longer is left for another one. */
 const quorumAgeLimitMs = 1_000;
 /** After its start a daemon takes no state from a hub that is out of touch with the quorum. */
--- a/packages/router/src/requests/list-candidates.ts
+++ b/packages/router/src/requests/list-candidates.ts
@@ -12,7 +12,7 @@
   open: Candidate[];
   /** Endpoints of the service that take work at all. */
   total: number;
-  /** Mean load of the endpoints that take work. */
+  /** Mean load of all endpoints of the service, also of those that take no work now. */
   mean: number;
   passedOver: PassedOver;
 }
@@ -31,7 +31,8 @@
   const count = (reason: keyof PassedOver): void => {
     passedOver[reason] = (passedOver[reason] ?? 0) + 1;
   };
-  const taking = endpoints.listService(id).filter((entry) => {
+  const all = endpoints.listService(id);
+  const taking = all.filter((entry) => {
     const reason = findRefusal(parts, entry);
     if (reason) count(reason);
     return !reason;
@@ -50,8 +51,8 @@
     const { dataCentre, slots } = record;
     return [{ id: record.id, dataCentre, slots, load, ...(doubt ? { doubt } : {}) }];
   });
-  const held = taking.reduce((sum, { record }) => sum + loads.estimate(record.id), 0);
-  const mean = held / Math.max(1, taking.length);
+  const held = all.reduce((sum, { record }) => sum + loads.estimate(record.id), 0);
+  const mean = held / Math.max(1, all.length);
   return { open, total: taking.length, mean, passedOver };
 }
 
--- a/packages/routing/src/placement/choose-endpoint.ts
+++ b/packages/routing/src/placement/choose-endpoint.ts
@@ -26,8 +26,8 @@
  */
 const lowerFactor = 1.4;
 const lowerAllowance = 2;
-const upperFactor = 1.8;
-const upperAllowance = 3;
+const upperFactor = 1.7;
+const upperAllowance = 2.5;
 /** Load, as a share of the slots, that a nearer endpoint is worth. */
 const nearDiscount = 0.15;
 
--- a/packages/routing/src/placement/placement-request.ts
+++ b/packages/routing/src/placement/placement-request.ts
@@ -4,7 +4,7 @@
 export interface PlacementRequest {
   /** Names what an engine's cache should hold; absent for requests without a prompt. */
   affinityKey?: string;
-  /** Mean load of all endpoints of the service that take work. */
+  /** Mean load of all endpoints of the service, also of those that take no work now. */
   mean: number;
   /** Endpoints that this request was sent to before. */
   tried: ReadonlySet<EndpointId>;
