--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -10,6 +10,7 @@
 run('npm', ['ci', '--no-audit', '--no-fund']);
 run('node_modules/.bin/tsc', ['-b', 'packages']);
 run('node_modules/.bin/tsc', ['-p', 'tsconfig.json']);
+run('node', ['deploy/build.mjs']);
 run('node_modules/.bin/prettier', ['--check', '.']);
 run('npm', ['run', '--silent', 'lint']);
 run('node_modules/.bin/vitest', ['run']);
