refactor(fleet): remove what nothing calls

Cause: read once more: markColdUntil, countOwn and the voter's isLeader have no caller, and one file imported the same package twice. Change: removed; no behaviour changes. Types, linter, formatter and the 143 tests of fleet, routing, router and platform pass.

--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -1,6 +1,5 @@
-import { withDeadline, type Clock } from '@vanillarelay/core';
+import { RelayError, ResultCode, withDeadline, type Clock } from '@vanillarelay/core';
 import type { EndpointRecord, EndpointTable } from '@vanillarelay/routing';
-import { RelayError, ResultCode } from '@vanillarelay/core';
 import type { FleetPeer } from '../messages/fleet-peer.js';
 import type { SyncReply } from '../messages/sync-reply.js';
 import type { SyncRequest } from '../messages/sync-request.js';
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -147,7 +147,6 @@
     readState: (): SharedState => (node ? machine.readState() : emptySharedState),
     readQuorumAgeMs: (): number => node?.readQuorumAgeMs() ?? Infinity,
     readMembers,
-    isLeader: (): boolean => node?.readStatus().role === 'leader',
     readDiskId: (): string | undefined => node?.readStatus().diskId,
     /** Address of the leader, if known. */
     findLeader: (): string | undefined => {
--- a/packages/routing/src/endpoints/create-endpoint-table.ts
+++ b/packages/routing/src/endpoints/create-endpoint-table.ts
@@ -118,11 +118,6 @@
     remove,
     checkSilence,
     markCold,
-    /** Counts the endpoint as cold until the given monotonic time. */
-    markColdUntil: (id: EndpointId, until: number): void => {
-      const entry = entries.get(id);
-      if (entry) entry.coldUntil = Math.max(entry.coldUntil, until);
-    },
     find: (id: EndpointId): EndpointEntry | undefined => entries.get(id),
     listService: (service: ServiceId): readonly EndpointEntry[] => services.get(service) ?? [],
     listAll: (): EndpointEntry[] => [...entries.values()],
--- a/packages/routing/src/placement/create-load-view.ts
+++ b/packages/routing/src/placement/create-load-view.ts
@@ -18,7 +18,6 @@
     },
     /** Requests at the endpoint: those of this process now, and of the others as last reported. */
     estimate: (id: EndpointId): number => (own.get(id) ?? 0) + (others[id] ?? 0),
-    countOwn: (id: EndpointId): number => own.get(id) ?? 0,
     readOwn: (): LoadCounts => Object.fromEntries<number>(own),
     /** Replaces what the other processes hold. */
     updateOthers: (counts: Partial<LoadCounts>): void => {
