fix(fleet): find endpoints silent although hubs confirm each other

Cause: daemons and hubs passed on the ids they had heard of lately, and each receiver dated them anew. A crashed endpoint stayed "heard" for as long as two processes exchanged, so that only failed requests showed it (docs/promises.md had it as open). Ruled out: an age beside each id (1,600 ids in each exchange of a daemon are 128 KB/s at the target size, sixteen times the budget of 8 KB/s). Change: an announcement gets a mark at the daemon that takes it. A daemon tells its hub the ids marked since its last exchange, a hub tells other hubs those marked here or by its daemons; what another hub told gets no mark. Hubs alone judge silence, and daemons learn it by the records. Both exchange loops share create-exchange.ts. Failures to tell a hub or another hub of an endpoint are logged (endpoint.notPassedOn, fleet.relayFailed), and so is a silent endpoint. After: it passes; fleet, routing and router tests pass.

--- a/packages/fleet/__tests__/fleet.test.ts
+++ b/packages/fleet/__tests__/fleet.test.ts
@@ -1,3 +1,4 @@
+import type { EndpointId } from '@vanillarelay/core';
 import { describe, expect, it } from 'vitest';
 import { createTestFleet } from './create-test-fleet.js';
 
@@ -6,6 +7,7 @@
 const inForceMs = 2_000;
 /** Bound of the users' platform for an acknowledgement. */
 const acknowledgeMs = 4_000;
+const heartbeatMs = 1_200;
 
 async function startSettled(seed: number, options: { disks?: number; others?: number } = {}) {
   const fleet = createTestFleet({ seed, ...options });
@@ -140,7 +142,7 @@
   it('tells every daemon of a leaving endpoint, also when the daemon that heard it is killed', async () => {
     const fleet = await startSettled(seed);
     const ready = fleet.buildRecord();
-    fleet.find('daemon-3').table.merge(ready);
+    fleet.find('daemon-3').table.announce(ready);
     await fleet.virtual.runUntil(fleet.find('daemon-3').node.announce(ready));
     await fleet.virtual.run(1_000);
     const leaving = fleet.buildRecord({ state: 'leaving', sequence: 2 });
@@ -165,6 +167,32 @@
     const states = fleet.all.map((id) => fleet.find(id).table.find(record.id)?.record.state);
     expect(states).toEqual(fleet.all.map(() => 'ready'));
   });
+
+  // Guards against daemons that confirm to each other an endpoint which none of them hears any more.
+  it('finds an endpoint silent on every daemon, and takes it back', async () => {
+    const fleet = await startSettled(seed);
+    const announceAll = async (ids: string[], daemon: string, sequence: number) => {
+      const { node, table } = fleet.find(daemon);
+      for (const id of ids) {
+        const record = fleet.buildRecord({
+          ...{ id: id as EndpointId, address: `10.1.9.9:${id.length}`, sequence },
+        });
+        if (table.announce(record)) await fleet.virtual.runUntil(node.announce(record));
+      }
+      await fleet.virtual.run(heartbeatMs);
+    };
+    const readSilent = (id: string) =>
+      fleet.all.map(
+        (one) => fleet.find(one).table.find(id as EndpointId)?.record.isSilent ?? false,
+      );
+    const [all, none] = [fleet.all.map(() => true), fleet.all.map(() => false)];
+    for (let beat = 1; beat <= 3; beat += 1) await announceAll(['e', 'e2'], 'daemon-5', beat);
+    // The endpoint that goes on announces itself elsewhere, as after a failed heartbeat.
+    for (let beat = 4; beat <= 9; beat += 1) await announceAll(['e2'], 'daemon-3', beat);
+    expect([readSilent('e'), readSilent('e2')]).toEqual([all, none]);
+    await announceAll(['e', 'e2'], 'daemon-4', 10);
+    expect([readSilent('e'), readSilent('e2')]).toEqual([none, none]);
+  });
 });
 
 // Guards against a leader whose disk takes no more bytes and which ends its process.
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -74,7 +74,7 @@
       notify: () => hub.wake(),
     });
   const hub = createHub({
-    ...{ clock, table, voter, openPeer },
+    ...{ clock, table, voter, openPeer, record },
     incarnation: self.incarnation,
     address: self.address,
   });
@@ -173,8 +173,11 @@
   const runSilenceChecks = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       await clock.wait(silenceCheckMs, stopping.signal);
-      // Without a hub the announcements go elsewhere; their absence here says nothing.
-      if (clock.monotonic() - client.view.contactAt < ownHubAgeMs * 2) table.checkSilence();
+      table.removeDeparted();
+      // Hubs hear of all announcements, but for those that are out of touch; other daemons do not.
+      const isInTouch = clock.monotonic() - client.view.contactAt < ownHubAgeMs * 2;
+      if (!isMember() || !isInTouch) continue;
+      table.checkSilence().forEach((endpoint) => record('endpoint.silent', { endpoint }));
     }
   };
 
--- a/packages/fleet/src/messages/sync-reply.ts
+++ b/packages/fleet/src/messages/sync-reply.ts
@@ -10,8 +10,9 @@
   cursor: number;
   /** Endpoints that changed since the asker's cursor. */
   records: EndpointRecord[];
-  /** Endpoints that were heard of lately. */
+  /** For a hub only: endpoints whose announcements reached this hub's daemons since its last exchange. */
   heard: EndpointId[];
+  heardCursor: number;
   /** Present when newer than what the asker has. */
   state?: SharedState;
   /** Milliseconds since the hub knew of a live quorum. */
--- a/packages/fleet/src/messages/sync-request.ts
+++ b/packages/fleet/src/messages/sync-request.ts
@@ -17,7 +17,9 @@
   daemonsVersion: number;
   /** What the sender holds and saw itself. */
   observations: Observations;
-  /** Endpoints that announced themselves at the sender lately. */
+  /** Position in the hub's order of announcements. */
+  heardCursor: number;
+  /** Endpoints that announced themselves at the sender since its last exchange; hubs ask each other. */
   heard: EndpointId[];
   /** How long the hub may wait for a change, in milliseconds. */
   waitMs: number;
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -1,4 +1,10 @@
-import { RelayError, ResultCode, withDeadline, type Clock } from '@vanillarelay/core';
+import {
+  RelayError,
+  ResultCode,
+  withDeadline,
+  type Clock,
+  type EventDetails,
+} from '@vanillarelay/core';
 import type { EndpointRecord, EndpointTable } from '@vanillarelay/routing';
 import type { FleetPeer } from '../messages/fleet-peer.js';
 import type { SyncReply } from '../messages/sync-reply.js';
@@ -13,16 +19,15 @@
   table: EndpointTable;
   voter: Voter | undefined;
   openPeer: (address: string) => FleetPeer;
+  record: (name: string, details?: EventDetails) => void;
 }
 
 const pollMs = 100;
-/** Announcements within this time count as heard lately. */
-const heardMs = 2_000;
 const relayTimeoutMs = 400;
 
 /** Makes the hub of a daemon with a disk: it answers the exchanges of the daemons around it. */
 export function createHub(options: HubOptions) {
-  const { clock, incarnation, address, table, voter, openPeer } = options;
+  const { clock, incarnation, address, table, voter, openPeer, record: recordEvent } = options;
   const daemons = createDaemonTable(clock);
   const waiting = new Set<() => void>();
 
@@ -61,7 +66,9 @@
       hubIncarnation: incarnation,
       cursor: table.readLastChange(),
       records: table.listChanges(isKnown ? request.cursor : 0),
-      heard: table.listHeard(heardMs),
+      // A daemon learns of silence by the records.
+      heard: isHub ? table.listHeard(isKnown ? request.heardCursor : 0) : [],
+      heardCursor: table.readLastMark(),
       ...(state && state.index > stateIndex ? { state } : {}),
       quorumAgeMs: Math.round(Math.min(voter?.readQuorumAgeMs() ?? Infinity, maxAgeMs)),
       ...(leader === undefined ? {} : { leader }),
@@ -92,8 +99,11 @@
             openPeer(hub).announce({ record, isRelayed: true }, signal),
           );
           known += 1;
-        } catch {
-          // Counted by what is missing from `known`.
+        } catch (error) {
+          recordEvent('fleet.relayFailed', {
+            ...{ hub, endpoint: record.id },
+            reason: (error as Error).message,
+          });
         }
         open -= 1;
         settle();
@@ -106,12 +116,13 @@
     daemons,
     sync: async (request: SyncRequest, signal: AbortSignal): Promise<SyncReply> => {
       if (!request.isHub) daemons.receive(request.from, request.observations);
-      table.markHeard(request.heard, 0);
+      table.markHeard(request.heard);
       await waitForNews(request, signal);
       return buildReply(request);
     },
     announce: async ({ record, isRelayed }: { record: EndpointRecord; isRelayed: boolean }) => {
-      table.merge(record);
+      if (isRelayed) table.merge(record);
+      else table.announce(record);
       if (!isRelayed && record.state !== 'ready') await relay(record);
     },
   };
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -7,6 +7,7 @@
 import type { SyncReply } from '../messages/sync-reply.js';
 import { emptySharedState } from '../state/empty-shared-state.js';
 import type { SharedState } from '../state/shared-state.js';
+import { createExchange } from './create-exchange.js';
 import type { FleetView } from './fleet-view.js';
 import { sortHubs } from './sort-hubs.js';
 
@@ -32,14 +33,12 @@
 
 const pollWaitMs = 200;
 const minPauseMs = 60;
-const answerSlackMs = 600;
 const helloTimeoutMs = 400;
 const retryMs = 100;
 /** A hub that has not known of a quorum for longer is left for another one. */
 const quorumAgeLimitMs = 1_000;
 /** After its start a daemon takes no state from a hub that is out of touch with the quorum. */
 const firstQuorumAgeMs = 2_000;
-const heardMs = 2_000;
 /** Another hub is tried for this long after one failed or lost touch with the quorum. */
 const doubtMs = 1_500;
 
@@ -55,7 +54,9 @@
     contactAt: Number.NEGATIVE_INFINITY,
   };
   let hub: string | undefined;
-  let position = { hubIncarnation: '', cursor: 0, daemonsVersion: 0 };
+  const callHub = createExchange({ clock, readSelf, openPeer, table });
+  /** Announcements up to this mark were told to a hub. */
+  let toldMark = 0;
   /** Hubs that failed or are out of touch with the quorum, and until when others are tried first. */
   const doubts = new Map<string, { until: number; isReachable: boolean }>();
 
@@ -70,10 +71,7 @@
   };
 
   const applyReply = (reply: SyncReply): void => {
-    const { hubIncarnation, cursor, daemonsVersion, quorumAgeMs } = reply;
-    reply.records.forEach((entry) => table.merge(entry));
-    table.markHeard(reply.heard, 0);
-    position = { hubIncarnation, cursor, daemonsVersion };
+    const { quorumAgeMs } = reply;
     if (reply.hubs.length > 0) view.hubs = reply.hubs;
     if (reply.daemons) view.daemons = reply.daemons;
     options.notifyObservations(reply.observations);
@@ -101,23 +99,18 @@
   };
 
   const exchange = async (address: string): Promise<void> => {
-    if (address !== hub) {
-      position = { hubIncarnation: '', cursor: 0, daemonsVersion: 0 };
-      record('fleet.hubChosen', { hub: address, before: hub ?? '' });
-      hub = address;
-    }
-    const request = {
-      from: readSelf(),
+    if (address !== hub) record('fleet.hubChosen', { hub: address, before: hub ?? '' });
+    hub = address;
+    const mark = table.readLastMark();
+    const reply = await callHub(address, {
       isHub: false,
       stateIndex: view.isCurrent ? view.state.index : -1,
-      ...position,
       observations: options.readObservations(),
-      heard: table.listHeard(heardMs),
+      // This daemon's own hub shares its table.
+      heard: address === readSelf().address ? [] : table.listHeard(toldMark),
       waitMs: view.isCurrent ? pollWaitMs : 0,
-    };
-    const reply = await withDeadline(clock, request.waitMs + answerSlackMs, (signal) =>
-      openPeer(address).sync(request, signal),
-    );
+    });
+    toldMark = mark;
     applyReply(reply);
     if (reply.quorumAgeMs > quorumAgeLimitMs) addDoubt(address, true);
     else doubts.delete(address);
--- a/packages/fleet/src/sync/run-hub-links.ts
+++ b/packages/fleet/src/sync/run-hub-links.ts
@@ -1,7 +1,8 @@
-import { withDeadline, type Clock, type EventDetails } from '@vanillarelay/core';
+import type { Clock, EventDetails } from '@vanillarelay/core';
 import type { EndpointTable } from '@vanillarelay/routing';
 import type { DaemonInfo } from '../messages/daemon-info.js';
 import type { FleetPeer } from '../messages/fleet-peer.js';
+import { createExchange } from './create-exchange.js';
 import type { Hub } from './hub.js';
 
 interface HubLinkOptions {
@@ -16,7 +17,6 @@
 }
 
 const pollWaitMs = 200;
-const answerSlackMs = 600;
 const minPauseMs = 60;
 const retryMs = 300;
 const scanMs = 500;
@@ -49,28 +49,19 @@
   address: string,
   signal: AbortSignal,
 ): Promise<void> {
-  let position = { hubIncarnation: '', cursor: 0, daemonsVersion: 0 };
+  const exchange = createExchange({ clock, readSelf, openPeer, table });
   let isLost = false;
   while (!signal.aborted) {
     try {
-      const request = {
-        from: readSelf(),
+      const reply = await exchange(address, {
         isHub: true,
         // State comes by the replicated log, never by this exchange.
         stateIndex: Number.MAX_SAFE_INTEGER,
-        ...position,
         observations: { loads: {}, outcomes: {} },
-        heard: table.listHeard(pollWaitMs + answerSlackMs),
+        heard: [],
         waitMs: pollWaitMs,
-      };
-      const reply = await withDeadline(clock, pollWaitMs + answerSlackMs, (one) =>
-        openPeer(address).sync(request, one),
-      );
-      reply.records.forEach((entry) => table.merge(entry));
-      table.markHeard(reply.heard, 0);
+      });
       hub.daemons.updateRemote(address, reply.daemons, reply.observations);
-      const { hubIncarnation, cursor, daemonsVersion } = reply;
-      position = { hubIncarnation, cursor, daemonsVersion };
       if (isLost) record('fleet.linkRegained', { hub: address });
       isLost = false;
       await clock.wait(minPauseMs, signal);
--- a/packages/router/src/daemon/create-control-calls.ts
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -1,6 +1,11 @@
 import { RelayError, ResultCode, type DataCentreId } from '@vanillarelay/core';
 import type { FleetNode, SharedCommand } from '@vanillarelay/fleet';
-import { checkRoutingConfig, type EndpointTable, type RoutingConfig } from '@vanillarelay/routing';
+import {
+  checkRoutingConfig,
+  type EndpointRecord,
+  type EndpointTable,
+  type RoutingConfig,
+} from '@vanillarelay/routing';
 import type { Log } from '../log/log.js';
 import type { ControlCalls } from './control-calls.js';
 
@@ -29,6 +34,15 @@
     log.write('dataCentre.changed', { dataCentre: id, change: type });
   };
 
+  /** Tells a hub at once of what its next heartbeat would bring as well. */
+  const announceToHub = async (record: EndpointRecord): Promise<void> => {
+    try {
+      await node.announce(record);
+    } catch (error) {
+      log.write('endpoint.notPassedOn', { endpoint: record.id, reason: (error as Error).message });
+    }
+  };
+
   return {
     putConfig: async (source) => {
       const config = decodeConfig(source);
@@ -44,7 +58,7 @@
     takeOutDataCentre: (id) => proposeDataCentre('takeOutDataCentre', id),
     bringBackDataCentre: (id) => proposeDataCentre('bringBackDataCentre', id),
     announce: async (record) => {
-      const isNews = endpoints.merge(record);
+      const isNews = endpoints.announce(record);
       const { id, state, service, address, sequence, coldLeftMs } = record;
       if (isNews) {
         log.write('endpoint.announced', {
@@ -58,7 +72,7 @@
       }
       // An endpoint that leaves is acknowledged once other hubs know; a ready one may be told late.
       if (state !== 'ready') await node.announce(record);
-      else if (isNews) node.announce(record).catch(() => {});
+      else if (isNews) void announceToHub(record);
     },
     removeEndpoint: async (id) => {
       const known = endpoints.find(id);
--- a/packages/routing/src/endpoints/create-endpoint-table.ts
+++ b/packages/routing/src/endpoints/create-endpoint-table.ts
@@ -17,6 +17,7 @@
   const entries = new Map<EndpointId, EndpointEntry>();
   let services = new Map<ServiceId, EndpointEntry[]>();
   let lastChange = 0;
+  let lastMark = 0;
   const listeners = new Set<() => void>();
 
   const notify = () => {
@@ -37,6 +38,7 @@
       firstSeenAt: known?.record.bornAt === record.bornAt ? known.firstSeenAt : at,
       coldUntil: record.coldLeftMs > 0 ? at + record.coldLeftMs : 0,
       heardAt: record.isSilent ? (known?.heardAt ?? -Infinity) : at,
+      heardMark: known?.heardMark ?? 0,
       change: lastChange,
       changedAt: at,
     });
@@ -53,32 +55,53 @@
     return true;
   };
 
-  /** Takes a record; returns whether it told something that others must hear. */
-  const merge = (record: EndpointRecord): boolean => {
-    const known = entries.get(record.id);
-    if (known && !isNewerRecord(record, known.record)) {
-      const isSame = known.record.bornAt === record.bornAt && known.record.state !== 'gone';
-      if (isSame && record.isSilent && !known.record.isSilent) return false;
-      if (isSame && !record.isSilent) known.heardAt = clock.monotonic();
-      return false;
-    }
+  const isHeardLately = ({ heardAt }: EndpointEntry): boolean =>
+    clock.monotonic() - heardAt <= silenceMs / 2;
+
+  /** Takes a record from a peer or from the disk; returns whether it told something new. */
+  const merge = (told: EndpointRecord): boolean => {
+    const known = entries.get(told.id);
+    const { isSilent, ...heard } = told;
+    const record: EndpointRecord = isSilent && known && isHeardLately(known) ? heard : told;
+    const isSame = known?.record.bornAt === record.bornAt && known.record.state !== 'gone';
+    const turnsSilent = Boolean(known?.record.isSilent) !== Boolean(record.isSilent);
+    if (known && !isNewerRecord(record, known.record) && !(isSame && turnsSilent)) return false;
     const at = clock.monotonic();
     const coldMs = record.coldLeftMs;
     const isColder = coldMs > 0 && at + coldMs > (known?.coldUntil ?? 0) + coldToleranceMs;
-    const isChange =
-      !known || isColder || !compareContent(known.record, record) || Boolean(known.record.isSilent);
-    if (!isChange && known) {
+    const isChange = !known || isColder || turnsSilent || !compareContent(known.record, record);
+    if (!isChange) {
       known.record = record;
-      known.heardAt = at;
       return false;
     }
     if (!removeOthersAt(record)) return false;
-    const keptColdMs = known?.record.bornAt === record.bornAt ? (known?.coldUntil ?? 0) - at : 0;
+    const keptColdMs = isSame ? (known?.coldUntil ?? 0) - at : 0;
     update({ ...record, coldLeftMs: Math.max(record.coldLeftMs, keptColdMs, 0) }, known);
     notify();
     return true;
   };
 
+  const clearSilence = (entry: EndpointEntry): void => {
+    const { isSilent, ...record } = entry.record;
+    if (!isSilent) return;
+    const coldLeftMs = Math.max(0, entry.coldUntil - clock.monotonic());
+    update({ ...record, coldLeftMs }, entry);
+    notify();
+  };
+
+  const markHeard = (ids: readonly EndpointId[], isFirstHand: boolean): void => {
+    ids.forEach((id) => {
+      const entry = entries.get(id);
+      if (!entry) return;
+      entry.heardAt = clock.monotonic();
+      if (isFirstHand) {
+        lastMark += 1;
+        entry.heardMark = lastMark;
+      }
+      clearSilence(entry);
+    });
+  };
+
   const remove = (id: EndpointId): boolean => {
     const known = entries.get(id);
     if (!known || known.record.state === 'gone') return false;
@@ -87,21 +110,26 @@
     return true;
   };
 
-  /** Marks endpoints silent whose announcements stopped, and forgets those long gone. */
-  const checkSilence = (): void => {
+  const removeDeparted = (): void => {
     const at = clock.monotonic();
-    let isChanged = false;
-    entries.forEach((entry, id) => {
-      const { record } = entry;
-      if (record.state === 'gone') {
-        if (at - entry.changedAt > goneKeptMs) entries.delete(id);
-        return;
-      }
-      if (record.isSilent || at - entry.heardAt <= silenceMs) return;
-      update({ ...record, isSilent: true, coldLeftMs: Math.max(0, entry.coldUntil - at) }, entry);
-      isChanged = true;
+    entries.forEach(({ record, changedAt }, id) => {
+      if (record.state === 'gone' && at - changedAt > goneKeptMs) entries.delete(id);
     });
-    if (isChanged) notify();
+  };
+
+  /** Marks endpoints silent whose announcements stopped; returns their ids. */
+  const checkSilence = (): EndpointId[] => {
+    const at = clock.monotonic();
+    const silent = [...entries.values()].filter(
+      ({ record, heardAt }) =>
+        record.state !== 'gone' && !record.isSilent && at - heardAt > silenceMs,
+    );
+    silent.forEach((entry) => {
+      const coldLeftMs = Math.max(0, entry.coldUntil - at);
+      update({ ...entry.record, isSilent: true, coldLeftMs }, entry);
+    });
+    if (silent.length > 0) notify();
+    return silent.map(({ record }) => record.id);
   };
 
   /** Counts the endpoints of a data centre as cold, since nothing was sent to them for a while. */
@@ -115,8 +143,17 @@
 
   return {
     merge,
+    /** Takes an endpoint's own announcement; returns whether it told something new. */
+    announce: (record: EndpointRecord): boolean => {
+      const isNews = merge(record);
+      const known = entries.get(record.id);
+      const isLate = known && isNewerRecord(known.record, record);
+      if (known && !isLate) markHeard([record.id], true);
+      return isNews;
+    },
     remove,
     checkSilence,
+    removeDeparted,
     markCold,
     find: (id: EndpointId): EndpointEntry | undefined => entries.get(id),
     listService: (service: ServiceId): readonly EndpointEntry[] => services.get(service) ?? [],
@@ -128,20 +165,21 @@
         .filter(({ change }) => change > after)
         .map(({ record, coldUntil }) => ({ ...record, coldLeftMs: Math.max(0, coldUntil - at) }));
     },
-    /** Ids heard within the last `ms`. */
-    listHeard: (ms: number): EndpointId[] => {
-      const since = clock.monotonic() - ms;
+    /**
+     * Ids whose own announcements arrived after the given mark, here or at a daemon that told this
+     * one. What another hub told is left out: two hubs would go on confirming a crashed endpoint.
+     */
+    listHeard: (after: number): EndpointId[] => {
+      const since = clock.monotonic() - silenceMs;
       return [...entries.values()]
-        .filter(({ heardAt, record }) => heardAt >= since && record.state !== 'gone')
+        .filter(({ heardMark, heardAt }) => heardMark > after && heardAt >= since)
         .map(({ record }) => record.id);
     },
-    markHeard: (ids: readonly EndpointId[], agoMs: number): void => {
-      const at = clock.monotonic() - agoMs;
-      ids.forEach((id) => {
-        const entry = entries.get(id);
-        if (entry) entry.heardAt = Math.max(entry.heardAt, at);
-      });
-    },
+    readLastMark: () => lastMark,
+    /** Takes what a daemon that announces to this one heard. */
+    markHeard: (ids: readonly EndpointId[]): void => markHeard(ids, true),
+    /** Takes what another hub heard from its daemons. */
+    markHeardElsewhere: (ids: readonly EndpointId[]): void => markHeard(ids, false),
     readLastChange: () => lastChange,
     observe: (listener: () => void) => {
       listeners.add(listener);
--- a/packages/routing/src/endpoints/endpoint-entry.ts
+++ b/packages/routing/src/endpoints/endpoint-entry.ts
@@ -9,6 +9,8 @@
   firstSeenAt: number;
   /** Monotonic time of its last announcement that this process knows of. */
   heardAt: number;
+  /** Position of that announcement among those that reached this process or its daemons; 0 for none. */
+  heardMark: number;
   /** Position in the order of changes of this table. */
   change: number;
   /** Monotonic time of the last change. */
