feat(router): refuse a request that was lost with three endpoints

Cause: a request may crash every endpoint that begins to run it, and its caller sends it again at any router. Routers kept no record, so that each try cost one more endpoint with all its requests. Ruled out: marks in the replicated state as the agents keep them (a write for each broken connection, and a decision that comes after the next try); distinct endpoints instead of losses (an endpoint that comes back is the same one). Change: a router counts losses by a fingerprint of account, method, path and body, only after one; the counts travel with the observations of the exchange. After: 3 runs, then 503 at once; another path is served. Conclusion: at most three losses and what is in flight until the counts arrive.

--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -94,7 +94,7 @@
       createDiskId: createId,
       openPeer: openPeer(process),
       listSeeds: () => seeds,
-      readObservations: () => ({ loads: {}, outcomes: {} }),
+      readObservations: () => ({ loads: {}, outcomes: {}, crashes: {} }),
       notifyObservations: () => {},
       notifyState: ({ version }) => versions.push(version),
     });
--- a/packages/fleet/src/messages/observations.ts
+++ b/packages/fleet/src/messages/observations.ts
@@ -1,9 +1,10 @@
 import type { EndpointId } from '@vanillarelay/core';
-import type { OutcomeCounts } from '@vanillarelay/routing';
+import type { CrashCounts, OutcomeCounts } from '@vanillarelay/routing';
 
-/** What one or more daemons know of endpoints from their own requests. */
+/** What one or more daemons know from their own requests. */
 export interface Observations {
   /** Requests in flight at each endpoint. */
   loads: Record<EndpointId, number>;
   outcomes: OutcomeCounts;
+  crashes: CrashCounts;
 }
--- a/packages/fleet/src/sync/merge-observations.ts
+++ b/packages/fleet/src/sync/merge-observations.ts
@@ -1,10 +1,10 @@
-import type { EndpointId } from '@vanillarelay/core';
+import type { EndpointId, Fingerprint } from '@vanillarelay/core';
 import type { Observations } from '../messages/observations.js';
 
-/** Adds up what several daemons know of endpoints. */
+/** Adds up what several daemons hold and saw. */
 export function mergeObservations(parts: readonly Observations[]): Observations {
-  const sum: Observations = { loads: {}, outcomes: {} };
-  parts.forEach(({ loads, outcomes }) => {
+  const sum: Observations = { loads: {}, outcomes: {}, crashes: {} };
+  parts.forEach(({ loads, outcomes, crashes }) => {
     Object.entries(loads).forEach(([key, count]) => {
       const id = key as EndpointId;
       sum.loads[id] = (sum.loads[id] ?? 0) + count;
@@ -14,6 +14,10 @@
       const [knownGood, knownBad] = sum.outcomes[id] ?? [0, 0];
       sum.outcomes[id] = [knownGood + good, knownBad + bad];
     });
+    Object.entries(crashes).forEach(([key, count]) => {
+      const fingerprint = key as Fingerprint;
+      sum.crashes[fingerprint] = (sum.crashes[fingerprint] ?? 0) + count;
+    });
   });
   return sum;
 }
--- a/packages/fleet/src/sync/run-hub-links.ts
+++ b/packages/fleet/src/sync/run-hub-links.ts
@@ -57,7 +57,7 @@
         isHub: true,
         // State comes by the replicated log, never by this exchange.
         stateIndex: Number.MAX_SAFE_INTEGER,
-        observations: { loads: {}, outcomes: {} },
+        observations: { loads: {}, outcomes: {}, crashes: {} },
         heard: [],
         waitMs: pollWaitMs,
       });
--- a/packages/router/__tests__/requests.test.ts
+++ b/packages/router/__tests__/requests.test.ts
@@ -199,3 +199,21 @@
   const { status } = await post('/order/1');
   expect([status, fixture.endpoints.find('e1' as never)?.record.state]).toEqual([503, 'gone']);
 });
+
+// Guards against callers whose request crashes one endpoint after the other, each time it comes again.
+it('refuses a request that was lost with three endpoints, and serves others', async () => {
+  fixture = await createRouterFixture();
+  const crashing = createCounted((message, response) => {
+    if (message.url === '/lookup/bad') message.socket.destroy();
+    else answer(message, response);
+  });
+  await Promise.all(['e1', 'e2', 'e3', 'e4'].map((id) => fixture.addEndpoint(id, crashing.run)));
+  const statuses = [];
+  for (let tries = 0; tries < 4; tries += 1) statuses.push((await post('/lookup/bad')).status);
+  const {runs} = crashing.counted;
+  expect([statuses, runs, (await post('/lookup/good')).status]).toEqual([
+    [502, 502, 503, 503],
+    3,
+    200,
+  ]);
+});
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -2,6 +2,7 @@
 import type { Observations } from '@vanillarelay/fleet';
 import {
   createColdPacer,
+  createCrashRecord,
   createHealthTracker,
   createLoadView,
   createRetryBudget,
@@ -42,6 +43,7 @@
     ...{ clock, random, hash, dataCentre, wire, endpoints, loads },
     pool: createConnectionPool(),
     health: createHealthTracker(clock),
+    crashes: createCrashRecord(clock),
     budget: createRetryBudget({
       clock,
       ratio: options.retryRatio,
@@ -58,10 +60,15 @@
   };
   return {
     /** What this daemon's requests hold and show of endpoints, for the other daemons. */
-    readObservations: () => ({ loads: loads.readOwn(), outcomes: parts.health.readOwn() }),
-    updateObservations: ({ loads: counts, outcomes }: Observations): void => {
+    readObservations: (): Observations => ({
+      loads: loads.readOwn(),
+      outcomes: parts.health.readOwn(),
+      crashes: parts.crashes.readOwn(),
+    }),
+    updateObservations: ({ loads: counts, outcomes, crashes }: Observations): void => {
       loads.updateOthers(counts);
       parts.health.updateOthers(outcomes);
+      parts.crashes.updateOthers(crashes);
     },
     readTable: () => table,
     updateConfig: (config: RoutingConfig): void => {
--- a/packages/router/src/requests/router-parts.ts
+++ b/packages/router/src/requests/router-parts.ts
@@ -2,6 +2,7 @@
 import type { Clock, DataCentreId, Hash, Random } from '@vanillarelay/core';
 import type {
   ColdPacer,
+  CrashRecord,
   EndpointTable,
   HealthTracker,
   LoadView,
@@ -21,6 +22,7 @@
   health: HealthTracker;
   loads: LoadView;
   budget: RetryBudget;
+  crashes: CrashRecord;
   pacer: ColdPacer;
   isDataCentreOut: (id: DataCentreId) => boolean;
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -2,6 +2,7 @@
 import { chooseEndpoint, chooseService } from '@vanillarelay/routing';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { buildAffinityKey } from './build-affinity-key.js';
+import { buildFingerprint } from './build-fingerprint.js';
 import { findCacheSource } from './find-cache-source.js';
 import { listCandidates } from './list-candidates.js';
 import type { RequestResult } from './request-result.js';
@@ -81,6 +82,10 @@
       const reason = `${chosen.reason} ${JSON.stringify(chosen.passedOver)}`;
       return endWithout(request, state, chosen.code, reason);
     }
+    if (isConvicted(parts, request)) {
+      const reason = 'the request crashes its endpoints';
+      return endWithout(request, state, ResultCode.crashConvicted, reason);
+    }
     if (result.sends.length > 0 && !budget.spend(service)) {
       return endWithout(request, state, ResultCode.retryBudgetSpent, 'retry budget spent');
     }
@@ -157,6 +162,7 @@
     cacheSource: readCacheSource(parts, request, state.service, id),
     record: entry.record,
   });
+  recordCrash(parts, request, outcome);
   if (outcome.type === 'answered') health.recordSuccess(id);
   if (outcome.type === 'failed' || outcome.type === 'broken') {
     state.runs += 1;
@@ -168,6 +174,21 @@
   return outcome;
 }
 
+/** Notes that an endpoint broke off while it ran a request; it may have crashed by it. */
+function recordCrash({ crashes }: RouterParts, request: RoutedRequest, outcome: AttemptOutcome) {
+  const isLost =
+    outcome.type === 'broken' ||
+    (outcome.type === 'failed' && !outcome.isSilent && outcome.status === undefined);
+  if (isLost) crashes.recordCrash(buildFingerprint(request));
+  else if (outcome.type === 'answered' && !crashes.isEmpty()) {
+    crashes.clear(buildFingerprint(request));
+  }
+}
+
+function isConvicted({ crashes }: RouterParts, request: RoutedRequest): boolean {
+  return !crashes.isEmpty() && crashes.isConvicted(buildFingerprint(request));
+}
+
 function readCacheSource(
   parts: RouterParts,
   { route, facts, table }: RoutedRequest,
