perf(routing): keep a prompt at few endpoints while loads rise and fall

Change: the share is drawn by the prompt; prompts overflow in rendezvous order; the band of load goes from 1.4 x mean + 2 .. 1.7 x mean + 2.5 to 1.6 x mean + 2.4 .. 1.85 x mean + 2.8.

--- a/packages/routing/__tests__/choose-endpoint.test.ts
+++ b/packages/routing/__tests__/choose-endpoint.test.ts
@@ -1,5 +1,6 @@
 import { createHash, type EndpointId, type Hash } from '@vanillarelay/core';
 import { chooseCacheSource, chooseEndpoint, type Candidate } from '@vanillarelay/routing';
+import { createSeededRandom } from '@vanillarelay/scenarios';
 import { beforeAll, describe, expect, it } from 'vitest';
 
 const seedStep = 0.754_877_666;
@@ -67,6 +68,36 @@
     expect((reasons.home ?? 0) / 400).toBeGreaterThan(0.75);
   });
 
+  // Guards against a prompt that goes to and fro as loads rise and fall, and is read at each endpoint.
+  it('keeps each prompt at few endpoints while many share the load', () => {
+    const random = createSeededRandom(1);
+    const open = ids.slice(0, 5);
+    const loads = new Map(open.map((id) => [id, 0]));
+    const running: EndpointId[] = [];
+    const readers = new Map<string, Set<EndpointId>>();
+    for (let request = 0; request < 2_000; request += 1) {
+      // Few prompts have most of the requests.
+      const affinityKey = `prompt ${Math.floor(random() ** 3 * 100)}`;
+      const mean = running.length / ids.length;
+      const candidates = open.map((id) => ({
+        ...{ id, dataCentre: 'dc' as never, slots: 128, load: loads.get(id) ?? 0 },
+      }));
+      const placement = chooseEndpoint(
+        candidates,
+        { affinityKey, mean, tried: new Set() },
+        { hash, random, dataCentre: 'dc' as never },
+      );
+      if (!placement) throw new Error('nothing was chosen');
+      readers.set(affinityKey, (readers.get(affinityKey) ?? new Set()).add(placement.id));
+      loads.set(placement.id, (loads.get(placement.id) ?? 0) + 1);
+      running.push(placement.id);
+      const ended = running.length > 40 ? running.shift() : undefined;
+      if (ended) loads.set(ended, (loads.get(ended) ?? 0) - 1);
+    }
+    const reads = [...readers.values()].reduce((sum, { size }) => sum + size, 0);
+    expect(reads / readers.size).toBeLessThan(1.75);
+  });
+
   // Guards against the load of a day on which 6 of 8 engines were doubted and two held everything.
   it('spreads the work over doubted endpoints before it piles up on the sound ones', () => {
     const { loads } = replay({ requests: 200, lag: 10, doubted: ids.slice(2) });
--- a/packages/routing/src/placement/choose-endpoint.ts
+++ b/packages/routing/src/placement/choose-endpoint.ts
@@ -20,14 +20,16 @@
 }
 
 /**
- * An endpoint takes every request below the lower bound and none above the upper one; in between it
+ * An endpoint takes every prompt below the lower bound and none above the upper one; in between it
  * takes a share. Routers know loads with a lag, and a sharp bound would make all of them pass it
- * over, and come back to it, at the same time.
+ * over, and come back to it, at the same time. The share is one of prompts, not of requests: a prompt
+ * that went to and fro would be read at both endpoints.
  */
-const lowerFactor = 1.4;
-const lowerAllowance = 2;
-const upperFactor = 1.7;
-const upperAllowance = 2.5;
+const lowerFactor = 1.6;
+const lowerAllowance = 2.4;
+const upperFactor = 1.85;
+const upperAllowance = 2.8;
+const hashRange = 2 ** 32;
 /** Load, as a share of the slots, that a nearer endpoint is worth. */
 const nearDiscount = 0.15;
 
@@ -54,6 +56,10 @@
   const light = untried.filter(({ load }) => load < bound);
   const soundAndLight = light.filter(({ doubt }) => doubt === undefined);
   const usable = [soundAndLight, light, sound, untried].find(({ length }) => length > 0) ?? [];
+  if (affinityKey !== undefined && usable === soundAndLight) {
+    const [next] = sortByRendezvous(options.hash, affinityKey, usable.map(toId));
+    if (next !== undefined) return { id: next, reason: 'nextHome' };
+  }
   const id = chooseLeastLoaded(usable, options);
   if (id === undefined) return undefined;
   const isDoubted = usable.some((one) => one.id === id && one.doubt !== undefined);
@@ -64,13 +70,13 @@
   sound: readonly Candidate[],
   key: string,
   mean: number,
-  { hash, random }: PlacementOptions,
+  { hash }: PlacementOptions,
 ): Placement | undefined {
   const lower = lowerFactor * mean + lowerAllowance;
   const upper = computeUpperBound(mean);
   const loads = new Map(sound.map(({ id, load }) => [id, load]));
   const order = sortByRendezvous(hash, key, sound.map(toId));
-  const draw = random();
+  const draw = hash(`share ${key}`) / hashRange;
   const id = order.find((one) => {
     const share = (upper - (loads.get(one) ?? 0)) / (upper - lower);
     return share > draw;
