perf(fleet): confirm a state that the reader has by its index alone

Ruled out: answering from the daemon's own state without the leader (it may be stale). Change: the reader names the index of its state; the leader confirms by a quorum and sends the state only when its index differs. Conclusion: reads cost a message, not a configuration.

--- a/packages/fleet/__tests__/fleet.test.ts
+++ b/packages/fleet/__tests__/fleet.test.ts
@@ -112,6 +112,19 @@
     expect(fleet.readVersion(leader)).toBe(2);
   });
 
+  // Guards against sending the whole configuration again to a daemon that has it.
+  it('confirms a configuration that the reader has by its index alone', async () => {
+    const fleet = await startSettled(seed);
+    await fleet.put('daemon-4', 1);
+    await fleet.virtual.run(inForceMs);
+    const { node } = fleet.find(findLeader(fleet));
+    const { index } = node.view.state;
+    const read = (knownIndex: number) =>
+      fleet.virtual.runUntil(node.handlers.readState({ knownIndex }, new AbortController().signal));
+    expect(await read(index)).toEqual({ index });
+    expect(await read(index - 1)).toMatchObject({ index, state: { source: 'config 1' } });
+  });
+
   // Guards against daemons that stay with a hub that is cut off from the other control nodes.
   it('moves daemons away from a hub that lost touch with the others', async () => {
     const fleet = await startSettled(seed);
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -105,9 +105,11 @@
       if (!voter) throw new RelayError(ResultCode.notLeader, 'no disk here', { notRun: true });
       return voter.propose(command);
     },
-    readState: async () => {
+    readState: async ({ knownIndex }) => {
       if (!voter) throw new RelayError(ResultCode.notLeader, 'no disk here', { notRun: true });
-      return voter.readConfirmedState();
+      const state = await voter.readConfirmedState();
+      const { index } = state;
+      return index === knownIndex ? { index } : { index, state };
     },
     raft: voter?.handlers ?? refusingRaft,
   };
@@ -152,6 +154,14 @@
     throw failure;
   };
 
+  const readConfirmedState = async (): Promise<SharedState> => {
+    const known = client.view.state;
+    const { state } = await callLeader((peer, signal) =>
+      peer.readState({ knownIndex: known.index }, signal),
+    );
+    return state ?? known;
+  };
+
   const announce = async (entry: EndpointRecord): Promise<void> => {
     const until = clock.monotonic() + announceMs;
     let failure: unknown = new RelayError(ResultCode.noQuorum, 'no hub is known');
@@ -208,7 +218,7 @@
     propose: (command: SharedCommand) =>
       callLeader((peer, signal) => peer.propose(command, signal)),
     /** The newest state, confirmed by a quorum. */
-    readConfirmedState: () => callLeader((peer, signal) => peer.readState(signal)),
+    readConfirmedState,
     announce,
     readControlSummary: () => voter?.readSummary(),
   };
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,6 +5,8 @@
 export type { HelloReply } from './messages/hello-reply.js';
 export type { HelloRequest } from './messages/hello-request.js';
 export type { Observations } from './messages/observations.js';
+export type { StateReply } from './messages/state-reply.js';
+export type { StateRequest } from './messages/state-request.js';
 export type { SyncReply } from './messages/sync-reply.js';
 export type { SyncRequest } from './messages/sync-request.js';
 export type { SharedCommand } from './state/shared-command.js';
--- a/packages/fleet/src/messages/fleet-peer.ts
+++ b/packages/fleet/src/messages/fleet-peer.ts
@@ -2,9 +2,10 @@
 import type { CommandResult } from '@vanillarelay/core';
 import type { EndpointRecord } from '@vanillarelay/routing';
 import type { SharedCommand } from '../state/shared-command.js';
-import type { SharedState } from '../state/shared-state.js';
 import type { HelloReply } from './hello-reply.js';
 import type { HelloRequest } from './hello-request.js';
+import type { StateReply } from './state-reply.js';
+import type { StateRequest } from './state-request.js';
 import type { SyncReply } from './sync-reply.js';
 import type { SyncRequest } from './sync-request.js';
 
@@ -19,7 +20,7 @@
   ): Promise<void>;
   /** Offers a command to the leader. */
   propose(command: SharedCommand, signal: AbortSignal): Promise<CommandResult>;
-  /** The newest state, confirmed by a quorum; only the leader answers. */
-  readState(signal: AbortSignal): Promise<SharedState>;
+  /** Confirms the newest state by a quorum; only the leader answers. */
+  readState(request: StateRequest, signal: AbortSignal): Promise<StateReply>;
   raft: RaftPeer;
 }
--- a/packages/router/src/transport/create-fleet-server.ts
+++ b/packages/router/src/transport/create-fleet-server.ts
@@ -23,7 +23,7 @@
     [fleetPaths.sync, handlers.sync],
     [fleetPaths.announce, handlers.announce],
     [fleetPaths.propose, handlers.propose],
-    [fleetPaths.readState, (_, signal) => handlers.readState(signal)],
+    [fleetPaths.readState, handlers.readState],
     [fleetPaths.requestVote, handlers.raft.requestVote],
     [fleetPaths.appendEntries, handlers.raft.appendEntries],
     [fleetPaths.installSnapshot, handlers.raft.installSnapshot],
--- a/packages/router/src/transport/open-fleet-peer.ts
+++ b/packages/router/src/transport/open-fleet-peer.ts
@@ -13,7 +13,7 @@
       await call(fleetPaths.announce, message, signal);
     },
     propose: (command, signal) => call(fleetPaths.propose, command, signal),
-    readState: (signal) => call(fleetPaths.readState, {}, signal),
+    readState: (request, signal) => call(fleetPaths.readState, request, signal),
     raft: {
       requestVote: (request, signal) => call(fleetPaths.requestVote, request, signal),
       appendEntries: (request, signal) => call(fleetPaths.appendEntries, request, signal),
