feat(router): serve metrics at an address of their own, and more of them

Ruled out: a fixed peer port (the platform hands out the ports). The log line of a request says how long it waited for room.

--- a/packages/router/__tests__/requests.test.ts
+++ b/packages/router/__tests__/requests.test.ts
@@ -210,7 +210,7 @@
   await Promise.all(['e1', 'e2', 'e3', 'e4'].map((id) => fixture.addEndpoint(id, crashing.run)));
   const statuses = [];
   for (let tries = 0; tries < 4; tries += 1) statuses.push((await post('/lookup/bad')).status);
-  const {runs} = crashing.counted;
+  const { runs } = crashing.counted;
   expect([statuses, runs, (await post('/lookup/good')).status]).toEqual([
     [502, 502, 503, 503],
     3,
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -71,6 +71,14 @@
       parts.crashes.updateOthers(crashes);
     },
     readTable: () => table,
+    /** Gauges of the repeats that each service has left in its window. */
+    readRepeatsLeft: (): Record<string, number> =>
+      Object.fromEntries(
+        (table?.config.services ?? []).map(({ id }) => [
+          `relay_repeats_left{service="${id}"}`,
+          parts.budget.readLeft(id),
+        ]),
+      ),
     updateConfig: (config: RoutingConfig): void => {
       if (table && config.version <= table.config.version) return;
       table = createRouteTable(config);
--- a/packages/router/src/daemon/router-settings.ts
+++ b/packages/router/src/daemon/router-settings.ts
@@ -19,7 +19,15 @@
   ip: z.string().check(z.minLength(1)),
   /** First and last port for calls between daemons. */
   peerPorts: z.tuple([port, port]),
-  listen: z.object({ callers: address, readiness: address, control: address }),
+  listen: z.object({
+    callers: address,
+    readiness: address,
+    control: address,
+    /** Where calls of other daemons arrive when a proxy stands at the address that they use. */
+    peers: z.optional(address),
+    /** Serves the metrics, besides the first port for peers. */
+    metrics: z.optional(address),
+  }),
   /** Empty on a VM without a disk. */
   dataFolder: z.string(),
   /** How often endpoints announce themselves, in milliseconds. */
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -18,6 +18,9 @@
 import { createFrontServer } from '../front/create-front-server.js';
 import { createLog } from '../log/create-log.js';
 import type { LogEvent } from '../log/log-event.js';
+import { buildControlGauges } from '../metrics/build-control-gauges.js';
+import { countEndpoints } from '../metrics/count-endpoints.js';
+import { createMetricsServer } from '../metrics/create-metrics-server.js';
 import { createMetrics } from '../metrics/create-metrics.js';
 import { createFleetServer } from '../transport/create-fleet-server.js';
 import { openFleetPeer } from '../transport/open-fleet-peer.js';
@@ -98,6 +101,7 @@
       log.write(isGood ? 'request.answered' : `request.${result.outcome}`, {
         ...{ request: request.id, route: request.route, version: request.version, ms },
         ...{ status: result.status, refusal: result.refusal, sends: result.sends },
+        ...(result.waitedMs === undefined ? {} : { waitedMs: result.waitedMs }),
       });
     },
   });
@@ -107,7 +111,7 @@
       ? {}
       : { openDisk: () => program.openDisk(settings.dataFolder) }),
     createDiskId: () => randomBytes(idBytes).toString('hex'),
-    openPeer: openFleetPeer,
+    openPeer: (address) => openFleetPeer({ address, recordBytes: metrics.recordBytes }),
     listSeeds: () => seeds,
     isFirstStart: settings.isFirstStart,
     readObservations: router.readObservations,
@@ -130,22 +134,26 @@
     relay_config_version: node.view.state.version,
     relay_state_index: node.view.state.index,
     relay_routers_known: node.view.daemons.length,
-    relay_endpoints_known: endpoints.listAll().length,
     relay_hub_contact_age_ms: Math.round(clock.monotonic() - node.view.contactAt),
-    relay_is_leader: node.readControlSummary()?.role === 'leader' ? 1 : 0,
-    relay_log_commit_index: node.readControlSummary()?.commitIndex ?? 0,
+    ...buildControlGauges(node.readControlSummary()),
+    ...countEndpoints(endpoints),
+    ...router.readRepeatsLeft(),
     relay_log_lines_lost: log.countLost(),
     relay_memory_bytes: process.memoryUsage.rss(),
   }));
-  const servers = [
+  const { metrics: metricsAddress } = listen;
+  const servers: [Server, string][] = [
     [front, listen.callers],
     [program.createReadyServer(calls), listen.readiness],
     [program.createControlServer(calls, settings), listen.control],
     [
       createFleetServer({ handlers: node.handlers, formatMetrics: () => metrics.format() }),
-      self.address,
+      listen.peers ?? self.address,
     ],
-  ] as const;
+    ...(metricsAddress === undefined
+      ? []
+      : [[createMetricsServer(() => metrics.format()), metricsAddress] as [Server, string]]),
+  ];
   await Promise.all(servers.map(([server, address]) => serveOn(server, address)));
   node.start();
   log.write('process.started', { id, listen, peers: self.address });
--- a/packages/router/src/metrics/create-metrics.ts
+++ b/packages/router/src/metrics/create-metrics.ts
@@ -11,12 +11,12 @@
   const histograms = createHistograms();
   let readGauges = (): Gauges => ({});
 
-  const add = (name: string, labels: Record<string, string | number>): void => {
+  const add = (name: string, labels: Record<string, string | number>, count = 1): void => {
     const text = Object.entries(labels)
       .map(([label, value]) => `${label}="${value}"`)
       .join(',');
     const key = `${name}{${text}}`;
-    counts.set(key, (counts.get(key) ?? 0) + 1);
+    counts.set(key, (counts.get(key) ?? 0) + count);
   };
 
   /** Records how late timers fire, which shows a busy event loop. */
@@ -32,7 +32,7 @@
   return {
     recordRequest: (
       route: string,
-      { outcome, status, refusal, sends }: RequestResult,
+      { outcome, status, refusal, sends, waitedMs }: RequestResult,
       ms: number,
     ) => {
       add('relay_requests_total', { outcome, status });
@@ -40,7 +40,11 @@
       if (sends.length > 1) add('relay_repeated_requests_total', { outcome });
       sends.forEach(({ reason }) => add('relay_sends_total', { reason }));
       histograms.record('relay_request_ms', route, ms);
+      if (waitedMs !== undefined) histograms.record('relay_wait_ms', route, waitedMs);
     },
+    /** Counts what calls between daemons carry. */
+    recordBytes: (direction: 'sent' | 'received', bytes: number): void =>
+      add('relay_control_bytes_total', { direction }, bytes),
     /** Values that are read when the metrics are. */
     addGauges: (read: () => Gauges): void => {
       readGauges = read;
--- a/packages/router/src/requests/request-result.ts
+++ b/packages/router/src/requests/request-result.ts
@@ -16,4 +16,6 @@
   status: number;
   refusal?: Refusal;
   sends: Send[];
+  /** Time for which it waited for room at an endpoint; absent when there was room at once. */
+  waitedMs?: number;
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -116,7 +116,7 @@
 async function waitForEndpoint(
   parts: RouterParts,
   { table, facts, route }: RoutedRequest,
-  { service, tried, signal }: RunState,
+  { service, tried, signal, result }: RunState,
 ): Promise<Choice> {
   const { clock, hash, random, dataCentre } = parts;
   const waitUntil = clock.monotonic() + route.objectiveMs * waitShare;
@@ -141,6 +141,7 @@
       return { code: ResultCode.endpointBusy, reason: 'all are full or cold', passedOver };
     }
     await clock.wait(roomPollMs, signal);
+    result.waitedMs = (result.waitedMs ?? 0) + roomPollMs;
   }
 }
 
--- a/packages/router/src/transport/call-json.ts
+++ b/packages/router/src/transport/call-json.ts
@@ -7,6 +7,8 @@
   path: string;
   body: unknown;
   signal: AbortSignal;
+  /** Told the bytes of each message, without HTTP headers. */
+  recordBytes: (direction: 'sent' | 'received', bytes: number) => void;
 }
 
 /** A snapshot of the log travels in parts below this size. */
@@ -20,8 +22,10 @@
  * Calls another daemon with one JSON message. An aborted call closes its connection, so that one
  * that has gone silent is not used again.
  */
-export async function callJson<T>({ address, path, body, signal }: JsonCall): Promise<T> {
+export async function callJson<T>(options: JsonCall): Promise<T> {
+  const { address, path, body, signal, recordBytes } = options;
   const payload = Buffer.from(JSON.stringify(body));
+  recordBytes('sent', payload.length);
   const { host, port } = splitAddress(address);
   const { status, text } = await new Promise<{ status: number; text: string }>(
     (resolve, reject) => {
@@ -43,6 +47,7 @@
       call.end(payload);
     },
   );
+  recordBytes('received', Buffer.byteLength(text));
   const reply = JSON.parse(text) as T & { refusal?: Refusal };
   if (status === okStatus) return reply;
   const { code, message, ...details } = reply.refusal ?? {
--- a/packages/router/src/transport/open-fleet-peer.ts
+++ b/packages/router/src/transport/open-fleet-peer.ts
@@ -2,10 +2,15 @@
 import { callJson } from './call-json.js';
 import { fleetPaths } from './fleet-paths.js';
 
+interface FleetPeerOptions {
+  address: string;
+  recordBytes: (direction: 'sent' | 'received', bytes: number) => void;
+}
+
 /** Opens another daemon by its address; connections are made when they are needed. */
-export function openFleetPeer(address: string): FleetPeer {
+export function openFleetPeer({ address, recordBytes }: FleetPeerOptions): FleetPeer {
   const call = <T>(path: string, body: unknown, signal: AbortSignal): Promise<T> =>
-    callJson<T>({ address, path, body, signal });
+    callJson<T>({ address, path, body, signal, recordBytes });
   return {
     hello: (request, signal) => call(fleetPaths.hello, request, signal),
     sync: (request, signal) => call(fleetPaths.sync, request, signal),
