fix(routing): take a peer's word on silence without its older state

Cause: read once more, the change that spreads silence took a whole record from a peer when only its silence differed, whatever its sequence. A peer that had not yet heard of a departure could bring a leaving endpoint back to "ready" in the table of another daemon. Ruled out: the same sequence as a condition (hubs learn of announcements by id, their record keeps an older sequence; the fleet test then sees no silence on the daemon that the endpoint talks to). Change: silence is merged by itself and leaves state and sequence as they are. Before: the new test sees the leaving endpoint "ready" again.

--- a/packages/routing/__tests__/endpoint-table.test.ts
+++ b/packages/routing/__tests__/endpoint-table.test.ts
@@ -61,3 +61,17 @@
   table.merge(build({ sequence: 2 }));
   expect([isSilent, table.find('e1' as EndpointId)?.record.isSilent]).toEqual([true, undefined]);
 });
+
+// Guards against an older record from a peer that brings a leaving endpoint back with its silence.
+it('takes a peer’s word on silence without its older state', () => {
+  const { time, table, build, readState } = createTable();
+  const readSilent = () => table.find('e1' as EndpointId)?.record.isSilent ?? false;
+  table.merge(build({ sequence: 5, state: 'leaving' }));
+  table.merge(build({ sequence: 4, isSilent: true }));
+  const early = readSilent();
+  time.now = 6_000;
+  table.merge(build({ sequence: 4, isSilent: true }));
+  const silent = readSilent();
+  table.merge(build({ sequence: 4 }));
+  expect([early, silent, readSilent(), readState()]).toEqual([false, true, false, 'leaving']);
+});
--- a/packages/routing/src/endpoints/create-endpoint-table.ts
+++ b/packages/routing/src/endpoints/create-endpoint-table.ts
@@ -58,37 +58,46 @@
   const isHeardLately = ({ heardAt }: EndpointEntry): boolean =>
     clock.monotonic() - heardAt <= silenceMs / 2;
 
+  const updateSilence = (entry: EndpointEntry, isSilent: boolean): void => {
+    const { isSilent: wasSilent, ...record } = entry.record;
+    if (Boolean(wasSilent) === isSilent) return;
+    const coldLeftMs = Math.max(0, entry.coldUntil - clock.monotonic());
+    update({ ...record, coldLeftMs, ...(isSilent ? { isSilent } : {}) }, entry);
+    notify();
+  };
+
+  /** Takes a peer's word on whether an endpoint is silent; its record may be older than the known one. */
+  const mergeSilence = (known: EndpointEntry, { bornAt, isSilent }: EndpointRecord): boolean => {
+    const { record } = known;
+    const turns = Boolean(record.isSilent) !== Boolean(isSilent);
+    if (!turns || record.bornAt !== bornAt || record.state === 'gone') return false;
+    if (isSilent && isHeardLately(known)) return false;
+    updateSilence(known, Boolean(isSilent));
+    return true;
+  };
+
   /** Takes a record from a peer or from the disk; returns whether it told something new. */
   const merge = (told: EndpointRecord): boolean => {
     const known = entries.get(told.id);
+    if (known && !isNewerRecord(told, known.record)) return mergeSilence(known, told);
     const { isSilent, ...heard } = told;
     const record: EndpointRecord = isSilent && known && isHeardLately(known) ? heard : told;
-    const isSame = known?.record.bornAt === record.bornAt && known.record.state !== 'gone';
-    const turnsSilent = Boolean(known?.record.isSilent) !== Boolean(record.isSilent);
-    if (known && !isNewerRecord(record, known.record) && !(isSame && turnsSilent)) return false;
     const at = clock.monotonic();
     const coldMs = record.coldLeftMs;
     const isColder = coldMs > 0 && at + coldMs > (known?.coldUntil ?? 0) + coldToleranceMs;
-    const isChange = !known || isColder || turnsSilent || !compareContent(known.record, record);
+    const isChange = !known || isColder || !compareContent(known.record, record);
     if (!isChange) {
       known.record = record;
       return false;
     }
     if (!removeOthersAt(record)) return false;
+    const isSame = known?.record.bornAt === record.bornAt;
     const keptColdMs = isSame ? (known?.coldUntil ?? 0) - at : 0;
     update({ ...record, coldLeftMs: Math.max(record.coldLeftMs, keptColdMs, 0) }, known);
     notify();
     return true;
   };
 
-  const clearSilence = (entry: EndpointEntry): void => {
-    const { isSilent, ...record } = entry.record;
-    if (!isSilent) return;
-    const coldLeftMs = Math.max(0, entry.coldUntil - clock.monotonic());
-    update({ ...record, coldLeftMs }, entry);
-    notify();
-  };
-
   const markHeard = (ids: readonly EndpointId[], isFirstHand: boolean): void => {
     ids.forEach((id) => {
       const entry = entries.get(id);
@@ -98,7 +107,7 @@
         lastMark += 1;
         entry.heardMark = lastMark;
       }
-      clearSilence(entry);
+      updateSilence(entry, false);
     });
   };
 
@@ -198,6 +207,7 @@
     a.address === b.address &&
     a.dataCentre === b.dataCentre &&
     a.slots === b.slots &&
-    a.state === b.state
+    a.state === b.state &&
+    Boolean(a.isSilent) === Boolean(b.isSilent)
   );
 }
