--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,5 +1,6 @@
 // Runs install, build, format check, lint and tests; the one command of CI.
 import { spawnSync } from 'node:child_process';
+import { existsSync, readFileSync } from 'node:fs';
 
 const run = (command, args) => {
   console.log(`> ${command} ${args.join(' ')}`);
@@ -14,3 +15,4 @@
 run('node_modules/.bin/prettier', ['--check', '.']);
 run('npm', ['run', '--silent', 'lint']);
 run('node_modules/.bin/vitest', ['run']);
+if (existsSync('KNOWN-RED.txt')) console.log(readFileSync('KNOWN-RED.txt', 'utf8'));
