refactor(router): hash a request once, mark silence in one place

Cause: read once more, the change hashed the content of a request before each send and again after its answer while any loss is on record, built the prompt's key twice, took addresses apart by hand beside splitAddress, and set the silence of an endpoint in three ways, with listeners called for each id. Change: key and fingerprint belong to the state of one run; updateSilence serves checkSilence, markHeard and mergeSilence, listeners are called once; computeColdLeft and splitAddress are used. Conclusion: the same decisions with less work.

--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -11,7 +11,7 @@
   type Disk,
   type VmId,
 } from '@vanillarelay/core';
-import { serveOn } from '@vanillarelay/daemon';
+import { serveOn, splitAddress } from '@vanillarelay/daemon';
 import { createFleetNode, type DaemonInfo } from '@vanillarelay/fleet';
 import { createEndpointTable, type RoutingConfig } from '@vanillarelay/routing';
 import { createRouter } from '../create-router.js';
@@ -174,5 +174,5 @@
 
 /** Addresses for calls between daemons; ports are the same on all VMs. */
 function toPeerAddresses({ seeds, peerPorts }: RouterSettings): string[] {
-  return seeds.map((seed) => `${seed.slice(0, seed.lastIndexOf(':'))}:${peerPorts[0]}`);
+  return seeds.map((seed) => `${splitAddress(seed).host}:${peerPorts[0]}`);
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -1,4 +1,10 @@
-import { ResultCode, type EndpointId, type Refusal, type ServiceId } from '@vanillarelay/core';
+import {
+  ResultCode,
+  type EndpointId,
+  type Fingerprint,
+  type Refusal,
+  type ServiceId,
+} from '@vanillarelay/core';
 import { chooseEndpoint, chooseService } from '@vanillarelay/routing';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { buildAffinityKey } from './build-affinity-key.js';
@@ -21,6 +27,10 @@
   progress: StreamProgress;
   result: RequestResult;
   lastReason: string;
+  /** Names the shared part of the prompt; absent without a prompt. */
+  affinityKey: string | undefined;
+  /** Names the content; hashed only when some request is on record for crashes. */
+  fingerprint?: Fingerprint;
 }
 
 /** Sends at most this often, also when every endpoint proves that it did not run the request. */
@@ -58,6 +68,7 @@
     runs: 0,
     progress: { lastEventId: facts.lastEventId, events: 0 },
     lastReason: '',
+    affinityKey: route.hasPrompt ? buildAffinityKey(facts) : undefined,
   };
   try {
     return await runAttempts(parts, request, state);
@@ -82,7 +93,7 @@
       const reason = `${chosen.reason} ${JSON.stringify(chosen.passedOver)}`;
       return endWithout(request, state, chosen.code, reason);
     }
-    if (isConvicted(parts, request)) {
+    if (isConvicted(parts, request, state)) {
       const reason = 'the request crashes its endpoints';
       return endWithout(request, state, ResultCode.crashConvicted, reason);
     }
@@ -115,12 +126,11 @@
 /** Chooses an endpoint; waits a part of the objective when all are full or cold. */
 async function waitForEndpoint(
   parts: RouterParts,
-  { table, facts, route }: RoutedRequest,
-  { service, tried, signal, result }: RunState,
+  { table, route }: RoutedRequest,
+  { service, tried, signal, result, affinityKey }: RunState,
 ): Promise<Choice> {
   const { clock, hash, random, dataCentre } = parts;
   const waitUntil = clock.monotonic() + route.objectiveMs * waitShare;
-  const affinityKey = route.hasPrompt ? buildAffinityKey(facts) : undefined;
   for (;;) {
     const { open, total, mean, passedOver } = listCandidates(
       parts,
@@ -160,10 +170,10 @@
   const isLast = !isRepeatable(request) || runs + 1 >= request.route.maxEndpoints;
   const outcome = await runAttempt(parts, {
     ...{ request, deadlineAt, signal, progress, isLast },
-    cacheSource: readCacheSource(parts, request, state.service, id),
+    cacheSource: readCacheSource(parts, request, state, id),
     record: entry.record,
   });
-  recordCrash(parts, request, outcome);
+  recordCrash(parts, request, state, outcome);
   if (outcome.type === 'answered') health.recordSuccess(id);
   if (outcome.type === 'failed' || outcome.type === 'broken') {
     state.runs += 1;
@@ -176,27 +186,36 @@
 }
 
 /** Notes that an endpoint broke off while it ran a request; it may have crashed by it. */
-function recordCrash({ crashes }: RouterParts, request: RoutedRequest, outcome: AttemptOutcome) {
+function recordCrash(
+  { crashes }: RouterParts,
+  request: RoutedRequest,
+  state: RunState,
+  outcome: AttemptOutcome,
+): void {
   const isLost =
     outcome.type === 'broken' ||
     (outcome.type === 'failed' && !outcome.isSilent && outcome.status === undefined);
-  if (isLost) crashes.recordCrash(buildFingerprint(request));
+  if (isLost) crashes.recordCrash(readFingerprint(request, state));
   else if (outcome.type === 'answered' && !crashes.isEmpty()) {
-    crashes.clear(buildFingerprint(request));
+    crashes.clear(readFingerprint(request, state));
   }
 }
 
-function isConvicted({ crashes }: RouterParts, request: RoutedRequest): boolean {
-  return !crashes.isEmpty() && crashes.isConvicted(buildFingerprint(request));
+function isConvicted({ crashes }: RouterParts, request: RoutedRequest, state: RunState): boolean {
+  return !crashes.isEmpty() && crashes.isConvicted(readFingerprint(request, state));
+}
+
+function readFingerprint(request: RoutedRequest, state: RunState): Fingerprint {
+  state.fingerprint ??= buildFingerprint(request);
+  return state.fingerprint;
 }
 
 function readCacheSource(
   parts: RouterParts,
-  { route, facts, table }: RoutedRequest,
-  service: ServiceId,
+  { table }: RoutedRequest,
+  { service, affinityKey: key }: RunState,
   id: EndpointId,
 ): string | undefined {
-  const key = route.hasPrompt ? buildAffinityKey(facts) : undefined;
   if (key === undefined || !table.findService(service)?.canCopyCache) return undefined;
   return findCacheSource(parts, service, key, id);
 }
--- a/packages/routing/src/endpoints/create-endpoint-table.ts
+++ b/packages/routing/src/endpoints/create-endpoint-table.ts
@@ -58,12 +58,16 @@
   const isHeardLately = ({ heardAt }: EndpointEntry): boolean =>
     clock.monotonic() - heardAt <= silenceMs / 2;
 
-  const updateSilence = (entry: EndpointEntry, isSilent: boolean): void => {
+  const computeColdLeft = ({ coldUntil }: EndpointEntry): number =>
+    Math.max(0, coldUntil - clock.monotonic());
+
+  /** Returns whether that is a change; the caller notifies. */
+  const updateSilence = (entry: EndpointEntry, isSilent: boolean): boolean => {
     const { isSilent: wasSilent, ...record } = entry.record;
-    if (Boolean(wasSilent) === isSilent) return;
-    const coldLeftMs = Math.max(0, entry.coldUntil - clock.monotonic());
+    if (Boolean(wasSilent) === isSilent) return false;
+    const coldLeftMs = computeColdLeft(entry);
     update({ ...record, coldLeftMs, ...(isSilent ? { isSilent } : {}) }, entry);
-    notify();
+    return true;
   };
 
   /** Takes a peer's word on whether an endpoint is silent; its record may be older than the known one. */
@@ -73,6 +77,7 @@
     if (!turns || record.bornAt !== bornAt || record.state === 'gone') return false;
     if (isSilent && isHeardLately(known)) return false;
     updateSilence(known, Boolean(isSilent));
+    notify();
     return true;
   };
 
@@ -99,6 +104,7 @@
   };
 
   const markHeard = (ids: readonly EndpointId[], isFirstHand: boolean): void => {
+    let isChanged = false;
     ids.forEach((id) => {
       const entry = entries.get(id);
       if (!entry) return;
@@ -107,8 +113,9 @@
         lastMark += 1;
         entry.heardMark = lastMark;
       }
-      updateSilence(entry, false);
+      isChanged = updateSilence(entry, false) || isChanged;
     });
+    if (isChanged) notify();
   };
 
   const remove = (id: EndpointId): boolean => {
@@ -133,10 +140,7 @@
       ({ record, heardAt }) =>
         record.state !== 'gone' && !record.isSilent && at - heardAt > silenceMs,
     );
-    silent.forEach((entry) => {
-      const coldLeftMs = Math.max(0, entry.coldUntil - at);
-      update({ ...entry.record, isSilent: true, coldLeftMs }, entry);
-    });
+    silent.forEach((entry) => updateSilence(entry, true));
     if (silent.length > 0) notify();
     return silent.map(({ record }) => record.id);
   };
@@ -168,12 +172,10 @@
     listService: (service: ServiceId): readonly EndpointEntry[] => services.get(service) ?? [],
     listAll: (): EndpointEntry[] => [...entries.values()],
     /** Records that changed after the given position, with what is left of their cold time. */
-    listChanges: (after: number): EndpointRecord[] => {
-      const at = clock.monotonic();
-      return [...entries.values()]
+    listChanges: (after: number): EndpointRecord[] =>
+      [...entries.values()]
         .filter(({ change }) => change > after)
-        .map(({ record, coldUntil }) => ({ ...record, coldLeftMs: Math.max(0, coldUntil - at) }));
-    },
+        .map((entry) => ({ ...entry.record, coldLeftMs: computeColdLeft(entry) })),
     /**
      * Ids whose own announcements arrived after the given mark, here or at a daemon that told this
      * one. What another hub told is left out: two hubs would go on confirming a crashed endpoint.
