feat(fleet): log the attempts of operators' calls and the leader's commits

Change: fleet.callFailed (each failed attempt of an operator's call, with its hub and time), control.committed (the leader's commits with size and time), and the duration in fleet.hubFailed. No change of behaviour.

--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -141,10 +141,12 @@
 
   /** Calls the leader, then every hub, and repeats until a call succeeds or the time is up. */
   const callLeader = async <T>(
+    name: string,
     call: (peer: FleetPeer, signal: AbortSignal) => Promise<T>,
   ): Promise<T> => {
-    const deadline = clock.monotonic() + operatorTimeoutMs;
-    let failure: unknown = new RelayError(ResultCode.noQuorum, 'no hub is known', { notRun: true });
+    const startedAt = clock.monotonic();
+    const deadline = startedAt + operatorTimeoutMs;
+    let failure: Error = new RelayError(ResultCode.noQuorum, 'no hub is known', { notRun: true });
     while (clock.monotonic() < deadline) {
       const { leader } = client.view;
       const first = leader === undefined ? [] : [leader];
@@ -156,7 +158,9 @@
             call(openPeerOrSelf(address), signal),
           );
         } catch (error) {
-          failure = error;
+          failure = error as Error;
+          const ms = Math.round(clock.monotonic() - startedAt);
+          record('fleet.callFailed', { call: name, to: address, ms, reason: failure.message });
         }
       }
       await clock.wait(retryDelayMs);
@@ -166,7 +170,7 @@
 
   const readConfirmedState = async (): Promise<SharedState> => {
     const known = client.view.state;
-    const { state } = await callLeader((peer, signal) =>
+    const { state } = await callLeader('readState', (peer, signal) =>
       peer.readState({ knownIndex: known.index }, signal),
     );
     return state ?? known;
@@ -228,7 +232,7 @@
       voter?.stop();
     },
     propose: (command: SharedCommand) =>
-      callLeader((peer, signal) => peer.propose(command, signal)),
+      callLeader(command.type, (peer, signal) => peer.propose(command, signal)),
     /** Reads the newest state, confirmed by a quorum. */
     readConfirmedState,
     announce,
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -157,12 +157,14 @@
         await clock.wait(retryDelayMs, abort.signal);
         continue;
       }
+      const startedAt = clock.monotonic();
       try {
         await exchange(address);
         await clock.wait(minPauseMs, abort.signal);
       } catch (error) {
         startBackoff(address, false);
-        record('fleet.hubFailed', { hub: address, reason: (error as Error).message });
+        const ms = Math.round(clock.monotonic() - startedAt);
+        record('fleet.hubFailed', { hub: address, ms, reason: (error as Error).message });
       }
     }
   };
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -136,8 +136,20 @@
       founders = next;
       closeNode();
     },
-    propose: async (command: SharedCommand): Promise<CommandResult> =>
-      findNode().propose(JSON.stringify(command)),
+    propose: async (command: SharedCommand): Promise<CommandResult> => {
+      const data = JSON.stringify(command);
+      const version = command.type === 'putConfig' ? command.version : undefined;
+      const details = {
+        command: command.type,
+        bytes: data.length,
+        ...(version ? { version } : {}),
+      };
+      const startedAt = clock.monotonic();
+      const result = await findNode().propose(data);
+      const ms = Math.round(clock.monotonic() - startedAt);
+      timeline.record('control.committed', { ...details, ms });
+      return result;
+    },
     readConfirmedState: async (): Promise<SharedState> => {
       const current = findNode();
       if (await current.confirmLeadership()) return machine.readState();
