fix(control): a state counts as current only once it holds what was committed

Until the log has caught up it could refuse requests by an older configuration.

Cause: the age that a node gave for its state was the age of its contact with a quorum. A wiped follower has fresh contact with the leader while its log is empty, and a new leader has the votes of a quorum before it knows which of its entries are committed.

Ruled out: an own hub alone. In the test the new leader itself reported a state without the last accepted change as current, and the product's hubs use the same age for entries.

Change: a follower dates its state by a leader's message only when it has applied the commit index of that message; a leader gives no age before it has applied an entry of its own term (as for a linearizable read). readQuorumAgeMs is now readStateAgeMs.

Conclusion: one age now speaks for contact and completeness together, so every decision by it (own hub, first state, hub changes, silence) is covered.

--- a/packages/control/__tests__/group-disks.test.ts
+++ b/packages/control/__tests__/group-disks.test.ts
@@ -33,7 +33,7 @@
   group.kill(leader);
   await group.virtual.run(30_000);
   expect(group.findLeader()).toBeUndefined();
-  expect(group.readStore(other).readQuorumAgeMs()).toBeGreaterThan(20_000);
+  expect(group.readStore(other).readStateAgeMs()).toBeGreaterThan(20_000);
   group.start(leader);
   const next = await group.waitForLeader();
   const replaced = group
--- a/packages/control/__tests__/group.test.ts
+++ b/packages/control/__tests__/group.test.ts
@@ -25,7 +25,7 @@
   });
   await expectEqualNodes(group, nodeIds);
   findFollowers(leader).forEach((id) => {
-    expect(group.readStore(id).readQuorumAgeMs()).toBeLessThan(quorumAgeLimitMs);
+    expect(group.readStore(id).readStateAgeMs()).toBeLessThan(quorumAgeLimitMs);
   });
 });
 
@@ -85,7 +85,7 @@
   await applyChanges(group, 2, 2);
   const lost = group.readStore(leader).propose(buildConfig('lost', 2));
   lost.catch(() => {});
-  expect(group.readStore(leader).readQuorumAgeMs()).toBeGreaterThan(4_000);
+  expect(group.readStore(leader).readStateAgeMs()).toBeGreaterThan(4_000);
   group.resume(leader);
   await expect(group.virtual.runUntil(lost)).rejects.toMatchObject({ code: ResultCode.noQuorum });
   await applyChanges(group, 4, 2);
@@ -101,14 +101,14 @@
   group.cutOff(cut);
   await applyChanges(group, 0, 60);
   await group.virtual.run(120_000);
-  expect(group.readStore(cut).readQuorumAgeMs()).toBeGreaterThan(110_000);
+  expect(group.readStore(cut).readStateAgeMs()).toBeGreaterThan(110_000);
   await expect(group.readStore(cut).propose(buildConfig('x', 0))).rejects.toMatchObject({
     notRun: true,
   });
   group.clearCuts(cut);
   await expectEqualNodes(group, nodeIds);
   expect(group.readStore(leader).readStatus()).toMatchObject({ role: 'leader', term });
-  expect(group.readStore(cut).readQuorumAgeMs()).toBeLessThan(quorumAgeLimitMs);
+  expect(group.readStore(cut).readStateAgeMs()).toBeLessThan(quorumAgeLimitMs);
 });
 
 // Guards against proposals that stay pending forever at a leader that is cut off.
--- a/packages/control/src/create-memory-store.ts
+++ b/packages/control/src/create-memory-store.ts
@@ -16,7 +16,7 @@
       return result;
     },
     readState: () => state,
-    readQuorumAgeMs: () => 0,
+    readStateAgeMs: () => 0,
     observe(listener) {
       listeners.add(listener);
       return () => listeners.delete(listener);
--- a/packages/control/src/hub/create-hub.ts
+++ b/packages/control/src/hub/create-hub.ts
@@ -80,7 +80,7 @@
     return {
       hub: id,
       heldMs,
-      quorumAgeMs: store.readQuorumAgeMs(),
+      quorumAgeMs: store.readStateAgeMs(),
       stateVersion: state.version,
       ...history.findUpdate(report.stateVersion),
       cursor: `${epoch}#${generation}${delta.more ? moreSuffix : ''}`,
@@ -151,7 +151,7 @@
     /** Reply to a daemon that asks the control nodes whether there is a quorum. */
     readQuorum: (stateVersion: number): QuorumReport => ({
       hub: id,
-      quorumAgeMs: store.readQuorumAgeMs(),
+      quorumAgeMs: store.readStateAgeMs(),
       stateVersion: store.readState().daemon.version,
       ...history.findUpdate(stateVersion),
       at: hlc.read(),
--- a/packages/control/src/open-replicated-store.ts
+++ b/packages/control/src/open-replicated-store.ts
@@ -36,7 +36,7 @@
       return node.propose(data);
     },
     readState: machine.readState,
-    readQuorumAgeMs: node.readQuorumAgeMs,
+    readStateAgeMs: node.readStateAgeMs,
     observe: machine.observe,
     handlers: node.handlers,
     start: node.start,
--- a/packages/control/src/raft/append-request.ts
+++ b/packages/control/src/raft/append-request.ts
@@ -12,7 +12,10 @@
   previousTerm: number;
   entries: LogEntry[];
   commitIndex: number;
-  /** Milliseconds since a quorum replied to the leader. */
+  /**
+   * Milliseconds since a quorum replied to the leader; unknown until the leader has applied an entry
+   * of its term, because `commitIndex` may be too low until then.
+   */
   quorumAgeMs: number;
   /** Incarnation and `mark` from the receiver's last reply; bounds the age of this message. */
   echo?: { incarnation: number; mark: number };
--- a/packages/control/src/raft/create-raft-node.ts
+++ b/packages/control/src/raft/create-raft-node.ts
@@ -1,7 +1,7 @@
 import type { CommandResult } from '@vanillarelay/core';
 import { buildSender } from './build-sender.js';
 import { checkRunning } from './check-running.js';
-import { computeQuorumAge } from './compute-quorum-age.js';
+import { computeStateAge } from './compute-state-age.js';
 import { confirmLeadership } from './confirm-leadership.js';
 import { createRaftContext } from './create-raft-context.js';
 import { handleAppend } from './handle-append.js';
@@ -51,7 +51,7 @@
         .filter(({ answeredAt }) => answeredAt < since)
         .map(({ member }) => member.id);
     },
-    readQuorumAgeMs: () => computeQuorumAge(context),
+    readStateAgeMs: () => computeStateAge(context),
     readStatus: () => ({
       id: context.id,
       role: context.role,
--- a/packages/control/src/raft/handle-append.ts
+++ b/packages/control/src/raft/handle-append.ts
@@ -16,7 +16,6 @@
   const refusal = await checkLeaderMessage(context, request);
   if (refusal) return refusal;
   if (context.isInstallingSnapshot) throw new Error('a snapshot is being installed');
-  updateQuorumSeenAt(context, request);
   const retryIndex = findRetryIndex(context, request);
   if (retryIndex === undefined) appendMissing(context, request);
   const matched = request.previousIndex + request.entries.length;
@@ -28,6 +27,7 @@
     }
     context.commitIndex = Math.max(context.commitIndex, Math.min(request.commitIndex, matched));
     applyCommitted(context);
+    updateQuorumSeenAt(context, request);
   }
   return {
     ...buildReply(context),
@@ -74,8 +74,13 @@
   if (isTruncated) Object.assign(context, findGroup(log));
 }
 
-function updateQuorumSeenAt(context: RaftContext, { echo, quorumAgeMs }: AppendRequest): void {
+/** Only a node that has applied what was committed has a state as new as its quorum contact. */
+function updateQuorumSeenAt(
+  context: RaftContext,
+  { echo, quorumAgeMs, commitIndex }: AppendRequest,
+): void {
   if (!echo || echo.incarnation !== context.log.identity.incarnation) return;
+  if (context.appliedIndex < commitIndex) return;
   // The leader sent this message after it received the echoed reply, so a quorum was alive at
   // `echo.mark - quorumAgeMs` or later.
   context.quorumSeenAt = Math.max(context.quorumSeenAt, echo.mark - quorumAgeMs);
--- a/packages/control/src/raft/raft-context.ts
+++ b/packages/control/src/raft/raft-context.ts
@@ -29,7 +29,10 @@
   electionTimerStartedAt: number;
   /** Monotonic time of the last message from a valid leader. */
   leaderContactAt: number;
-  /** Latest monotonic time at which a quorum was alive, as known to this follower. */
+  /**
+   * Latest monotonic time at which a quorum was alive and everything committed until then is applied
+   * here, as known to this follower.
+   */
   quorumSeenAt: number;
   /** Watermarks by disk id. */
   marks: Map<string, DiskWatermark>;
--- a/packages/control/src/raft/send-entries.ts
+++ b/packages/control/src/raft/send-entries.ts
@@ -1,7 +1,7 @@
 import { withTimeout } from '@vanillarelay/core';
 import type { AppendReply } from './append-reply.js';
 import { buildSender } from './build-sender.js';
-import { computeQuorumAge } from './compute-quorum-age.js';
+import { computeStateAge } from './compute-state-age.js';
 import type { PeerProgress } from './peer-progress.js';
 import type { RaftContext } from './raft-context.js';
 import type { RaftPeer } from './raft-peer.js';
@@ -24,7 +24,7 @@
     previousTerm: log.memory.findTerm(nextIndex - 1) ?? 0,
     entries: log.memory.listFrom(nextIndex, maxBatchBytes),
     commitIndex,
-    quorumAgeMs: computeQuorumAge(context),
+    quorumAgeMs: computeStateAge(context),
     ...(echo ? { echo } : {}),
     marks: Object.fromEntries(marks),
   };
--- a/packages/control/src/state-store.ts
+++ b/packages/control/src/state-store.ts
@@ -6,8 +6,8 @@
   /** Resolves once a quorum has synced the command and it was applied here. */
   propose(command: Command): Promise<CommandResult>;
   readState(): FleetState;
-  /** Milliseconds since a quorum was last known to be alive. */
-  readQuorumAgeMs(): number;
+  /** Milliseconds since the state was last known to hold everything that was committed. */
+  readStateAgeMs(): number;
   /** Calls the listener after each applied command; returns a function that removes it. */
   observe(listener: (state: FleetState) => void): () => void;
 }
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -130,7 +130,7 @@
     table,
     record,
     listSeeds: options.listSeeds,
-    isOwnHub: () => isMember() && (voter?.readQuorumAgeMs() ?? Infinity) <= quorumAgeLimitMs,
+    isOwnHub: () => isMember() && (voter?.readStateAgeMs() ?? Infinity) <= quorumAgeLimitMs,
     mayFound: () => options.isFirstStart && voter?.readDiskId() !== undefined && !isMember(),
     openPeer: openPeerOrSelf,
     readObservations: options.readObservations,
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -71,7 +71,7 @@
       heard: isHub ? table.listHeard(isSameIncarnation ? request.heardCursor : 0) : [],
       heardCursor: table.readLastHeardCursor(),
       ...(state && state.index > stateIndex ? { state } : {}),
-      quorumAgeMs: Math.round(Math.min(voter?.readQuorumAgeMs() ?? Infinity, maxAgeMs)),
+      quorumAgeMs: Math.round(Math.min(voter?.readStateAgeMs() ?? Infinity, maxAgeMs)),
       ...(leader === undefined ? {} : { leader }),
       hubs: listHubs(),
       daemonsVersion: version,
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -160,7 +160,7 @@
       });
     },
     readState: (): SharedState => (node ? machine.readState() : emptySharedState),
-    readQuorumAgeMs: (): number => node?.readQuorumAgeMs() ?? Infinity,
+    readStateAgeMs: (): number => node?.readStateAgeMs() ?? Infinity,
     readMembers,
     readDiskId: (): string | undefined => node?.readStatus().diskId,
     /** Address of the leader, if known. */
--- a/packages/link/__tests__/create-test-fleet.ts
+++ b/packages/link/__tests__/create-test-fleet.ts
@@ -52,7 +52,7 @@
     return {
       propose: log.propose,
       readState: () => state,
-      readQuorumAgeMs: () => clock.monotonic() - aliveAt + heartbeatMs,
+      readStateAgeMs: () => clock.monotonic() - aliveAt + heartbeatMs,
       observe: (listener) => {
         listeners.add(listener);
         return () => listeners.delete(listener);
--- a/packages/scenarios/src/control/create-control-group.ts
+++ b/packages/scenarios/src/control/create-control-group.ts
@@ -145,7 +145,7 @@
   const waitForLeader = async (limitMs = 20_000): Promise<string> => {
     for (let waited = 0; waited <= limitMs; waited += 50) {
       const leader = findLeader();
-      if (leader && readStore(findOrAddNode(leader)).readQuorumAgeMs() < 900) return leader;
+      if (leader && readStore(findOrAddNode(leader)).readStateAgeMs() < 900) return leader;
       await virtual.run(50);
     }
     throw new Error(`no leader within ${limitMs} ms (seed ${seed})`);
