fix(control): large log entries travel in parts

Cause: an entry went out in one message with a time limit of 500 ms, and every attempt began with the first byte. While it was on its way the member got no heartbeat, so the leader lost its quorum as well.

Ruled out: a longer limit, which would delay heartbeats beyond the election timeout.

Change: a message carries at most 32 Ki characters of entries; a larger entry goes in parts, each of them a message of the leader with its own limit, continued from what the member has. The fake network can limit the bandwidth of a process.

--- a/packages/control/src/raft/append-reply.ts
+++ b/packages/control/src/raft/append-reply.ts
@@ -8,6 +8,8 @@
    * from; for an unfinished snapshot, the number of bytes received.
    */
   index: number;
+  /** Characters received of the entry that the leader sends in parts. */
+  partLength?: number;
   /** Monotonic time of the replying node; the leader returns it in `echo` of its next message. */
   mark: number;
 }
--- a/packages/control/src/raft/append-request.ts
+++ b/packages/control/src/raft/append-request.ts
@@ -1,5 +1,6 @@
 import type { LogEntry } from '../log/log-entry.js';
 import type { DiskWatermark } from './disk-watermark.js';
+import type { EntryPart } from './entry-part.js';
 import type { Sender } from './sender.js';
 
 /** Entries from the leader; a request without entries is a heartbeat. */
@@ -11,6 +12,8 @@
   previousIndex: number;
   previousTerm: number;
   entries: LogEntry[];
+  /** A part of the next entry, in place of `entries`, when that entry is too large for one message. */
+  part?: EntryPart;
   commitIndex: number;
   /**
    * Milliseconds since a quorum replied to the leader; unknown until the leader has applied an entry
--- a/packages/control/src/raft/create-raft-context.ts
+++ b/packages/control/src/raft/create-raft-context.ts
@@ -32,6 +32,7 @@
     durableIndex: last.index,
     startIndex: last.index,
     termStartIndex: Number.POSITIVE_INFINITY,
+    incomingEntry: undefined,
     incomingSnapshot: undefined,
     isWritingSnapshot: false,
     isInstallingSnapshot: false,
--- a/packages/control/src/raft/handle-append.ts
+++ b/packages/control/src/raft/handle-append.ts
@@ -1,3 +1,4 @@
+import type { LogEntry } from '../log/log-entry.js';
 import type { Group } from './group.js';
 import type { AppendReply } from './append-reply.js';
 import type { AppendRequest } from './append-request.js';
@@ -6,6 +7,7 @@
 import { buildReply } from './build-reply.js';
 import { findGroup } from './find-group.js';
 import type { RaftContext } from './raft-context.js';
+import { receiveEntryPart } from './receive-entry-part.js';
 
 /** Handles entries or a heartbeat from the leader. @internal */
 export async function handleAppend(
@@ -17,8 +19,9 @@
   if (refusal) return refusal;
   if (context.isInstallingSnapshot) throw new Error('a snapshot is being installed');
   const retryIndex = findRetryIndex(context, request);
-  if (retryIndex === undefined) appendMissing(context, request);
-  const matched = request.previousIndex + request.entries.length;
+  const entries = retryIndex === undefined ? listReceived(context, request) : request.entries;
+  if (retryIndex === undefined) appendMissing(context, entries);
+  const matched = request.previousIndex + entries.length;
   await log.sync();
   const isCurrent = log.readHardState().term === request.term;
   if (retryIndex === undefined && isCurrent) {
@@ -29,10 +32,12 @@
     applyCommitted(context);
     updateQuorumSeenAt(context, request);
   }
+  const { incomingEntry } = context;
   return {
     ...buildReply(context),
     isMatched: retryIndex === undefined && isCurrent,
     index: retryIndex ?? matched,
+    ...(request.part && incomingEntry ? { partLength: incomingEntry.data.length } : {}),
     mark: clock.monotonic(),
   };
 }
@@ -52,8 +57,15 @@
   return index;
 }
 
+/** Entries that this message completes. */
+function listReceived(context: RaftContext, { entries, part }: AppendRequest): LogEntry[] {
+  if (!part) return entries;
+  const entry = receiveEntryPart(context, part);
+  return entry ? [entry] : [];
+}
+
 /** Appends the entries that are new here; a conflicting entry truncates the log first. */
-function appendMissing(context: RaftContext, { entries }: AppendRequest): void {
+function appendMissing(context: RaftContext, entries: readonly LogEntry[]): void {
   const { log } = context;
   const base = log.memory.readBase().index;
   let isTruncated = false;
--- a/packages/control/src/raft/peer-progress.ts
+++ b/packages/control/src/raft/peer-progress.ts
@@ -11,6 +11,8 @@
   answeredAt: number;
   /** Commit index in the last message that got a reply. */
   acknowledgedCommitIndex: number;
+  /** Characters of the next entry that the member has received, if it is sent in parts. */
+  partLength: number;
   /** Set when a message must be sent before the next heartbeat. */
   isSendRequested: boolean;
   /** Incarnation and `mark` of the member's last reply, returned to it in the next message. */
--- a/packages/control/src/raft/raft-context.ts
+++ b/packages/control/src/raft/raft-context.ts
@@ -1,4 +1,5 @@
 import type { CommandResult } from '@vanillarelay/core';
+import type { LogEntry } from '../log/log-entry.js';
 import type { Group } from './group.js';
 import type { DiskWatermark } from './disk-watermark.js';
 import type { PeerProgress } from './peer-progress.js';
@@ -48,6 +49,8 @@
   startIndex: number;
   /** Index of the first entry of this leader's term. */
   termStartIndex: number;
+  /** An entry that is being received in parts. */
+  incomingEntry: LogEntry | undefined;
   /** A snapshot that is being received. */
   incomingSnapshot:
     { index: number; term: number; parts: Uint8Array[]; length: number } | undefined;
--- a/packages/control/src/raft/run-replication.ts
+++ b/packages/control/src/raft/run-replication.ts
@@ -16,7 +16,7 @@
   const client = context.openPeer(peer.member.address);
   const { signal } = peer.controller;
   while (!signal.aborted) {
-    const { nextIndex } = peer;
+    const { nextIndex, partLength } = peer;
     const hasEntries = nextIndex <= context.log.memory.readLast().index;
     try {
       await sendMessage(context, peer, client);
@@ -25,7 +25,8 @@
       continue;
     }
     if (signal.aborted) return;
-    if (hasEntries && peer.nextIndex === nextIndex) {
+    const hasProgress = peer.nextIndex !== nextIndex || peer.partLength > partLength;
+    if (hasEntries && !hasProgress) {
       // The member did not accept the entries; resending them at once would only add load.
       await context.clock.wait(raftTiming.retryDelayMs, signal);
     } else if (!hasWork(context, peer)) await waitForWork(context, peer);
@@ -66,6 +67,7 @@
     updateTerm(context, reply.term);
     return false;
   }
+  const { nextIndex } = peer;
   peer.echo = { incarnation: reply.from.incarnation, mark: reply.mark };
   if (reply.isMatched) {
     peer.matchIndex = Math.max(peer.matchIndex, reply.index);
@@ -73,6 +75,7 @@
   } else {
     peer.nextIndex = Math.max(1, peer.matchIndex + 1, Math.min(peer.nextIndex - 1, reply.index));
   }
+  peer.partLength = peer.nextIndex === nextIndex ? (reply.partLength ?? 0) : 0;
   return true;
 }
 
--- a/packages/control/src/raft/send-entries.ts
+++ b/packages/control/src/raft/send-entries.ts
@@ -1,5 +1,7 @@
 import { withTimeout } from '@vanillarelay/core';
+import type { LogEntry } from '../log/log-entry.js';
 import type { AppendReply } from './append-reply.js';
+import type { AppendRequest } from './append-request.js';
 import { buildSender } from './build-sender.js';
 import { computeStateAge } from './compute-state-age.js';
 import type { PeerProgress } from './peer-progress.js';
@@ -7,12 +9,16 @@
 import type { RaftPeer } from './raft-peer.js';
 import { raftTiming } from './raft-timing.js';
 
-const maxBatchBytes = 256 * 1024;
+/**
+ * Data in one message, in characters. It bounds how long a message occupies a slow link, so that
+ * heartbeats and calls keep their time limits.
+ */
+const maxBatchLength = 32 * 1024;
 
 /** Sends the next entries to a member, or a heartbeat. @internal */
 export function sendEntries(
   context: RaftContext,
-  { member, nextIndex, echo }: PeerProgress,
+  { member, nextIndex, partLength, echo }: PeerProgress,
   client: RaftPeer,
 ): Promise<AppendReply> {
   const { log, clock, commitIndex, marks } = context;
@@ -22,7 +28,7 @@
     term: log.readHardState().term,
     previousIndex: nextIndex - 1,
     previousTerm: log.memory.findTerm(nextIndex - 1) ?? 0,
-    entries: log.memory.listFrom(nextIndex, maxBatchBytes),
+    ...selectEntries(log.memory.listFrom(nextIndex, maxBatchLength), partLength),
     commitIndex,
     quorumAgeMs: computeStateAge(context),
     ...(echo ? { echo } : {}),
@@ -32,3 +38,20 @@
     client.appendEntries(request, signal),
   );
 }
+
+/** Chooses whole entries, or the next part of an entry that is too large for one message. */
+function selectEntries(
+  entries: LogEntry[],
+  offset: number,
+): Pick<AppendRequest, 'entries' | 'part'> {
+  const [first] = entries;
+  if (!first || first.data.length <= maxBatchLength) return { entries };
+  const { data, ...head } = first;
+  const part = {
+    ...head,
+    offset,
+    totalLength: data.length,
+    data: data.slice(offset, offset + maxBatchLength),
+  };
+  return { entries: [], part };
+}
--- a/packages/control/src/raft/update-peers.ts
+++ b/packages/control/src/raft/update-peers.ts
@@ -24,6 +24,7 @@
       matchIndex: 0,
       answeredAt: Number.NEGATIVE_INFINITY,
       acknowledgedCommitIndex: 0,
+      partLength: 0,
       isSendRequested: true,
       controller,
       wake: () => {},
--- a/packages/daemon/src/control/raft-schema.ts
+++ b/packages/daemon/src/control/raft-schema.ts
@@ -30,6 +30,8 @@
   data: z.string(),
 });
 
+const entryPart = entry.extend({ offset: nonNegativeInteger, totalLength: nonNegativeInteger });
+
 const vote = z.strictObject({
   from: sender,
   toDisk: nonEmptyText.optional(),
@@ -46,6 +48,7 @@
   previousIndex: nonNegativeInteger,
   previousTerm: nonNegativeInteger,
   entries: z.array(entry).max(messageLimits.entries),
+  part: entryPart.optional(),
   commitIndex: nonNegativeInteger,
   quorumAgeMs: z.number().min(0),
   /** The incarnation and `mark` (monotonic time, in milliseconds) of the receiver's last reply. */
--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -1,4 +1,10 @@
-import { toId, type DaemonId, type DataCentreId, type EndpointId } from '@vanillarelay/core';
+import {
+  toId,
+  type DaemonId,
+  type DataCentreId,
+  type EndpointId,
+  type EventDetails,
+} from '@vanillarelay/core';
 import { createFleetNode, type FleetNode, type FleetPeer } from '@vanillarelay/fleet';
 import {
   createEndpointTable,
@@ -23,6 +29,7 @@
   table: EndpointTable;
   /** Versions of the configuration in the order in which they came into force. */
   versions: number[];
+  events: { name: string; details: EventDetails | undefined }[];
 }
 
 interface TestFleetOptions {
@@ -79,6 +86,7 @@
     const disk = previous?.disk ?? newDisk;
     const table = createEndpointTable({ clock: process.clock, silenceMs });
     const versions: number[] = [];
+    const events: TestDaemon['events'] = [];
     const node = createFleetNode({
       self: {
         id: toId<DaemonId>(id),
@@ -88,7 +96,7 @@
       },
       clock: process.clock,
       ...{ random, table, isFirstStart },
-      timeline: { record: () => {} },
+      timeline: { record: (name, details) => events.push({ name, details }) },
       ...(disk
         ? { openDisk: async () => wrapProcessDisk({ process, disk: disk.disk, syncMs: 1 }) }
         : {}),
@@ -99,7 +107,7 @@
       notifyObservations: () => {},
       notifyState: ({ version }) => versions.push(version),
     });
-    daemons.set(id, { id, address, process, disk, node, table, versions });
+    daemons.set(id, { id, address, process, disk, node, table, versions, events });
     node.start();
     return id;
   };
@@ -132,10 +140,9 @@
     cut: (a: string, b: string) => network.cut(a, b),
     heal: (a: string, b: string) => network.clearCut(a, b),
     /** Sends a configuration through one daemon and retries until it is accepted. */
-    put: async (id: string, version: number): Promise<void> => {
+    put: async (id: string, version: number, source = `config ${version}`): Promise<void> => {
       for (let attempts = 0; attempts < maxAttempts; attempts += 1) {
         try {
-          const source = `config ${version}`;
           await virtual.runUntil(find(id).node.propose({ type: 'putConfig', version, source }));
           return;
         } catch {
--- a/packages/scenarios/src/control/create-control-group.ts
+++ b/packages/scenarios/src/control/create-control-group.ts
@@ -56,39 +56,36 @@
     return store;
   };
 
-  /** Calls one method of a node through the network; results are copied through JSON. */
-  const call = async <T>(
+  /** Calls one method of a node through the network; message and result are copied through JSON. */
+  const call = async <M, T>(
     from: VirtualProcess,
     to: string,
-    callStore: (store: ReplicatedStore) => Promise<T>,
+    message: M,
+    callStore: (store: ReplicatedStore, message: M) => Promise<T>,
     signal?: AbortSignal,
   ): Promise<T> => {
     const node = findOrAddNode(to);
-    const run: (signal?: AbortSignal) => Promise<T> = async () => {
+    const sent = toJsonCopy(message);
+    const run = async (received: M): Promise<T> => {
       if (!node.store) throw buildRefusal(to);
-      return toJsonCopy(await callStore(node.store));
+      return toJsonCopy(await callStore(node.store, toJsonCopy(received)));
     };
-    const client = network.open(from, () => ({ process: node.process, handlers: { run } }));
-    return client.run(...(signal ? [signal] : []));
+    const handlers: { run: (received: M, signal?: AbortSignal) => Promise<T> } = { run };
+    const client = network.open(from, () => ({ process: node.process, handlers }));
+    return client.run(sent, ...(signal ? [signal] : []));
   };
 
   const openPeer =
     (from: VirtualProcess) =>
     (address: string): RaftPeer => ({
       requestVote: (request, signal) =>
-        call(from, address, (s) => s.handlers.requestVote(toJsonCopy(request), signal), signal),
-      appendEntries: (request, signal) => {
-        const copy = toJsonCopy(request);
-        return call(
-          from,
-          address,
-          (s) => s.handlers.appendEntries(toJsonCopy(copy), signal),
-          signal,
-        );
-      },
+        call(from, address, request, (s, r) => s.handlers.requestVote(r, signal), signal),
+      appendEntries: (request, signal) =>
+        call(from, address, request, (s, r) => s.handlers.appendEntries(r, signal), signal),
       installSnapshot: (request, signal) =>
-        call(from, address, (s) => s.handlers.installSnapshot(request, signal), signal),
-      readSender: (signal) => call(from, address, (s) => s.handlers.readSender(signal), signal),
+        call(from, address, request, (s, r) => s.handlers.installSnapshot(r, signal), signal),
+      readSender: (signal) =>
+        call(from, address, undefined, (s) => s.handlers.readSender(signal), signal),
     });
 
   const openStore = async (node: ControlNode): Promise<void> => {
@@ -167,7 +164,7 @@
       const cancel = client.clock.startTimer(3_000, () => controller.abort());
       try {
         const to = target;
-        return await call(client, to, (s) => s.propose(toJsonCopy(command)), controller.signal);
+        return await call(client, to, command, (s, c) => s.propose(c), controller.signal);
       } catch (error) {
         if (!(error instanceof RelayError)) throw error;
         if (isFinal(error)) throw error;
--- a/packages/scenarios/src/fakes/create-fake-network.ts
+++ b/packages/scenarios/src/fakes/create-fake-network.ts
@@ -20,21 +20,64 @@
 
 type Method = (...args: unknown[]) => Promise<unknown>;
 
+/** One direction of a process's own link, which its messages share. */
+interface LinkDirection {
+  bytesPerMs: number;
+  /** Monotonic time at which the bytes accepted so far have been sent. */
+  freeAt: number;
+}
+
+/** Messages that share a link take turns after this many bytes. */
+const segmentBytes = 8 * 1024;
+
 /** Creates a network that connects virtual processes and can lose, delay or duplicate messages. */
 export function createFakeNetwork({ virtual, random, delayMs = 1 }: FakeNetworkOptions) {
   const cuts = new Set<string>();
   const extraDelays = new Map<string, number>();
   const duplicates = new Set<string>();
 
+  const uplinks = new Map<string, LinkDirection>();
+  const downlinks = new Map<string, LinkDirection>();
+
   const isCut = (from: string, to: string) =>
     cuts.has(`${from}>${to}`) || cuts.has(`${to}>${from}`);
 
   const waitForDelay = (from: string, to: string) =>
     virtual.clock.wait(delayMs * (1 + random() / 2) + (extraDelays.get(`${from}>${to}`) ?? 0));
 
+  const sendSegment = async (link: LinkDirection | undefined, bytes: number): Promise<void> => {
+    if (!link) return;
+    const now = virtual.clock.monotonic();
+    link.freeAt = Math.max(now, link.freeAt) + bytes / link.bytesPerMs;
+    await virtual.clock.wait(link.freeAt - now);
+  };
+
+  /** Waits until the message has passed the links of both processes; stops when it is aborted. */
+  const waitForBandwidth = async (
+    from: VirtualProcess,
+    to: VirtualProcess,
+    message: unknown,
+    signal?: AbortSignal,
+  ): Promise<void> => {
+    const links = [uplinks.get(from.id), downlinks.get(to.id)];
+    let left = JSON.stringify(message)?.length ?? 0;
+    while (left > 0 && !signal?.aborted) {
+      const bytes = Math.min(left, segmentBytes);
+      left -= bytes;
+      for (const link of links) await sendSegment(link, bytes);
+    }
+  };
+
   /** Resolves when the message reaches the receiver; never settles when the message is lost. */
-  const sendMessage = async (from: VirtualProcess, to: VirtualProcess): Promise<void> => {
+  const sendMessage = async (
+    from: VirtualProcess,
+    to: VirtualProcess,
+    message?: unknown,
+    signal?: AbortSignal,
+  ): Promise<void> => {
     await from.waitUntilRunning();
+    const hasLimit = uplinks.has(from.id) || downlinks.has(to.id);
+    if (hasLimit) await waitForBandwidth(from, to, message, signal);
     await waitForDelay(from.id, to.id);
     if (isCut(from.id, to.id)) await new Promise(() => {});
     if (!to.isAlive()) {
@@ -110,6 +153,7 @@
   const call = async (
     from: VirtualProcess,
     to: VirtualProcess,
+    message: unknown,
     run: (signal: AbortSignal) => Promise<unknown>,
     signal?: AbortSignal,
   ): Promise<unknown> => {
@@ -120,14 +164,14 @@
       clearServerSignal();
     };
     const exchange = async () => {
-      await sendMessage(from, to);
+      await sendMessage(from, to, message, signal);
       if (duplicates.has(`${from.id}>${to.id}`)) {
-        void sendMessage(from, to)
+        void sendMessage(from, to, message, signal)
           .then(() => run(serverSignal))
           .catch(() => {});
       }
       const reply = await run(serverSignal);
-      await sendMessage(to, from);
+      await sendMessage(to, from, reply, signal);
       return reply;
     };
     try {
@@ -173,11 +217,12 @@
             });
           const last = args[args.length - 1];
           const signal = last instanceof AbortSignal ? last : undefined;
+          const message = signal ? args.slice(0, -1) : args;
           const run = (serverSignal: AbortSignal) => {
             const method = (target.handlers as Record<PropertyKey, Method>)[name] as Method;
-            return method(...(signal ? [...args.slice(0, -1), serverSignal] : args));
+            return method(...(signal ? [...message, serverSignal] : args));
           };
-          return call(from, target.process, run, signal);
+          return call(from, target.process, message, run, signal);
         };
       },
     });
@@ -197,6 +242,11 @@
     addDelay: (from: string, to: string, ms: number): void => {
       extraDelays.set(`${from}>${to}`, ms);
     },
+    /** Limits the link of a process, in bytes per millisecond in each direction. */
+    setBandwidth: (id: string, bytesPerMs: number): void => {
+      uplinks.set(id, { bytesPerMs, freeAt: 0 });
+      downlinks.set(id, { bytesPerMs, freeAt: 0 });
+    },
     /** Delivers every later call from `from` to `to` twice. */
     startDuplicates: (from: string, to: string): void => {
       duplicates.add(`${from}>${to}`);
