fix(fleet): configurations travel as patches in parts, proposals by hash

Cause: every change of the shared state sent the whole configuration (242 to 258 KB after 840 or 900 more routes): in each attempt of a proposal, in a log entry, in each sync reply, where departures, loads and data centres ride too. A link of 4.9 Mbit/s needs about 0.4 s for it, and calls were given up after 500 and 800 ms and began with the first byte.

Change: sources are named by hash. Hubs send a patch against the source that a daemon holds, in parts of 16 Ki characters that any hub continues; the rest of a reply never waits. A proposal begins with version and hash, and the leader asks for the parts that it lacks; what is committed or pending needs none. Log entries hold patches and apply only to their base. Reads confirm an index and wait for it here. A router decodes the source only when its version has changed.

Conclusion: bytes follow the change. Open: the list of daemons still travels whole; below about 0.3 Mbit/s a part does not pass.

--- a/packages/control/src/raft/peer-progress.ts
+++ b/packages/control/src/raft/peer-progress.ts
@@ -11,6 +11,8 @@
   answeredAt: number;
   /** Commit index in the last message that got a reply. */
   acknowledgedCommitIndex: number;
+  /** Largest amount of data to send in one message, in characters. */
+  maxLength: number;
   /** Characters of the next entry that the member has received, if it is sent in parts. */
   partLength: number;
   /** Set when a message must be sent before the next heartbeat. */
--- a/packages/control/src/raft/run-replication.ts
+++ b/packages/control/src/raft/run-replication.ts
@@ -1,5 +1,6 @@
 import { addLearner } from './add-learner.js';
 import type { AppendReply } from './append-reply.js';
+import { batchLength } from './batch-length.js';
 import type { PeerProgress } from './peer-progress.js';
 import type { RaftContext } from './raft-context.js';
 import type { RaftPeer } from './raft-peer.js';
@@ -20,7 +21,9 @@
     const hasEntries = nextIndex <= context.log.memory.readLast().index;
     try {
       await sendMessage(context, peer, client);
+      peer.maxLength = Math.min(batchLength.max, peer.maxLength + batchLength.min);
     } catch {
+      peer.maxLength = Math.max(batchLength.min, peer.maxLength / 2);
       if (!signal.aborted) await context.clock.wait(raftTiming.retryDelayMs, signal);
       continue;
     }
--- a/packages/control/src/raft/send-entries.ts
+++ b/packages/control/src/raft/send-entries.ts
@@ -9,16 +9,10 @@
 import type { RaftPeer } from './raft-peer.js';
 import { raftTiming } from './raft-timing.js';
 
-/**
- * Data in one message, in characters. It bounds how long a message occupies a slow link, so that
- * heartbeats and calls keep their time limits.
- */
-const maxBatchLength = 32 * 1024;
-
 /** Sends the next entries to a member, or a heartbeat. @internal */
 export function sendEntries(
   context: RaftContext,
-  { member, nextIndex, partLength, echo }: PeerProgress,
+  { member, nextIndex, partLength, maxLength, echo }: PeerProgress,
   client: RaftPeer,
 ): Promise<AppendReply> {
   const { log, clock, commitIndex, marks } = context;
@@ -28,7 +22,7 @@
     term: log.readHardState().term,
     previousIndex: nextIndex - 1,
     previousTerm: log.memory.findTerm(nextIndex - 1) ?? 0,
-    ...selectEntries(log.memory.listFrom(nextIndex, maxBatchLength), partLength),
+    ...selectEntries(log.memory.listFrom(nextIndex, maxLength), partLength, maxLength),
     commitIndex,
     quorumAgeMs: computeStateAge(context),
     ...(echo ? { echo } : {}),
@@ -43,15 +37,16 @@
 function selectEntries(
   entries: LogEntry[],
   offset: number,
+  maxLength: number,
 ): Pick<AppendRequest, 'entries' | 'part'> {
   const [first] = entries;
-  if (!first || first.data.length <= maxBatchLength) return { entries };
+  if (!first || first.data.length <= maxLength) return { entries };
   const { data, ...head } = first;
   const part = {
     ...head,
     offset,
     totalLength: data.length,
-    data: data.slice(offset, offset + maxBatchLength),
+    data: data.slice(offset, offset + maxLength),
   };
   return { entries: [], part };
 }
--- a/packages/control/src/raft/send-snapshot.ts
+++ b/packages/control/src/raft/send-snapshot.ts
@@ -6,7 +6,7 @@
 import type { RaftPeer } from './raft-peer.js';
 import { raftTiming } from './raft-timing.js';
 
-const partBytes = 32 * 1024;
+const partBytes = 16 * 1024;
 
 /** Sends the snapshot in parts; resolves with the reply to the last part. @internal */
 export async function sendSnapshot(
--- a/packages/control/src/raft/update-peers.ts
+++ b/packages/control/src/raft/update-peers.ts
@@ -1,3 +1,4 @@
+import { batchLength } from './batch-length.js';
 import type { RaftContext } from './raft-context.js';
 import { runReplication } from './run-replication.js';
 
@@ -24,6 +25,7 @@
       matchIndex: 0,
       answeredAt: Number.NEGATIVE_INFINITY,
       acknowledgedCommitIndex: 0,
+      maxLength: batchLength.max,
       partLength: 0,
       isSendRequested: true,
       controller,
--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -5,7 +5,12 @@
   type EndpointId,
   type EventDetails,
 } from '@vanillarelay/core';
-import { createFleetNode, type FleetNode, type FleetPeer } from '@vanillarelay/fleet';
+import {
+  createFleetNode,
+  type FleetNode,
+  type FleetPeer,
+  type SharedCommand,
+} from '@vanillarelay/fleet';
 import {
   createEndpointTable,
   type EndpointRecord,
@@ -131,6 +136,19 @@
     ...{ state: 'ready' as const, coldLeftMs: 0, ...change },
   });
 
+  /** Sends a change through one daemon and retries until it is accepted. */
+  const propose = async (id: string, command: SharedCommand): Promise<void> => {
+    for (let attempts = 0; attempts < maxAttempts; attempts += 1) {
+      try {
+        await virtual.runUntil(find(id).node.propose(command));
+        return;
+      } catch {
+        await virtual.run(200);
+      }
+    }
+    throw new Error(`${id} accepted no ${command.type} (seed ${seed})`);
+  };
+
   return {
     ...{ virtual, network, find, kill, start, buildRecord, seed },
     all: addresses.map((_, index) => `daemon-${index}`),
@@ -139,18 +157,10 @@
     wipe: (id: string) => find(id).disk?.wipe(),
     cut: (a: string, b: string) => network.cut(a, b),
     heal: (a: string, b: string) => network.clearCut(a, b),
+    propose,
     /** Sends a configuration through one daemon and retries until it is accepted. */
-    put: async (id: string, version: number, source = `config ${version}`): Promise<void> => {
-      for (let attempts = 0; attempts < maxAttempts; attempts += 1) {
-        try {
-          await virtual.runUntil(find(id).node.propose({ type: 'putConfig', version, source }));
-          return;
-        } catch {
-          await virtual.run(200);
-        }
-      }
-      throw new Error(`${id} accepted no configuration (seed ${seed})`);
-    },
+    put: (id: string, version: number, source = `config ${version}`): Promise<void> =>
+      propose(id, { type: 'putConfig', version, source }),
     /** Reads the confirmed configuration version through a daemon; undefined if that fails. */
     read: async (id: string): Promise<number | undefined> => {
       try {
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -3,15 +3,22 @@
   ResultCode,
   withTimeout,
   type Clock,
+  type CommandResult,
   type Disk,
   type EventDetails,
   type Random,
   type Timeline,
 } from '@vanillarelay/core';
 import type { EndpointRecord, EndpointTable } from '@vanillarelay/routing';
+import { createContentStore } from './content/create-content-store.js';
+import { emptyContent } from './content/empty-content.js';
 import type { DaemonInfo } from './messages/daemon-info.js';
 import type { FleetPeer } from './messages/fleet-peer.js';
 import type { Observations } from './messages/observations.js';
+import type { Proposal } from './messages/proposal.js';
+import type { ProposalReply } from './messages/proposal-reply.js';
+import { proposeConfig } from './proposals/propose-config.js';
+import type { DataCentreCommand } from './state/data-centre-command.js';
 import type { SharedCommand } from './state/shared-command.js';
 import type { SharedState } from './state/shared-state.js';
 import { createHub } from './sync/create-hub.js';
@@ -20,6 +27,7 @@
 import { runHubLinks } from './sync/run-hub-links.js';
 import { createFounderSelection } from './voter/create-founder-selection.js';
 import { openVoter } from './voter/open-voter.js';
+import type { Voter } from './voter/voter.js';
 
 interface FleetNodeOptions {
   self: DaemonInfo;
@@ -49,10 +57,12 @@
  */
 const attemptTimeoutMs = 500;
 const retryDelayMs = 50;
+/** Interval at which a read checks whether the confirmed state has arrived. */
+const indexPollIntervalMs = 10;
 const announceTimeoutMs = 800;
 const silenceCheckIntervalMs = 500;
-/** A daemon uses its own hub only if that hub had contact with a quorum within this time. */
-const quorumAgeLimitMs = 1_000;
+/** A daemon uses its own hub only if the state of that hub is at most this old. */
+const stateAgeLimitMs = 1_000;
 
 /**
  * Creates a daemon's fleet node, which finds the other daemons and shares the configuration,
@@ -63,6 +73,8 @@
   const stopping = new AbortController();
   const record = (name: string, details?: EventDetails) => timeline.record(name, details);
 
+  const contents = createContentStore();
+
   const voter =
     options.openDisk &&
     openVoter({
@@ -77,13 +89,22 @@
           .flatMap(({ id, address, diskId }) =>
             diskId === undefined ? [] : [{ id, address, diskId }],
           ),
-      notify: () => hub.wake(),
+      contents,
+      notify: () => {
+        keepContent();
+        hub.wake();
+      },
     });
   const hub = createHub({
-    ...{ clock, table, voter, openPeer, record },
+    ...{ clock, table, voter, contents, openPeer, record },
     incarnation: self.incarnation,
     address: self.address,
   });
+  /** Keeps the configuration in force, as a base for daemons that hold it after the next change. */
+  const keepContent = (): void => {
+    const { hash, source } = voter?.readState() ?? emptyContent;
+    contents.add({ hash, source });
+  };
   const founderSelection = createFounderSelection({
     clock,
     isCoordinator: options.isFirstStart && options.listSeeds()[0] === self.address,
@@ -95,6 +116,10 @@
   };
   const isMember = (): boolean =>
     voter?.readMembers().some(({ address }) => address === self.address) ?? false;
+  const findVoter = (): Voter => {
+    if (voter) return voter;
+    throw new RelayError(ResultCode.notLeader, 'daemon has no disk', { notRun: true });
+  };
   const handlers: FleetPeer = {
     hello: async (request) => {
       founderSelection.receive(request);
@@ -107,18 +132,8 @@
     },
     sync: hub.sync,
     announce: hub.announce,
-    propose: async (command) => {
-      if (!voter)
-        throw new RelayError(ResultCode.notLeader, 'daemon has no disk', { notRun: true });
-      return voter.propose(command);
-    },
-    readState: async ({ knownIndex }) => {
-      if (!voter)
-        throw new RelayError(ResultCode.notLeader, 'daemon has no disk', { notRun: true });
-      const state = await voter.readConfirmedState();
-      const { index } = state;
-      return index === knownIndex ? { index } : { index, state };
-    },
+    propose: async (proposal) => findVoter().propose(proposal),
+    readIndex: async () => findVoter().readIndex(),
     raft: voter?.handlers ?? refusingRaft,
   };
   const openPeerOrSelf = (address: string): FleetPeer =>
@@ -130,9 +145,10 @@
     table,
     record,
     listSeeds: options.listSeeds,
-    isOwnHub: () => isMember() && (voter?.readStateAgeMs() ?? Infinity) <= quorumAgeLimitMs,
+    isOwnHub: () => isMember() && (voter?.readStateAgeMs() ?? Infinity) <= stateAgeLimitMs,
     mayFound: () => options.isFirstStart && voter?.readDiskId() !== undefined && !isMember(),
     openPeer: openPeerOrSelf,
+    findContent: contents.find,
     readObservations: options.readObservations,
     receiveFounders: (founders) => voter?.found(founders),
     notifyObservations: options.notifyObservations,
@@ -169,11 +185,33 @@
   };
 
   const readConfirmedState = async (): Promise<SharedState> => {
-    const known = client.view.state;
-    const { state } = await callLeader('readState', (peer, signal) =>
-      peer.readState({ knownIndex: known.index }, signal),
-    );
-    return state ?? known;
+    const deadline = clock.monotonic() + operatorTimeoutMs;
+    const { index } = await callLeader('readIndex', (peer, signal) => peer.readIndex(signal));
+    while (client.view.state.index < index) {
+      if (clock.monotonic() >= deadline) {
+        const message = `state ${index} did not arrive in time`;
+        throw new RelayError(ResultCode.timeout, message, { notRun: true });
+      }
+      await clock.wait(indexPollIntervalMs);
+    }
+    return client.view.state;
+  };
+
+  const callLeaderWith = (proposal: Proposal): Promise<ProposalReply> =>
+    callLeader(proposal.type, (peer, signal) => peer.propose(proposal, signal));
+
+  const proposeDataCentre = async (command: DataCentreCommand): Promise<CommandResult> => {
+    const reply = await callLeaderWith(command);
+    if (reply.type === 'result') return reply.result;
+    throw new RelayError(ResultCode.internal, `${command.type} has no content to send`);
+  };
+
+  const propose = async (command: SharedCommand): Promise<CommandResult> => {
+    if (command.type !== 'putConfig') return proposeDataCentre(command);
+    const { state, isCurrent } = client.view;
+    // What this daemon holds is committed, so a version that is not newer has no effect.
+    if (isCurrent && command.version <= state.version) return { ok: true, index: state.index };
+    return proposeConfig({ clock, command, held: state, callLeader: callLeaderWith });
   };
 
   const announce = async (endpointRecord: EndpointRecord): Promise<void> => {
@@ -201,7 +239,7 @@
       // Only a hub in contact with the quorum receives all announcements, so only such a hub
       // checks for silence.
       const hasQuorumContact =
-        clock.monotonic() - client.view.quorumContactAt < quorumAgeLimitMs * 2;
+        clock.monotonic() - client.view.quorumContactAt < stateAgeLimitMs * 2;
       if (!isMember() || !hasQuorumContact) continue;
       table.checkSilence().forEach((endpoint) => record('endpoint.silent', { endpoint }));
     }
@@ -231,8 +269,7 @@
       client.stop();
       voter?.stop();
     },
-    propose: (command: SharedCommand) =>
-      callLeader(command.type, (peer, signal) => peer.propose(command, signal)),
+    propose,
     /** Reads the newest state, confirmed by a quorum. */
     readConfirmedState,
     announce,
--- a/packages/fleet/src/messages/fleet-peer.ts
+++ b/packages/fleet/src/messages/fleet-peer.ts
@@ -1,11 +1,10 @@
 import type { RaftPeer } from '@vanillarelay/control';
-import type { CommandResult } from '@vanillarelay/core';
 import type { EndpointRecord } from '@vanillarelay/routing';
-import type { SharedCommand } from '../state/shared-command.js';
 import type { HelloReply } from './hello-reply.js';
 import type { HelloRequest } from './hello-request.js';
-import type { StateReply } from './state-reply.js';
-import type { StateRequest } from './state-request.js';
+import type { IndexReply } from './index-reply.js';
+import type { Proposal } from './proposal.js';
+import type { ProposalReply } from './proposal-reply.js';
 import type { SyncReply } from './sync-reply.js';
 import type { SyncRequest } from './sync-request.js';
 
@@ -21,9 +20,9 @@
     message: { record: EndpointRecord; isRelayed: boolean },
     signal: AbortSignal,
   ): Promise<void>;
-  /** Proposes a command; only the leader accepts it. */
-  propose(command: SharedCommand, signal: AbortSignal): Promise<CommandResult>;
-  /** Reads the newest state, confirmed by a quorum; only the leader answers. */
-  readState(request: StateRequest, signal: AbortSignal): Promise<StateReply>;
+  /** Proposes a change; only the leader accepts it. */
+  propose(proposal: Proposal, signal: AbortSignal): Promise<ProposalReply>;
+  /** Reads the index of the newest state, confirmed by a quorum; only the leader answers. */
+  readIndex(signal: AbortSignal): Promise<IndexReply>;
   raft: RaftPeer;
 }
--- /dev/null
+++ b/packages/fleet/src/messages/index-reply.ts
@@ -0,0 +1,4 @@
+/** Index of the newest state, confirmed by a quorum. */
+export interface IndexReply {
+  index: number;
+}
--- a/packages/fleet/src/messages/sync-reply.ts
+++ b/packages/fleet/src/messages/sync-reply.ts
@@ -1,6 +1,7 @@
 import type { EndpointId } from '@vanillarelay/core';
 import type { EndpointRecord } from '@vanillarelay/routing';
-import type { SharedState } from '../state/shared-state.js';
+import type { ContentPart } from '../content/content-part.js';
+import type { StateSummary } from '../state/state-summary.js';
 import type { DaemonInfo } from './daemon-info.js';
 import type { Observations } from './observations.js';
 
@@ -16,9 +17,11 @@
   /** Position to send as `heardCursor` of the next request. */
   heardCursor: number;
   /** Present when it is newer than `stateIndex` of the request. */
-  state?: SharedState;
-  /** Milliseconds since the hub last knew that a quorum of the control nodes was alive. */
-  quorumAgeMs: number;
+  state?: StateSummary;
+  /** The next part of a configuration that the sender of the request lacks. */
+  part?: ContentPart;
+  /** Milliseconds since the hub's state was last known to hold everything that was committed. */
+  stateAgeMs: number;
   /** Address of the leader, if known. */
   leader?: string;
   /** Addresses of the control group's members. */
--- a/packages/fleet/src/messages/sync-request.ts
+++ b/packages/fleet/src/messages/sync-request.ts
@@ -1,4 +1,5 @@
 import type { EndpointId } from '@vanillarelay/core';
+import type { ContentPosition } from '../content/content-position.js';
 import type { Observations } from './observations.js';
 import type { DaemonInfo } from './daemon-info.js';
 
@@ -9,6 +10,8 @@
   isHub: boolean;
   /** Index of the shared state that the sender has. */
   stateIndex: number;
+  /** What the sender holds and is receiving of the configuration. */
+  content: ContentPosition;
   /** The hub's incarnation at the sender's last exchange with it. */
   hubIncarnation: string;
   /** Position in the hub's sequence of endpoint changes. */
--- a/packages/fleet/src/state/shared-command.ts
+++ b/packages/fleet/src/state/shared-command.ts
@@ -1,7 +1,5 @@
-import type { DataCentreId } from '@vanillarelay/core';
+import type { DataCentreCommand } from './data-centre-command.js';
+import type { PutConfig } from './put-config.js';
 
 /** A command of an operator that changes the shared state. */
-export type SharedCommand =
-  | { type: 'putConfig'; version: number; source: string }
-  | { type: 'takeOutDataCentre'; dataCentre: DataCentreId }
-  | { type: 'bringBackDataCentre'; dataCentre: DataCentreId };
+export type SharedCommand = PutConfig | DataCentreCommand;
--- a/packages/fleet/src/state/shared-state.ts
+++ b/packages/fleet/src/state/shared-state.ts
@@ -1,12 +1,11 @@
 import type { DataCentreId } from '@vanillarelay/core';
+import type { Content } from '../content/content.js';
 
 /** State that all routers share through the replicated log. */
-export interface SharedState {
+export interface SharedState extends Content {
   /** Log index of the last command that changed the state. */
   index: number;
   /** Version of the configuration; 0 before the first one. */
   version: number;
-  /** The configuration as the operator sent it. */
-  source: string;
   dataCentresOut: DataCentreId[];
 }
--- a/packages/fleet/src/sync/create-exchange.ts
+++ b/packages/fleet/src/sync/create-exchange.ts
@@ -15,7 +15,7 @@
 /** Request fields that the caller supplies; the exchange adds the sender and its position. */
 type ExchangeInput = Pick<
   SyncRequest,
-  'isHub' | 'stateIndex' | 'observations' | 'heard' | 'waitMs'
+  'isHub' | 'stateIndex' | 'content' | 'observations' | 'heard' | 'waitMs'
 >;
 type Position = Pick<SyncRequest, 'hubIncarnation' | 'cursor' | 'daemonsVersion' | 'heardCursor'>;
 
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -6,6 +6,7 @@
   type EventDetails,
 } from '@vanillarelay/core';
 import type { EndpointRecord, EndpointTable } from '@vanillarelay/routing';
+import type { ContentStore } from '../content/content-store.js';
 import type { FleetPeer } from '../messages/fleet-peer.js';
 import type { SyncReply } from '../messages/sync-reply.js';
 import type { SyncRequest } from '../messages/sync-request.js';
@@ -18,6 +19,7 @@
   address: string;
   table: EndpointTable;
   voter: Voter | undefined;
+  contents: ContentStore;
   openPeer: (address: string) => FleetPeer;
   record: (name: string, details?: EventDetails) => void;
 }
@@ -28,7 +30,7 @@
 
 /** Creates a daemon's hub, which answers sync requests and relays announcements to other hubs. */
 export function createHub(options: HubOptions) {
-  const { clock, incarnation, address, table, voter, openPeer, record: recordEvent } = options;
+  const { clock, incarnation, address, table, voter, contents, openPeer } = options;
   const daemons = createDaemonTable(clock);
   const waiting = new Set<() => void>();
 
@@ -56,10 +58,24 @@
     }
   };
 
+  /** The newer state without its source, and the next part of what the daemon lacks of that. */
+  const buildStateReply = ({
+    from,
+    stateIndex,
+    content,
+  }: SyncRequest): Pick<SyncReply, 'state' | 'part'> => {
+    const state = voter?.readState();
+    if (!state || state.index <= stateIndex) return {};
+    const { source, ...summary } = state;
+    // This daemon's own client reads the store of the hub.
+    if (from.address === address) return { state: summary };
+    const part = contents.buildNextPart({ hash: state.hash, source }, content);
+    return { state: summary, ...(part ? { part } : {}) };
+  };
+
   const buildReply = (request: SyncRequest): SyncReply => {
-    const { from, isHub, stateIndex, daemonsVersion } = request;
+    const { from, isHub, daemonsVersion } = request;
     const isSameIncarnation = request.hubIncarnation === incarnation;
-    const state = voter?.readState();
     const leader = voter?.findLeader();
     const version = daemons.readVersion();
     const list = isHub ? daemons.listDirect() : daemons.listAll();
@@ -70,8 +86,8 @@
       // Daemons that are not hubs read from the records which endpoints are silent.
       heard: isHub ? table.listHeard(isSameIncarnation ? request.heardCursor : 0) : [],
       heardCursor: table.readLastHeardCursor(),
-      ...(state && state.index > stateIndex ? { state } : {}),
-      quorumAgeMs: Math.round(Math.min(voter?.readStateAgeMs() ?? Infinity, maxAgeMs)),
+      ...buildStateReply(request),
+      stateAgeMs: Math.round(Math.min(voter?.readStateAgeMs() ?? Infinity, maxAgeMs)),
       ...(leader === undefined ? {} : { leader }),
       hubs: listHubs(),
       daemonsVersion: version,
@@ -102,7 +118,7 @@
           );
           confirmed += 1;
         } catch (error) {
-          recordEvent('fleet.relayFailed', {
+          options.record('fleet.relayFailed', {
             ...{ hub, endpoint: record.id },
             reason: (error as Error).message,
           });
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -1,5 +1,8 @@
 import { withTimeout, type Clock, type EventDetails } from '@vanillarelay/core';
 import type { EndpointTable } from '@vanillarelay/routing';
+import type { Content } from '../content/content.js';
+import type { ContentHash } from '../content/content-hash.js';
+import type { ContentPart } from '../content/content-part.js';
 import type { DaemonInfo } from '../messages/daemon-info.js';
 import type { FleetPeer } from '../messages/fleet-peer.js';
 import type { Founder } from '../messages/founder.js';
@@ -7,7 +10,9 @@
 import type { SyncReply } from '../messages/sync-reply.js';
 import { emptySharedState } from '../state/empty-shared-state.js';
 import type { SharedState } from '../state/shared-state.js';
+import type { StateSummary } from '../state/state-summary.js';
 import { createExchange } from './create-exchange.js';
+import { createStateReceiver } from './create-state-receiver.js';
 import type { FleetView } from './fleet-view.js';
 import { sortHubs } from './sort-hubs.js';
 
@@ -22,6 +27,8 @@
   mayFound: () => boolean;
   openPeer: (address: string) => FleetPeer;
   table: EndpointTable;
+  /** Finds a configuration that this daemon's own hub keeps. */
+  findContent: (hash: ContentHash) => Content | undefined;
   readObservations: () => Observations;
   /** Called with the founders of the control group once they are selected. */
   receiveFounders: (founders: Founder[]) => void;
@@ -37,12 +44,10 @@
 const minPauseMs = 60;
 const helloTimeoutMs = 400;
 const retryDelayMs = 100;
-/** Age of a hub's evidence of a quorum above which other hubs are preferred. */
-const quorumAgeLimitMs = 1_000;
-/**
- * A daemon applies its first state only from a hub whose evidence of a quorum is at most this old.
- */
-const initialQuorumAgeLimitMs = 2_000;
+/** Age of a hub's state above which other hubs are preferred. */
+const stateAgeLimitMs = 1_000;
+/** A daemon applies its first state only from a hub whose state is at most this old. */
+const initialStateAgeLimitMs = 2_000;
 /** How long other hubs are preferred after one failed or lost contact with the quorum. */
 const backoffMs = 1_500;
 
@@ -71,26 +76,43 @@
     backoffs.set(address, { until: clock.monotonic() + backoffMs, isReachable });
   };
 
-  const updateState = (next: SharedState): void => {
-    if (next.index <= view.state.index) return;
-    view.state = next;
-    options.notifyState(next);
+  const receiver = createStateReceiver({
+    ...{ clock, record, findContent: options.findContent },
+    readHeld: () => view.state,
+  });
+  /** The newest known list of data centres that are out, which does not wait for a configuration. */
+  let newest: Pick<StateSummary, 'index' | 'dataCentresOut'> = emptySharedState;
+
+  const applyState = (summary: StateSummary, part?: ContentPart): void => {
+    if (summary.index > newest.index) newest = summary;
+    const received = receiver.receive(summary, part);
+    const next = received && received.index > view.state.index ? received : view.state;
+    const { dataCentresOut } = newest;
+    if (next === view.state && dataCentresOut === view.state.dataCentresOut) return;
+    view.state = { ...next, dataCentresOut };
+    if (view.isCurrent) options.notifyState(view.state);
+  };
+
+  /** Marks the view as current once it holds the state of a hub with recent quorum contact. */
+  const updateIsCurrent = ({ state, stateAgeMs }: SyncReply): void => {
+    const isComplete = view.state.index >= (state?.index ?? 0);
+    if (view.isCurrent || !isComplete || stateAgeMs > initialStateAgeLimitMs) return;
+    view.isCurrent = true;
+    if (view.state.index > 0) options.notifyState(view.state);
+    record('fleet.current', { index: view.state.index, version: view.state.version });
   };
 
   const applyReply = (reply: SyncReply): void => {
-    const { quorumAgeMs } = reply;
+    const { stateAgeMs } = reply;
     if (reply.hubs.length > 0) view.hubs = reply.hubs;
     if (reply.daemons) view.daemons = reply.daemons;
     options.notifyObservations(reply.observations);
     if (reply.leader === undefined) delete view.leader;
     else view.leader = reply.leader;
-    if (quorumAgeMs <= quorumAgeLimitMs) view.quorumContactAt = clock.monotonic();
-    const mayApplyState = view.isCurrent || quorumAgeMs <= initialQuorumAgeLimitMs;
-    if (reply.state && mayApplyState) updateState(reply.state);
-    if (!view.isCurrent && quorumAgeMs <= initialQuorumAgeLimitMs) {
-      view.isCurrent = true;
-      record('fleet.current', { index: view.state.index, version: view.state.version });
-    }
+    if (stateAgeMs <= stateAgeLimitMs) view.quorumContactAt = clock.monotonic();
+    const mayApplyState = view.isCurrent || stateAgeMs <= initialStateAgeLimitMs;
+    if (reply.state && mayApplyState) applyState(reply.state, reply.part);
+    updateIsCurrent(reply);
   };
 
   /** Chooses a hub that is not in backoff, this daemon's own first; otherwise a reachable one. */
@@ -113,6 +135,7 @@
     const reply = await callHub(address, {
       isHub: false,
       stateIndex: view.isCurrent ? view.state.index : -1,
+      content: receiver.readPosition(),
       observations: options.readObservations(),
       // This daemon's own hub uses the same table.
       heard: address === readSelf().address ? [] : table.listHeard(reportedCursor),
@@ -120,7 +143,7 @@
     });
     reportedCursor = cursor;
     applyReply(reply);
-    if (reply.quorumAgeMs > quorumAgeLimitMs) startBackoff(address, true);
+    if (reply.stateAgeMs > stateAgeLimitMs) startBackoff(address, true);
     else backoffs.delete(address);
   };
 
@@ -160,7 +183,8 @@
       const startedAt = clock.monotonic();
       try {
         await exchange(address);
-        await clock.wait(minPauseMs, abort.signal);
+        const isReceiving = receiver.readPosition().incoming !== undefined;
+        if (!isReceiving) await clock.wait(minPauseMs, abort.signal);
       } catch (error) {
         startBackoff(address, false);
         const ms = Math.round(clock.monotonic() - startedAt);
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -14,10 +14,16 @@
   type Random,
   type Timeline,
 } from '@vanillarelay/core';
+import type { ContentStore } from '../content/content-store.js';
 import type { Founder } from '../messages/founder.js';
+import type { IndexReply } from '../messages/index-reply.js';
+import type { Proposal } from '../messages/proposal.js';
+import type { ProposalReply } from '../messages/proposal-reply.js';
+import { createConfigProposals } from '../proposals/create-config-proposals.js';
 import { createSharedStateMachine } from '../state/create-shared-state-machine.js';
 import { emptySharedState } from '../state/empty-shared-state.js';
-import type { SharedCommand } from '../state/shared-command.js';
+import type { DataCentreCommand } from '../state/data-centre-command.js';
+import type { PatchConfig } from '../state/patch-config.js';
 import type { SharedState } from '../state/shared-state.js';
 
 interface VoterOptions {
@@ -31,6 +37,8 @@
   openPeer: (address: string) => RaftPeer;
   /** Lists the daemons with a disk that are alive now. */
   listNodes: () => { id: string; address: string; diskId: string }[];
+  /** Contents that a proposal may refer to. */
+  contents: ContentStore;
   /** Called when the shared state or the group has changed. */
   notify: () => void;
 }
@@ -113,6 +121,31 @@
     });
   };
 
+  const readState = (): SharedState => (node ? machine.readState() : emptySharedState);
+
+  const commit = async (command: PatchConfig | DataCentreCommand): Promise<CommandResult> => {
+    const data = JSON.stringify(command);
+    const startedAt = clock.monotonic();
+    const result = await findNode().propose(data);
+    timeline.record('control.committed', {
+      command: command.type,
+      ...(command.type === 'patchConfig' ? { version: command.version } : {}),
+      bytes: data.length,
+      ms: Math.round(clock.monotonic() - startedAt),
+    });
+    return result;
+  };
+
+  const configs = createConfigProposals({
+    contents: options.contents,
+    readState,
+    checkLeader: () => {
+      const current = findNode();
+      if (current.readStatus().role !== 'leader') throw buildNotLeader(current);
+    },
+    commit,
+  });
+
   const readMembers = (): GroupMember[] => node?.readStatus().members ?? [];
 
   return {
@@ -136,30 +169,17 @@
       founders = next;
       closeNode();
     },
-    propose: async (command: SharedCommand): Promise<CommandResult> => {
-      const data = JSON.stringify(command);
-      const version = command.type === 'putConfig' ? command.version : undefined;
-      const details = {
-        command: command.type,
-        bytes: data.length,
-        ...(version ? { version } : {}),
-      };
-      const startedAt = clock.monotonic();
-      const result = await findNode().propose(data);
-      const ms = Math.round(clock.monotonic() - startedAt);
-      timeline.record('control.committed', { ...details, ms });
-      return result;
-    },
-    readConfirmedState: async (): Promise<SharedState> => {
+    propose: async (proposal: Proposal): Promise<ProposalReply> =>
+      proposal.type === 'putConfig'
+        ? configs.propose(proposal)
+        : { type: 'result', result: await commit(proposal) },
+    /** Reads the index of the newest state; only the leader answers. */
+    readIndex: async (): Promise<IndexReply> => {
       const current = findNode();
-      if (await current.confirmLeadership()) return machine.readState();
-      const { leader } = current.readStatus();
-      throw new RelayError(ResultCode.notLeader, 'this node is not the leader', {
-        notRun: true,
-        ...(leader === undefined ? {} : { leader }),
-      });
+      if (await current.confirmLeadership()) return { index: machine.readState().index };
+      throw buildNotLeader(current);
     },
-    readState: (): SharedState => (node ? machine.readState() : emptySharedState),
+    readState,
     readStateAgeMs: (): number => node?.readStateAgeMs() ?? Infinity,
     readMembers,
     readDiskId: (): string | undefined => node?.readStatus().diskId,
@@ -171,3 +191,11 @@
     readSummary: () => node?.readStatus(),
   };
 }
+
+function buildNotLeader(node: RaftNode): RelayError {
+  const { leader } = node.readStatus();
+  return new RelayError(ResultCode.notLeader, 'this node is not the leader', {
+    notRun: true,
+    ...(leader === undefined ? {} : { leader }),
+  });
+}
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -106,6 +106,8 @@
       });
     },
   });
+  /** Version of the configuration that the router runs on. */
+  let configVersion = 0;
   const node = createFleetNode({
     ...{ self, clock, timeline, table: endpoints, random: readRandom },
     ...(settings.dataFolder === ''
@@ -120,9 +122,12 @@
     notifyState: (state) => {
       router.updateDataCentresOut(state.dataCentresOut);
       if (state.version === 0) return;
-      router.updateConfig(decodeConfig(state.source));
-      const table = router.readTable();
-      if (table) front.updateLimits(table);
+      if (state.version !== configVersion) {
+        configVersion = state.version;
+        router.updateConfig(decodeConfig(state.source));
+        const table = router.readTable();
+        if (table) front.updateLimits(table);
+      }
       const { index, version, dataCentresOut } = state;
       log.write('state.inForce', { index, version, dataCentresOut });
     },
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -29,6 +29,7 @@
   'fleet.hubFailed': 'a hub did not answer',
   'fleet.callFailed':
     "a hub did not carry out an operator's call; the next hub is called until the time is up",
+  'fleet.configReceived': 'a configuration that was sent in several parts is complete',
   'fleet.seedFailed': 'a seed did not answer during hub discovery',
   'fleet.relayFailed': 'another hub did not accept an announcement that was received here',
   'fleet.linkLost': 'a hub cannot reach another hub',
--- a/packages/router/src/transport/create-fleet-server.ts
+++ b/packages/router/src/transport/create-fleet-server.ts
@@ -23,7 +23,7 @@
     [fleetPaths.sync, handlers.sync],
     [fleetPaths.announce, handlers.announce],
     [fleetPaths.propose, handlers.propose],
-    [fleetPaths.readState, handlers.readState],
+    [fleetPaths.readIndex, (_, signal) => handlers.readIndex(signal)],
     [fleetPaths.requestVote, handlers.raft.requestVote],
     [fleetPaths.appendEntries, handlers.raft.appendEntries],
     [fleetPaths.installSnapshot, handlers.raft.installSnapshot],
--- a/packages/router/src/transport/fleet-paths.ts
+++ b/packages/router/src/transport/fleet-paths.ts
@@ -4,7 +4,7 @@
   sync: '/sync',
   announce: '/announce',
   propose: '/propose',
-  readState: '/state',
+  readIndex: '/index',
   requestVote: '/raft/vote',
   appendEntries: '/raft/entries',
   installSnapshot: '/raft/snapshot',
--- a/packages/router/src/transport/open-fleet-peer.ts
+++ b/packages/router/src/transport/open-fleet-peer.ts
@@ -17,8 +17,8 @@
     announce: async (message, signal) => {
       await call(fleetPaths.announce, message, signal);
     },
-    propose: (command, signal) => call(fleetPaths.propose, command, signal),
-    readState: (request, signal) => call(fleetPaths.readState, request, signal),
+    propose: (proposal, signal) => call(fleetPaths.propose, proposal, signal),
+    readIndex: (signal) => call(fleetPaths.readIndex, {}, signal),
     raft: {
       requestVote: (request, signal) => call(fleetPaths.requestVote, request, signal),
       appendEntries: (request, signal) => call(fleetPaths.appendEntries, request, signal),
