feat(router): large messages between daemons are compressed

Cause: 840 more routes of a configuration (193 KB of new text) need 0.3 s on a link of 4.9 Mbit/s that is free, more beside callers' requests.

--- a/packages/router/src/transport/create-fleet-server.ts
+++ b/packages/router/src/transport/create-fleet-server.ts
@@ -2,7 +2,10 @@
 import { RelayError, ResultCode, toRefusal } from '@vanillarelay/core';
 import { readBody } from '@vanillarelay/daemon';
 import type { FleetPeer } from '@vanillarelay/fleet';
+import { decodeMessage } from './decode-message.js';
+import { encodeMessage } from './encode-message.js';
 import { fleetPaths } from './fleet-paths.js';
+import { maxMessageBytes } from './max-message-bytes.js';
 
 type Handler = (body: never, signal: AbortSignal) => Promise<unknown>;
 
@@ -12,7 +15,6 @@
   formatMetrics: () => string | Promise<string>;
 }
 
-const maxBodyBytes = 16 * 1024 * 1024;
 const idleTimeoutMs = 60_000;
 const metricsPath = '/metrics';
 
@@ -44,9 +46,7 @@
     try {
       const handle = routes.get(url);
       if (!handle) throw new RelayError(ResultCode.unknownPath, `unknown path ${url}`);
-      const body = JSON.parse(
-        Buffer.from(await readBody(message, maxBodyBytes)).toString(),
-      ) as never;
+      const body = decodeMessage<never>(message, await readBody(message, maxMessageBytes));
       const reply = await handle(body, disconnected.signal);
       sendJson(response, 200, reply ?? {});
     } catch (error) {
@@ -60,10 +60,7 @@
 }
 
 function sendJson(response: ServerResponse, status: number, body: unknown): void {
-  const payload = Buffer.from(JSON.stringify(body));
-  response.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': payload.length,
-  });
+  const { payload, headers } = encodeMessage(body);
+  response.writeHead(status, headers);
   response.end(payload);
 }
--- /dev/null
+++ b/packages/router/src/transport/decode-message.ts
@@ -0,0 +1,12 @@
+import type { IncomingMessage } from 'node:http';
+import { inflateRawSync } from 'node:zlib';
+import { maxMessageBytes } from './max-message-bytes.js';
+
+/** Decodes a message from another daemon. */
+export function decodeMessage<T>({ headers }: IncomingMessage, payload: Uint8Array): T {
+  const isCompressed = headers['content-encoding'] === 'deflate';
+  const json = isCompressed
+    ? inflateRawSync(payload, { maxOutputLength: maxMessageBytes })
+    : payload;
+  return JSON.parse(Buffer.from(json).toString()) as T;
+}
