fix(fleet): endpoint records travel in pages

What callers would see at the target size: a daemon that starts or changes its hub cannot serve, since its first exchange holds the records of all endpoints (320 KB for 1,600), takes longer than its limit of 800 ms on a slow link and begins again with the first byte.

Ruled out: a longer limit, which finds a frozen hub late.

Change: a reply holds at most 64 records, oldest change first, and its cursor stands after the last of them. A daemon counts as current when it has them all. There is no pause while records or parts remain.

--- a/packages/fleet/__tests__/large-config.test.ts
+++ b/packages/fleet/__tests__/large-config.test.ts
@@ -1,4 +1,4 @@
-import { toId, type DataCentreId } from '@vanillarelay/core';
+import { toId, type DataCentreId, type EndpointId } from '@vanillarelay/core';
 import { createSeededRandom } from '@vanillarelay/scenarios';
 import { describe, expect, it } from 'vitest';
 import { createTestFleet } from './create-test-fleet.js';
@@ -18,6 +18,8 @@
 const takenOutMs = 5_000;
 const disks = 3;
 const routes = 900;
+/** Endpoints at the target size. */
+const endpointCount = 1_600;
 
 /** Builds a configuration like an operator's, about 250 KB long. */
 function buildSource(version: number, random: () => number, routeCount: number): string {
@@ -160,4 +162,25 @@
       acknowledgeMs,
     );
   });
+
+  // Guards against a first exchange that never ends in time because the fleet has many endpoints.
+  it('does not keep a daemon from learning many endpoints', async () => {
+    const fleet = await startWithSlowLinks(seed);
+    const { table } = fleet.find('daemon-0');
+    for (let number = 0; number < endpointCount; number += 1) {
+      const address = `10.1.${Math.floor(number / 200)}.${number % 200}:80`;
+      table.merge(fleet.buildRecord({ id: toId<EndpointId>(`e${number}`), address }));
+    }
+    await fleet.put('daemon-1', 10, buildSource(10, createSeededRandom(seed), routes));
+    await fleet.virtual.run(3 * inForceMs);
+    fleet.kill('daemon-7');
+    fleet.restart('daemon-7');
+    await fleet.virtual.run(2 * inForceMs);
+    const { events, table: restarted } = fleet.find('daemon-7');
+    expect(restarted.listAll()).toHaveLength(endpointCount);
+    expect(events.filter(({ name }) => name === 'fleet.hubFailed')).toEqual([]);
+    expect(events.find(({ name }) => name === 'fleet.current')?.details).toMatchObject({
+      version: 10,
+    });
+  });
 });
--- a/packages/fleet/src/messages/sync-reply.ts
+++ b/packages/fleet/src/messages/sync-reply.ts
@@ -10,8 +10,10 @@
   hubIncarnation: string;
   /** Position to send as `cursor` of the next request. */
   cursor: number;
-  /** Endpoints that changed since the cursor of the request. */
+  /** Endpoints that changed since the cursor of the request, oldest change first. */
   records: EndpointRecord[];
+  /** Whether the hub has further records after `cursor`. */
+  hasMoreRecords: boolean;
   /** In replies to hubs: endpoints announced to this hub's daemons since the last exchange. */
   heard: EndpointId[];
   /** Position to send as `heardCursor` of the next request. */
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -27,6 +27,8 @@
 /** Longest wait of a sync request before it checks for changes again. */
 const pollIntervalMs = 100;
 const relayTimeoutMs = 400;
+/** Endpoint records in one reply, which bounds how long it occupies a slow link. */
+const maxRecords = 64;
 
 /** Creates a daemon's hub, which answers sync requests and relays announcements to other hubs. */
 export function createHub(options: HubOptions) {
@@ -79,10 +81,11 @@
     const leader = voter?.findLeader();
     const version = daemons.readVersion();
     const list = isHub ? daemons.listDirect() : daemons.listAll();
+    const known = isSameIncarnation ? request.cursor : 0;
+    const { records, cursor } = table.listChanges(known, maxRecords);
     return {
       hubIncarnation: incarnation,
-      cursor: table.readLastChange(),
-      records: table.listChanges(isSameIncarnation ? request.cursor : 0),
+      ...{ records, cursor, hasMoreRecords: cursor < table.readLastChange() },
       // Daemons that are not hubs read from the records which endpoints are silent.
       heard: isHub ? table.listHeard(isSameIncarnation ? request.heardCursor : 0) : [],
       heardCursor: table.readLastHeardCursor(),
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -93,9 +93,9 @@
     if (view.isCurrent) options.notifyState(view.state);
   };
 
-  /** Marks the view as current once it holds the state of a hub with recent quorum contact. */
-  const updateIsCurrent = ({ state, stateAgeMs }: SyncReply): void => {
-    const isComplete = view.state.index >= (state?.index ?? 0);
+  /** Marks the view as current once it holds what a hub with recent quorum contact has. */
+  const updateIsCurrent = ({ state, stateAgeMs, hasMoreRecords }: SyncReply): void => {
+    const isComplete = view.state.index >= (state?.index ?? 0) && !hasMoreRecords;
     if (view.isCurrent || !isComplete || stateAgeMs > initialStateAgeLimitMs) return;
     view.isCurrent = true;
     if (view.state.index > 0) options.notifyState(view.state);
@@ -128,7 +128,7 @@
     return preferred ?? candidates.find((candidate) => backoffs.get(candidate)?.isReachable);
   };
 
-  const exchange = async (address: string): Promise<void> => {
+  const exchange = async (address: string): Promise<SyncReply> => {
     if (address !== hub) record('fleet.hubChosen', { hub: address, before: hub ?? '' });
     hub = address;
     const cursor = table.readLastHeardCursor();
@@ -145,6 +145,7 @@
     applyReply(reply);
     if (reply.stateAgeMs > stateAgeLimitMs) startBackoff(address, true);
     else backoffs.delete(address);
+    return reply;
   };
 
   /** Requests the addresses of the hubs from the seeds and every known hub. */
@@ -182,9 +183,12 @@
       }
       const startedAt = clock.monotonic();
       try {
-        await exchange(address);
-        const isReceiving = receiver.readPosition().incoming !== undefined;
-        if (!isReceiving) await clock.wait(minPauseMs, abort.signal);
+        const before = receiver.readPosition().incoming;
+        const { hasMoreRecords } = await exchange(address);
+        const { incoming } = receiver.readPosition();
+        const hasReceivedPart = incoming !== undefined && incoming.offset !== before?.offset;
+        const hasMore = hasMoreRecords || hasReceivedPart;
+        if (!hasMore) await clock.wait(minPauseMs, abort.signal);
       } catch (error) {
         startBackoff(address, false);
         const ms = Math.round(clock.monotonic() - startedAt);
--- a/packages/fleet/src/sync/run-endpoint-persistence.ts
+++ b/packages/fleet/src/sync/run-endpoint-persistence.ts
@@ -41,7 +41,8 @@
     await clock.wait(writeDelayMs, signal);
     isChanged = false;
     try {
-      await replaceFile(disk, fileName, [Buffer.from(JSON.stringify(table.listChanges(0)))]);
+      const { records } = table.listChanges(0);
+      await replaceFile(disk, fileName, [Buffer.from(JSON.stringify(records))]);
     } catch (error) {
       record('endpoints.notKept', { reason: (error as Error).message });
       isChanged = true;
--- a/packages/routing/src/endpoints/create-endpoint-table.ts
+++ b/packages/routing/src/endpoints/create-endpoint-table.ts
@@ -1,4 +1,5 @@
 import type { Clock, DataCentreId, EndpointId, ServiceId } from '@vanillarelay/core';
+import type { EndpointChanges } from './endpoint-changes.js';
 import type { EndpointTableRow } from './endpoint-table-row.js';
 import type { EndpointRecord } from './endpoint-record.js';
 import { isNewerRecord } from './is-newer-record.js';
@@ -182,11 +183,20 @@
     find: (id: EndpointId): EndpointTableRow | undefined => rows.get(id),
     listService: (service: ServiceId): readonly EndpointTableRow[] => services.get(service) ?? [],
     listAll: (): EndpointTableRow[] => [...rows.values()],
-    /** Records that changed after the given position, with their remaining cold time. */
-    listChanges: (after: number): EndpointRecord[] =>
-      [...rows.values()]
+    /**
+     * Records that changed after the given position, oldest change first, with their remaining cold
+     * time; `cursor` is the position after the last of them.
+     */
+    listChanges: (after: number, maxCount = Infinity): EndpointChanges => {
+      const changed = [...rows.values()]
         .filter(({ change }) => change > after)
-        .map((row) => ({ ...row.record, coldLeftMs: computeColdLeft(row) })),
+        .sort((a, b) => a.change - b.change);
+      const listed = changed.slice(0, maxCount);
+      return {
+        records: listed.map((row) => ({ ...row.record, coldLeftMs: computeColdLeft(row) })),
+        cursor: listed.length < changed.length ? (listed.at(-1)?.change ?? after) : lastChange,
+      };
+    },
     /**
      * Ids of endpoints whose own announcements arrived after the given cursor, at this daemon or
      * at one that reports to it. Reports from other hubs are excluded; otherwise two hubs would
