fix(fleet): a transfer ends when its state has arrived by another way

A daemon that got a state from its own hub kept the transfer that it had begun at another one, asked for its parts on and did not pause between exchanges; the store of a hub could drop the source in force when more than 16 proposals failed in a row.

Ruled out: wrong states; a finished older transfer had a lower index and was dropped.

Time limits in messages are whole milliseconds.

--- a/packages/core/src/time/with-timeout.ts
+++ b/packages/core/src/time/with-timeout.ts
@@ -12,7 +12,7 @@
   let cancelTimer = () => {};
   const timeout = new Promise<never>((_, reject) => {
     cancelTimer = clock.startTimer(ms, () => {
-      reject(new RelayError(ResultCode.timeout, `no answer within ${ms} ms`));
+      reject(new RelayError(ResultCode.timeout, `no answer within ${Math.round(ms)} ms`));
       controller.abort();
     });
   });
--- a/packages/fleet/__tests__/content.test.ts
+++ b/packages/fleet/__tests__/content.test.ts
@@ -6,6 +6,8 @@
 import { createContentReceiver } from '../src/content/create-content-receiver.js';
 import { createContentStore } from '../src/content/create-content-store.js';
 import { emptyContent } from '../src/content/empty-content.js';
+import { emptySharedState } from '../src/state/empty-shared-state.js';
+import { createStateReceiver } from '../src/sync/create-state-receiver.js';
 
 const seed = 17;
 const routes = Array.from({ length: 900 }, (_, index) => ({
@@ -113,6 +115,24 @@
     expect(receiver.readPosition()?.offset).toBe(text.length);
   });
 
+  // Guards against a transfer that goes on although its state has arrived by another way.
+  it('is given up once the daemon holds a newer state', () => {
+    const held = { ...emptySharedState };
+    const contents = createContentStore();
+    const receiver = createStateReceiver({
+      clock: { monotonic: () => 0 },
+      record: () => {},
+      ...{ readHeld: () => held, findContent: contents.find },
+    });
+    const { source, ...content } = target;
+    const summary = { ...content, index: 1, version: 1, dataCentresOut: [] };
+    receiver.receive(summary, contents.buildPart(emptyContent, target, 0));
+    expect(receiver.readPosition().incoming).toBeDefined();
+    contents.add(target);
+    expect(receiver.receive(summary)).toEqual({ ...summary, source });
+    expect(receiver.readPosition().incoming).toBeUndefined();
+  });
+
   // Guards against a hub whose memory grows with every change.
   it('is forgotten by the hub after a number of newer ones', () => {
     const store = createContentStore();
--- a/packages/fleet/src/content/content-hash.ts
+++ b/packages/fleet/src/content/content-hash.ts
@@ -1,4 +1,4 @@
 import type { Id } from '@vanillarelay/core';
 
-/** SHA-256 of a configuration's source, in hexadecimal. */
+/** The first 128 bits of the SHA-256 of a configuration's source, in hexadecimal. */
 export type ContentHash = Id<'ContentHash'>;
--- a/packages/fleet/src/content/create-content-receiver.ts
+++ b/packages/fleet/src/content/create-content-receiver.ts
@@ -37,6 +37,9 @@
       if (content.hash === hash) return content;
       throw new RelayError(ResultCode.malformedMessage, `content ${hash} is damaged`);
     },
+    clear: (): void => {
+      incoming = undefined;
+    },
     /** What has been received; undefined while nothing is incomplete. */
     readPosition: (): IncomingPosition | undefined =>
       incoming && {
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -69,9 +69,11 @@
     const state = voter?.readState();
     if (!state || state.index <= stateIndex) return {};
     const { source, ...summary } = state;
+    const target = { hash: state.hash, source };
+    contents.add(target);
     // This daemon's own client reads the store of the hub.
     if (from.address === address) return { state: summary };
-    const part = contents.buildNextPart({ hash: state.hash, source }, content);
+    const part = contents.buildNextPart(target, content);
     return { state: summary, ...(part ? { part } : {}) };
   };
 
--- a/packages/fleet/src/sync/create-state-receiver.ts
+++ b/packages/fleet/src/sync/create-state-receiver.ts
@@ -46,7 +46,10 @@
     /** Receives a state and a part of a content; returns a state once its content is complete. */
     receive: (state: StateSummary, part?: ContentPart): SharedState | undefined => {
       const content = findContent(state.hash);
-      if (content) return { ...state, source: content.source };
+      if (content) {
+        receiver.clear();
+        return { ...state, source: content.source };
+      }
       return part && receivePart(state, part);
     },
   };
