refactor(router): one file for each step of a request

Cause: run-request.ts had grown to 326 lines: choosing, waiting, sending, crash records and eight ways of ending a request.

--- /dev/null
+++ b/packages/router/src/requests/run-state.ts
@@ -0,0 +1,20 @@
+import type { EndpointId, Fingerprint, ServiceId } from '@vanillarelay/core';
+import type { RequestResult } from './request-result.js';
+import type { StreamProgress } from './stream-progress.js';
+
+/** State of a request over its attempts. */
+export interface RunState {
+  service: ServiceId;
+  deadlineAt: number;
+  signal: AbortSignal;
+  tried: Set<EndpointId>;
+  /** Number of endpoints on which the request may have run. */
+  possibleRuns: number;
+  progress: StreamProgress;
+  result: RequestResult;
+  lastReason: string;
+  /** Key of the shared prefix of the prompt; undefined without a prompt. */
+  affinityKey: string | undefined;
+  /** Hash of the request's content; computed on first use. */
+  fingerprint?: Fingerprint;
+}
