--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -3,7 +3,6 @@
   ResultCode,
   withTimeout,
   type Clock,
-  type CommandResult,
   type Disk,
   type EventDetails,
   type Random,
@@ -15,11 +14,7 @@
 import type { DaemonInfo } from './messages/daemon-info.js';
 import type { FleetPeer } from './messages/fleet-peer.js';
 import type { Observations } from './messages/observations.js';
-import type { Proposal } from './messages/proposal.js';
-import type { ProposalReply } from './messages/proposal-reply.js';
-import { proposeConfig } from './proposals/propose-config.js';
-import type { DataCentreCommand } from './state/data-centre-command.js';
-import type { SharedCommand } from './state/shared-command.js';
+import { createOperatorCalls } from './proposals/create-operator-calls.js';
 import type { SharedState } from './state/shared-state.js';
 import { createHub } from './sync/create-hub.js';
 import { createSyncClient } from './sync/create-sync-client.js';
@@ -49,16 +44,6 @@
   notifyState: (state: SharedState) => void;
 }
 
-/** Time limit of an operator's call, below the 1 s after which operators try another daemon. */
-const operatorTimeoutMs = 900;
-/**
- * Time limit of each attempt within such a call, which leaves time to call other hubs when the last
- * known leader is cut off.
- */
-const attemptTimeoutMs = 500;
-const retryDelayMs = 50;
-/** Interval at which a read checks whether the confirmed state has arrived. */
-const indexPollIntervalMs = 10;
 const announceTimeoutMs = 800;
 const silenceCheckIntervalMs = 500;
 /** A daemon uses its own hub only if the state of that hub is at most this old. */
@@ -155,64 +140,11 @@
     notifyState: options.notifyState,
   });
 
-  /** Calls the leader, then every hub, and repeats until a call succeeds or the time is up. */
-  const callLeader = async <T>(
-    name: string,
-    call: (peer: FleetPeer, signal: AbortSignal) => Promise<T>,
-  ): Promise<T> => {
-    const startedAt = clock.monotonic();
-    const deadline = startedAt + operatorTimeoutMs;
-    let failure: Error = new RelayError(ResultCode.noQuorum, 'no hub is known', { notRun: true });
-    while (clock.monotonic() < deadline) {
-      const { leader } = client.view;
-      const first = leader === undefined ? [] : [leader];
-      for (const address of new Set([...first, ...client.listHubs()])) {
-        const remainingMs = Math.min(deadline - clock.monotonic(), attemptTimeoutMs);
-        if (remainingMs <= 0) break;
-        try {
-          return await withTimeout(clock, remainingMs, (signal) =>
-            call(openPeerOrSelf(address), signal),
-          );
-        } catch (error) {
-          failure = error as Error;
-          const ms = Math.round(clock.monotonic() - startedAt);
-          record('fleet.callFailed', { call: name, to: address, ms, reason: failure.message });
-        }
-      }
-      await clock.wait(retryDelayMs);
-    }
-    throw failure;
-  };
-
-  const readConfirmedState = async (): Promise<SharedState> => {
-    const deadline = clock.monotonic() + operatorTimeoutMs;
-    const { index } = await callLeader('readIndex', (peer, signal) => peer.readIndex(signal));
-    while (client.view.state.index < index) {
-      if (clock.monotonic() >= deadline) {
-        const message = `state ${index} did not arrive in time`;
-        throw new RelayError(ResultCode.timeout, message, { notRun: true });
-      }
-      await clock.wait(indexPollIntervalMs);
-    }
-    return client.view.state;
-  };
-
-  const callLeaderWith = (proposal: Proposal): Promise<ProposalReply> =>
-    callLeader(proposal.type, (peer, signal) => peer.propose(proposal, signal));
-
-  const proposeDataCentre = async (command: DataCentreCommand): Promise<CommandResult> => {
-    const reply = await callLeaderWith(command);
-    if (reply.type === 'result') return reply.result;
-    throw new RelayError(ResultCode.internal, `${command.type} has no content to send`);
-  };
-
-  const propose = async (command: SharedCommand): Promise<CommandResult> => {
-    if (command.type !== 'putConfig') return proposeDataCentre(command);
-    const { state, isCurrent } = client.view;
-    // What this daemon holds is committed, so a version that is not newer has no effect.
-    if (isCurrent && command.version <= state.version) return { ok: true, index: state.index };
-    return proposeConfig({ clock, command, held: state, callLeader: callLeaderWith });
-  };
+  const calls = createOperatorCalls({
+    ...{ clock, record, view: client.view },
+    listHubs: client.listHubs,
+    openPeer: openPeerOrSelf,
+  });
 
   const announce = async (endpointRecord: EndpointRecord): Promise<void> => {
     const deadline = clock.monotonic() + announceTimeoutMs;
@@ -269,9 +201,7 @@
       client.stop();
       voter?.stop();
     },
-    propose,
-    /** Reads the newest state, confirmed by a quorum. */
-    readConfirmedState,
+    ...calls,
     announce,
     readControlSummary: () => voter?.readSummary(),
   };
