fix(router): a request that crashes endpoints is refused before it waits

What callers saw: a request that is known to crash its endpoints waited for room (up to half of its target time) before it was refused, though no endpoint would have run it.

Cause: the check came after the choice of an endpoint.

Ruled out: a later check for the same request; it is repeated before each attempt.

Before: the new test of requests.test.ts failed (endpointBusy after a wait).

Conclusion: what is known not to be servable is refused at once here too.

--- a/packages/router/__tests__/requests.test.ts
+++ b/packages/router/__tests__/requests.test.ts
@@ -1,3 +1,4 @@
+import { ResultCode } from '@vanillarelay/core';
 import { afterEach, describe, expect, it } from 'vitest';
 import { createRouterFixture } from './create-router-fixture.js';
 
@@ -217,3 +218,17 @@
     200,
   ]);
 });
+
+// Guards against a request that waits for room although no endpoint may run it any more.
+it('refuses a request that crashes endpoints at once while all are full', async () => {
+  fixture = await createRouterFixture();
+  for (const id of ['e1', 'e2', 'e3', 'e4']) await fixture.addEndpoint(id, crash);
+  await post('/lookup/bad');
+  await post('/lookup/bad');
+  fixture.endpoints.listAll().forEach(({ record }) => {
+    fixture.endpoints.merge({ ...record, sequence: record.sequence + 1, slots: 0 });
+  });
+  expect((await post('/lookup/bad')).status).toBe(503);
+  const { refusal, waitedMs } = fixture.results.at(-1) ?? {};
+  expect([refusal?.code, waitedMs]).toEqual([ResultCode.crashConvicted, undefined]);
+});
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -66,6 +66,10 @@
   const { clock, budget } = context;
   const { result, service, signal } = state;
   for (;;) {
+    if (isKnownToCrash(context, request, state)) {
+      const reason = 'the request crashes its endpoints';
+      return endWithoutSend(request, state, ResultCode.crashConvicted, reason);
+    }
     const chosen = await waitForEndpoint(context, request, state);
     if (request.caller.signal.aborted) return { ...result, outcome: 'callerLeft' };
     if (signal.aborted) return endAfterDeadline(request, state);
@@ -73,10 +77,6 @@
       const reason = `${chosen.reason} ${JSON.stringify(chosen.passedOver)}`;
       return endWithoutSend(request, state, chosen.code, reason);
     }
-    if (isKnownToCrash(context, request, state)) {
-      const reason = 'the request crashes its endpoints';
-      return endWithoutSend(request, state, ResultCode.crashConvicted, reason);
-    }
     if (result.sends.length > 0 && !budget.spend(service)) {
       return endWithoutSend(request, state, ResultCode.retryBudgetSpent, 'retry budget spent');
     }
