fix(fleet): hubs announce themselves to the seeds

Cause: the seeds had been exchanged for daemons without a disk. After such a restart they know no hub, every daemon without a disk asks only the seeds, and hubs, which know each other from the log, ask nobody.

Conclusion: class: knowledge that only the ones who need it ask for.

--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -63,7 +63,7 @@
   };
   const buildAddress = (index: number) => `10.${(index % dataCentres) + 1}.0.${index + 1}:7000`;
   const addresses = Array.from({ length: disks + others }, (_, index) => buildAddress(index));
-  const seeds = addresses.slice(0, 3);
+  let seeds = addresses.slice(0, 3);
 
   const findByAddress = (address: string): TestDaemon | undefined =>
     [...daemons.values()].find((daemon) => daemon.address === address);
@@ -154,6 +154,10 @@
     all: addresses.map((_, index) => `daemon-${index}`),
     startAll: () => addresses.map((_, index) => start(index, { isFirstStart: true })),
     restart: (id: string) => start(Number(id.split('-')[1])),
+    /** Exchanges the seeds that all daemons know from now on. */
+    setSeeds: (ids: readonly string[]): void => {
+      seeds = ids.map((id) => find(id).address);
+    },
     wipe: (id: string) => find(id).disk?.wipe(),
     cut: (a: string, b: string) => network.cut(a, b),
     heal: (a: string, b: string) => network.clearCut(a, b),
--- a/packages/fleet/__tests__/fleet.test.ts
+++ b/packages/fleet/__tests__/fleet.test.ts
@@ -8,6 +8,8 @@
 /** Time within which the users' platform requires an acknowledgement. */
 const acknowledgeMs = 4_000;
 const heartbeatMs = 1_200;
+/** Time within which the users' platform requires service after all machines are back. */
+const recoverMs = 12_000;
 
 async function startSettled(seed: number, options: { disks?: number; others?: number } = {}) {
   const fleet = createTestFleet({ seed, ...options });
@@ -53,6 +55,17 @@
     expect(await fleet.read('daemon-4')).toBe(3);
   });
 
+  // Guards against daemons that find no hub because all seeds lost what they knew at the same time.
+  it('finds its hubs again through seeds that are no hubs after all were killed', async () => {
+    const fleet = await startSettled(seed, { disks: 3, others: 6 });
+    await fleet.put('daemon-5', 3);
+    fleet.setSeeds(['daemon-4', 'daemon-5', 'daemon-6']);
+    fleet.all.forEach(fleet.kill);
+    fleet.all.forEach((id) => fleet.restart(id));
+    await fleet.virtual.run(recoverMs);
+    expect(listVersions(fleet)).toEqual(fleet.all.map(() => 3));
+  });
+
   // Guards against a node with a wiped disk that helps to elect a leader without the change.
   it('keeps an accepted configuration when one disk is lost and the others lose power', async () => {
     const fleet = await startSettled(seed);
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -19,6 +19,7 @@
 import { createHub } from './sync/create-hub.js';
 import { createSyncClient } from './sync/create-sync-client.js';
 import { runEndpointPersistence } from './sync/run-endpoint-persistence.js';
+import { runHubAnnouncements } from './sync/run-hub-announcements.js';
 import { runHubLinks } from './sync/run-hub-links.js';
 import { createFounderSelection } from './voter/create-founder-selection.js';
 import { openVoter } from './voter/open-voter.js';
@@ -108,6 +109,7 @@
   const handlers: FleetPeer = {
     hello: async (request) => {
       founderSelection.receive(request);
+      client.addHubs(request.hubs);
       const hubs = voter?.readMembers().map(({ address }) => address) ?? [];
       const founders = founderSelection.readFounders();
       return {
@@ -189,10 +191,15 @@
         void runEndpointPersistence({ clock, table, openDisk, record, signal: stopping.signal });
       }
       if (voter) {
+        const { listSeeds } = options;
+        const { signal } = stopping;
+        const listHubs = () =>
+          isMember() ? voter.readMembers().map(({ address }) => address) : [];
         void runHubLinks({
-          ...{ clock, readSelf, openPeer, table, hub, record },
-          listHubs: () => (isMember() ? voter.readMembers().map(({ address }) => address) : []),
-          signal: stopping.signal,
+          ...{ clock, readSelf, openPeer, table, hub, record, listHubs, signal },
+        });
+        void runHubAnnouncements({
+          ...{ clock, readSelf, openPeer, record, listSeeds, listHubs, signal },
         });
       }
     },
--- a/packages/fleet/src/messages/hello-request.ts
+++ b/packages/fleet/src/messages/hello-request.ts
@@ -1,6 +1,6 @@
 import type { DaemonInfo } from './daemon-info.js';
 
-/** Discovery message of a daemon that has no usable hub. */
+/** Discovery message of a daemon that has no usable hub, or of a hub to its seeds. */
 export interface HelloRequest {
   from: DaemonInfo;
   /**
@@ -8,4 +8,6 @@
    * fleet starts for the first time.
    */
   mayFound: boolean;
+  /** Addresses of the control group's members that the sender knows. */
+  hubs: string[];
 }
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -148,21 +148,24 @@
     return reply;
   };
 
+  /** Adds addresses of hubs; this daemon's own only while its hub is usable. */
+  const addHubs = (hubs: readonly string[]): void => {
+    const { address } = readSelf();
+    const usable = hubs.filter((candidate) => candidate !== address || options.isOwnHub());
+    view.hubs = [...new Set([...usable, ...view.hubs])];
+  };
+
   /** Requests the addresses of the hubs from the seeds and every known hub. */
   const findHubs = async (): Promise<void> => {
-    const { address } = readSelf();
     const addresses = [...new Set([...options.listSeeds(), ...view.hubs])];
-    const request = { from: readSelf(), mayFound: options.mayFound() };
+    const request = { from: readSelf(), mayFound: options.mayFound(), hubs: view.hubs };
     await Promise.all(
       addresses.map(async (peer) => {
         try {
           const reply = await withTimeout(clock, helloTimeoutMs, (signal) =>
             openPeer(peer).hello(request, signal),
           );
-          const usable = reply.hubs.filter(
-            (candidate) => candidate !== address || options.isOwnHub(),
-          );
-          view.hubs = [...new Set([...usable, ...view.hubs])];
+          addHubs(reply.hubs);
           if (reply.founders) options.receiveFounders(reply.founders);
         } catch (error) {
           if (view.isCurrent) {
@@ -203,6 +206,7 @@
       void run();
     },
     stop: (): void => abort.abort(),
+    addHubs,
     /** Lists the hub in use first, then the other known ones. */
     listHubs: (): string[] => [...new Set([...(hub === undefined ? [] : [hub]), ...view.hubs])],
   };
