fix(fleet): the first announcements of a hub follow one another sooner

Cause: after a restart of all daemons the first announcement of a hub comes before the seeds listen, and the next one 2 s later.

Change: the time between announcements begins at 250 ms and doubles up to 2 s.

Conclusion: kept; at rest a hub sends three small messages in 2 s.

--- a/packages/fleet/src/sync/run-hub-announcements.ts
+++ b/packages/fleet/src/sync/run-hub-announcements.ts
@@ -13,7 +13,9 @@
   signal: AbortSignal;
 }
 
-const intervalMs = 2_000;
+/** Time until the next announcement, which doubles: seeds may start shortly after a hub. */
+const minIntervalMs = 250;
+const maxIntervalMs = 2_000;
 const helloTimeoutMs = 400;
 
 /**
@@ -32,10 +34,12 @@
     }
   };
 
+  let intervalMs = minIntervalMs;
   while (!signal.aborted) {
     const hubs = listHubs();
     const seeds = listSeeds().filter((seed) => !hubs.includes(seed));
     if (hubs.length > 0) await Promise.all(seeds.map((seed) => announce(seed, hubs)));
     await clock.wait(intervalMs, signal);
+    intervalMs = Math.min(maxIntervalMs, intervalMs * 2);
   }
 }
