feat(router): log what a request that was lost with its endpoint consisted of

Cause: the log could not tell whether requests that crash engines have anything in common, and whether their answers had begun. Ruled out: more fields on request.* lines, which come once per request and not once per loss. The router gets a function that writes log lines.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -105,6 +105,7 @@
   const clock = createSystemClock();
   const endpoints = createEndpointTable({ clock, silenceMs });
   const results: RequestResult[] = [];
+  const events: Record<string, unknown>[] = [];
   const closers: (() => void)[] = [];
   const router = createRouter({
     ...{ clock, wire, endpoints },
@@ -113,6 +114,7 @@
     self: 'router-1' as never,
     dataCentre: 'lahore' as never,
     listRouters: () => ['router-1' as never],
+    record: (event, details) => events.push({ event, ...details }),
     ...{
       retryRatio: 0.2,
       retryWindowMs: 10_000,
@@ -143,7 +145,7 @@
   };
 
   return {
-    ...{ clock, router, endpoints, results, announce },
+    ...{ clock, router, endpoints, results, events, announce },
     url: `http://127.0.0.1:${(front.address() as AddressInfo).port}`,
     /** Adds an endpoint that answers through an HTTP listener. */
     addEndpoint: async (id: string, listener: RequestListener): Promise<void> => {
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -12,6 +12,7 @@
   type RoutingConfig,
 } from '@vanillarelay/routing';
 import { createConnectionPool } from './dispatch/create-connection-pool.js';
+import type { LogEvent } from './log/log-event.js';
 import type { RequestResult } from './requests/request-result.js';
 import type { RoutedRequest } from './requests/routed-request.js';
 import { runRequest } from './requests/run-request.js';
@@ -31,16 +32,18 @@
   retryExtra: number;
   coldMultiplier: number;
   coldSlack: number;
+  /** Writes a line to the log. */
+  record: (event: LogEvent, details: object) => void;
 }
 
 /** Creates a daemon's request router, including its records of loads, outcomes and crashes. */
 export function createRouter(options: RouterOptions) {
-  const { clock, random, hash, self, dataCentre, wire, endpoints, listRouters } = options;
+  const { clock, random, hash, self, dataCentre, wire, endpoints, listRouters, record } = options;
   let table: RouteTable | undefined;
   let dataCentresOut: ReadonlySet<DataCentreId> = new Set();
   const loads = createLoadView();
   const context = {
-    ...{ clock, random, hash, dataCentre, wire, endpoints, loads },
+    ...{ clock, random, hash, dataCentre, wire, endpoints, loads, record },
     pool: createConnectionPool(),
     health: createHealthTracker(clock),
     crashes: createCrashRecord(clock),
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -87,6 +87,7 @@
     retryExtra: settings.retries.extra,
     coldMultiplier: settings.coldEndpoints.multiplier,
     coldSlack: settings.coldEndpoints.slackPerS,
+    record: log.write,
   });
   const shutdown = { isShuttingDown: false };
   const front = createFrontServer({
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -11,6 +11,8 @@
   'request.failed': 'the request may have run, but no valid answer was received',
   'request.brokenOff': 'a stream was interrupted and could not be resumed at another endpoint',
   'request.callerLeft': 'the caller closed its connection first',
+  'request.lost':
+    'the connection to an endpoint was lost while it ran the request; the endpoint may have crashed',
   'config.accepted': 'this daemon acknowledged a configuration',
   'state.inForce': 'this daemon applied a newer shared state',
   'dataCentre.changed': 'this daemon acknowledged taking a data centre out or bringing it back',
--- a/packages/router/src/requests/record-crash.ts
+++ b/packages/router/src/requests/record-crash.ts
@@ -1,4 +1,5 @@
 import type { AttemptOutcome } from './attempt-outcome.js';
+import { isLost } from './is-lost.js';
 import { readFingerprint } from './read-fingerprint.js';
 import type { RoutedRequest } from './routed-request.js';
 import type { RouterContext } from './router-context.js';
@@ -14,10 +15,7 @@
   state: RunState,
   outcome: AttemptOutcome,
 ): void {
-  const isLost =
-    outcome.type === 'broken' ||
-    (outcome.type === 'failed' && !outcome.isSilent && outcome.status === undefined);
-  if (isLost) crashes.recordCrash(readFingerprint(request, state));
+  if (isLost(outcome)) crashes.recordCrash(readFingerprint(request, state));
   else if (outcome.type === 'answered' && !crashes.isEmpty()) {
     crashes.clear(readFingerprint(request, state));
   }
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -8,6 +8,7 @@
   LoadView,
   RetryBudget,
 } from '@vanillarelay/routing';
+import type { LogEvent } from '../log/log-event.js';
 import type { RouterWire } from '../wire/router-wire.js';
 
 /** Dependencies and state that all requests of one router share. */
@@ -25,4 +26,6 @@
   crashes: CrashRecord;
   coldRateLimiter: ColdRateLimiter;
   isDataCentreOut: (id: DataCentreId) => boolean;
+  /** Writes a line to the log. */
+  record: (event: LogEvent, details: object) => void;
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -7,8 +7,10 @@
 import { endWithoutSend } from './end-without-send.js';
 import { findCacheSource } from './find-cache-source.js';
 import { isKnownToCrash } from './is-known-to-crash.js';
+import { isLost } from './is-lost.js';
 import { isRepeatable } from './is-repeatable.js';
 import { isRetryAllowed } from './is-retry-allowed.js';
+import { logLostRequest } from './log-lost-request.js';
 import { recordCrash } from './record-crash.js';
 import { refuseRequest } from './refuse-request.js';
 import type { RequestResult } from './request-result.js';
@@ -118,6 +120,7 @@
     record: endpoint.record,
   });
   recordCrash(context, request, state, outcome);
+  if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   if (outcome.type === 'answered') health.recordSuccess(id);
   if (outcome.type === 'failed' || outcome.type === 'broken') {
     state.possibleRuns += 1;
