fix(router): prompt parts that crash endpoints are refused

Callers saw: 48 in 100 requests not served for 22 s, as engines crashed one after the other. Cause: the record of crashes counted by a hash of account, path and body. Requests that differ and share a part of their prompt that crashes engines were never counted together, so none was refused. Ruled out: counts that arrive too late (no count passed 1); request.lost shows that the same two parts are in the requests without a begun answer of all 25 crashes, and in no begun answer. Change: suspects are the content of a request and each part of its prompt but the last. A loss before the answer began counts against all of them, once per process of an endpoint; an answer that begins clears its parts at every router. Three crashes block a suspect. All routers keep and pass on what each noticed, with ages. A blocked suspect is tested by single requests, at growing intervals. Still seen: each such request crashes two endpoints, and refused connections use up the retry budget.

--- a/packages/fleet/src/messages/observations.ts
+++ b/packages/fleet/src/messages/observations.ts
@@ -1,10 +1,10 @@
 import type { EndpointId } from '@vanillarelay/core';
-import type { CrashCounts, OutcomeCounts } from '@vanillarelay/routing';
+import type { CrashReports, OutcomeCounts } from '@vanillarelay/routing';
 
 /** Load, outcomes and crashes that one or more daemons observed on the requests they routed. */
 export interface Observations {
   /** Requests in flight at each endpoint. */
   loads: Record<EndpointId, number>;
   outcomes: OutcomeCounts;
-  crashes: CrashCounts;
+  crashes: CrashReports;
 }
--- a/packages/fleet/src/sync/merge-observations.ts
+++ b/packages/fleet/src/sync/merge-observations.ts
@@ -1,10 +1,12 @@
-import type { EndpointId, Fingerprint } from '@vanillarelay/core';
+import type { EndpointId } from '@vanillarelay/core';
+import { mergeCrashReports } from '@vanillarelay/routing';
 import type { Observations } from '../messages/observations.js';
 
-/** Sums the observations of several daemons. */
+/** Merges the observations of several daemons. */
 export function mergeObservations(parts: readonly Observations[]): Observations {
-  const sum: Observations = { loads: {}, outcomes: {}, crashes: {} };
-  parts.forEach(({ loads, outcomes, crashes }) => {
+  const crashes = mergeCrashReports(parts.map((part) => part.crashes));
+  const sum: Observations = { loads: {}, outcomes: {}, crashes };
+  parts.forEach(({ loads, outcomes }) => {
     Object.entries(loads).forEach(([key, count]) => {
       const id = key as EndpointId;
       sum.loads[id] = (sum.loads[id] ?? 0) + count;
@@ -14,10 +16,6 @@
       const [knownGood, knownBad] = sum.outcomes[id] ?? [0, 0];
       sum.outcomes[id] = [knownGood + good, knownBad + bad];
     });
-    Object.entries(crashes).forEach(([key, count]) => {
-      const fingerprint = key as Fingerprint;
-      sum.crashes[fingerprint] = (sum.crashes[fingerprint] ?? 0) + count;
-    });
   });
   return sum;
 }
--- a/packages/router/__tests__/crashing-parts.test.ts
+++ b/packages/router/__tests__/crashing-parts.test.ts
@@ -44,7 +44,7 @@
 
 describe('prompts with a part that crashes endpoints', () => {
   // Guards against requests that differ but share a part that crashes one endpoint after another.
-  it.fails('are refused after a few crashes, while prompts without it are served', async () => {
+  it('are refused after a few crashes, while prompts without it are served', async () => {
     fixture = await createRouterFixture();
     const crashes: string[] = [];
     for (const id of endpointIds) await addCrashingEndpoint(fixture, id, crashes);
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -46,7 +46,10 @@
     ...{ clock, random, hash, dataCentre, wire, endpoints, loads, record },
     pool: createConnectionPool(),
     health: createHealthTracker(clock),
-    crashes: createCrashRecord(clock),
+    crashes: createCrashRecord({
+      ...{ clock, hash, self, listRouters },
+      notify: (change, suspect, crashes) => record(`suspect.${change}`, { suspect, crashes }),
+    }),
     budget: createRetryBudget({
       clock,
       ratio: options.retryRatio,
@@ -74,6 +77,8 @@
       context.crashes.updateRemote(crashes);
     },
     readTable: () => table,
+    /** Number of contents and prompt parts that are blocked because they crash endpoints. */
+    countBlockedSuspects: () => context.crashes.countBlocked(),
     /** Gauges of the remaining retry budget of each service. */
     readRetryGauges: (): Record<string, number> =>
       Object.fromEntries(
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -13,6 +13,10 @@
   'request.callerLeft': 'the caller closed its connection first',
   'request.lost':
     'the connection to an endpoint was lost while it ran the request; the endpoint may have crashed',
+  'suspect.blocked':
+    'requests with this content or prompt part are refused, since endpoints crashed with them',
+  'suspect.probed': 'one request with a blocked content or prompt part is sent, as a test',
+  'suspect.cleared': 'a content or prompt part is no longer blocked',
   'config.accepted': 'this daemon acknowledged a configuration',
   'state.inForce': 'this daemon applied a newer shared state',
   'dataCentre.changed': 'this daemon acknowledged taking a data centre out or bringing it back',
--- a/packages/router/src/requests/log-lost-request.ts
+++ b/packages/router/src/requests/log-lost-request.ts
@@ -1,5 +1,5 @@
 import type { EndpointRecord } from '@vanillarelay/routing';
-import { readFingerprint } from './read-fingerprint.js';
+import { readContentSuspect } from './read-content-suspect.js';
 import type { RoutedRequest } from './routed-request.js';
 import type { RouterContext } from './router-context.js';
 import type { RunState } from './run-state.js';
@@ -14,7 +14,7 @@
   record('request.lost', {
     ...{ request: request.facts.id, endpoint: id, bornAt },
     hasStarted: state.progress.events > 0,
-    fingerprint: readFingerprint(request, state),
-    parts: request.facts.promptParts.map((part) => part.id),
+    content: readContentSuspect(request, state),
+    parts: state.partSuspects,
   });
 }
--- a/packages/router/src/requests/record-crash.ts
+++ b/packages/router/src/requests/record-crash.ts
@@ -1,22 +1,35 @@
+import { toId, type CrashId } from '@vanillarelay/core';
+import type { EndpointRecord } from '@vanillarelay/routing';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { isLost } from './is-lost.js';
-import { readFingerprint } from './read-fingerprint.js';
+import { readContentSuspect } from './read-content-suspect.js';
 import type { RoutedRequest } from './routed-request.js';
 import type { RouterContext } from './router-context.js';
 import type { RunState } from './run-state.js';
 
+const idRadix = 36;
+
 /**
- * Records a possible crash when the connection to the endpoint was lost or its stream stopped while
- * it ran the request. A complete answer clears the record of the request.
+ * Records a possible crash when the connection to the endpoint was lost while it ran the request.
+ * The parts of the prompt are harmless once an answer has begun, the content of a request once it
+ * was answered completely. Each loss of the same content counts, but of a part, which many requests
+ * share, only one loss per process of an endpoint: a process that resets connections has not crashed.
  */
 export function recordCrash(
-  { crashes }: RouterContext,
+  { crashes, hash, clock }: RouterContext,
   request: RoutedRequest,
   state: RunState,
+  { id, bornAt }: EndpointRecord,
   outcome: AttemptOutcome,
 ): void {
-  if (isLost(outcome)) crashes.recordCrash(readFingerprint(request, state));
-  else if (outcome.type === 'answered' && !crashes.isEmpty()) {
-    crashes.clear(readFingerprint(request, state));
+  const buildId = (text: string) => toId<CrashId>(hash(text).toString(idRadix));
+  if (isLost(outcome)) {
+    const content = readContentSuspect(request, state);
+    crashes.recordCrash([content], buildId(`${id} ${bornAt} ${clock.monotonic()}`));
+    const hasStarted = state.progress.events > 0;
+    if (!hasStarted) crashes.recordCrash(state.partSuspects, buildId(`${id} ${bornAt}`));
+  } else if (outcome.type === 'answered') {
+    crashes.recordStart(state.partSuspects);
+    if (!crashes.isEmpty()) crashes.clear(readContentSuspect(request, state));
   }
 }
--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/relay-events.ts
@@ -15,6 +15,8 @@
   firstEventMs: number | undefined;
   /** Time between events after which the endpoint counts as silent; undefined for no limit. */
   pauseMs: number | undefined;
+  /** Called when the first event has arrived. */
+  notifyStart: () => void;
 }
 
 /** Largest incomplete event that is buffered. */
@@ -25,7 +27,7 @@
  * endpoint that fails before its first event can be replaced.
  */
 export async function relayEvents(relay: EventRelay): Promise<AttemptOutcome> {
-  const { answer, caller, progress, clock, firstEventMs, pauseMs } = relay;
+  const { answer, caller, progress, clock, firstEventMs, pauseMs, notifyStart } = relay;
   const splitter = createEventSplitter();
   let isSilent = false;
   let cancelTimer = () => {};
@@ -42,12 +44,15 @@
     if (caller.hasSentHead()) return { type: 'broken', reason };
     return { type: 'failed', reason, isSilent };
   };
+  let hasStarted = false;
   startTimer(firstEventMs);
   try {
     for await (const chunk of answer as AsyncIterable<Buffer>) {
       const events = splitter.push(chunk);
       if (splitter.countPendingBytes() > maxEventBytes) return fail('an event has no end');
       if (events.length === 0) continue;
+      if (!hasStarted) notifyStart();
+      hasStarted = true;
       const lastId = events.findLast(({ id }) => id !== undefined)?.id;
       if (!caller.hasSentHead()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
       if (lastId !== undefined) progress.lastEventId = lastId;
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -27,6 +27,8 @@
    * until the deadline, and its 5xx answer is relayed to the caller.
    */
   isLast: boolean;
+  /** Called when the first event of the answer has arrived. */
+  notifyStart: () => void;
 }
 
 /**
@@ -52,7 +54,8 @@
   attempt: Attempt,
 ): Promise<AttemptOutcome> {
   const { clock, wire, loads, pool } = context;
-  const { request, record, deadlineAt, signal, progress, isLast, cacheSource } = attempt;
+  const { request, record, deadlineAt, signal, progress, isLast, cacheSource, notifyStart } =
+    attempt;
   const { route, account, facts, method, path, body } = request;
   const minMs = route.isStream ? minStreamSilentMs : minPlainSilentMs;
   const silentMs = isLast ? undefined : Math.max(minMs, route.objectiveMs * silentFactor);
@@ -93,7 +96,7 @@
       const pauseMs = isLast ? undefined : Math.max(minStreamSilentMs, route.maxPauseMs * 4);
       const { caller } = request;
       return await relayEvents({
-        ...{ answer, caller, progress, clock, pauseMs },
+        ...{ answer, caller, progress, clock, pauseMs, notifyStart },
         firstEventMs: silentMs,
       });
     }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -6,10 +6,11 @@
 import { endFailed } from './end-failed.js';
 import { endWithoutSend } from './end-without-send.js';
 import { findCacheSource } from './find-cache-source.js';
-import { isKnownToCrash } from './is-known-to-crash.js';
+import { isBlocked } from './is-blocked.js';
 import { isLost } from './is-lost.js';
 import { isRepeatable } from './is-repeatable.js';
 import { isRetryAllowed } from './is-retry-allowed.js';
+import { listPartSuspects } from './list-part-suspects.js';
 import { logLostRequest } from './log-lost-request.js';
 import { recordCrash } from './record-crash.js';
 import { refuseRequest } from './refuse-request.js';
@@ -51,6 +52,7 @@
     progress: { lastEventId: facts.lastEventId, events: 0 },
     lastReason: '',
     affinityKey: route.hasPrompt ? buildAffinityKey(facts) : undefined,
+    partSuspects: listPartSuspects(facts),
   };
   try {
     return await runAttempts(context, request, state);
@@ -68,7 +70,7 @@
   const { clock, budget } = context;
   const { result, service, signal } = state;
   for (;;) {
-    if (isKnownToCrash(context, request, state)) {
+    if (isBlocked(context, request, state)) {
       const reason = 'the request crashes its endpoints';
       return endWithoutSend(request, state, ResultCode.crashConvicted, reason);
     }
@@ -118,8 +120,9 @@
     ...{ request, deadlineAt, signal, progress, isLast },
     cacheSource: readCacheSource(context, request, state, id),
     record: endpoint.record,
+    notifyStart: () => context.crashes.recordStart(state.partSuspects),
   });
-  recordCrash(context, request, state, outcome);
+  recordCrash(context, request, state, endpoint.record, outcome);
   if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   if (outcome.type === 'answered') health.recordSuccess(id);
   if (outcome.type === 'failed' || outcome.type === 'broken') {
--- a/packages/router/src/requests/run-state.ts
+++ b/packages/router/src/requests/run-state.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, Fingerprint, ServiceId } from '@vanillarelay/core';
+import type { EndpointId, ServiceId, SuspectId } from '@vanillarelay/core';
 import type { RequestResult } from './request-result.js';
 import type { StreamProgress } from './stream-progress.js';
 
@@ -15,6 +15,8 @@
   lastReason: string;
   /** Key of the shared prefix of the prompt; undefined without a prompt. */
   affinityKey: string | undefined;
+  /** Prompt parts that may crash endpoints. */
+  partSuspects: SuspectId[];
   /** Hash of the request's content; computed on first use. */
-  fingerprint?: Fingerprint;
+  contentSuspect?: SuspectId;
 }
--- a/packages/routing/src/limits/crash-record.ts
+++ b/packages/routing/src/crashes/crash-record.ts
@@ -1,4 +1,4 @@
 import type { createCrashRecord } from './create-crash-record.js';
 
-/** Counts crashes of endpoints by the request that was running. */
+/** Record of what may crash endpoints. */
 export type CrashRecord = ReturnType<typeof createCrashRecord>;
--- /dev/null
+++ b/packages/routing/src/crashes/create-crash-record.ts
@@ -0,0 +1,179 @@
+import {
+  sortByRendezvous,
+  type Clock,
+  type CrashId,
+  type DaemonId,
+  type Hash,
+  type SuspectId,
+} from '@vanillarelay/core';
+import { computeProbeDelay } from './compute-probe-delay.js';
+import type { CrashReports } from './crash-reports.js';
+import { createStartMemory } from './create-start-memory.js';
+import { isCrashExpired } from './is-crash-expired.js';
+import type { Suspect } from './suspect.js';
+
+interface CrashRecordOptions {
+  clock: Pick<Clock, 'monotonic'>;
+  hash: Hash;
+  self: DaemonId;
+  /** Routers that may send requests, including this one. */
+  listRouters: () => readonly DaemonId[];
+  /** Called when a suspect is blocked, tested by a request, or no longer blocked. */
+  notify: (change: 'blocked' | 'probed' | 'cleared', id: SuspectId, crashCount: number) => void;
+}
+
+/** Number of crashes, over all routers, after which a suspect is blocked. */
+const blockThreshold = 3;
+/** Maximum number of suspects that are sent to the other routers with each message. */
+const maxReportedSuspects = 32;
+/** Maximum number of suspects that are kept; the oldest are removed first. */
+const maxSuspects = 1_000;
+
+/**
+ * Creates the record of what may crash endpoints: the contents of requests, and the parts of
+ * prompts. Everything in a request whose answer had not begun when its endpoint crashed is suspected
+ * of that crash, until an answer to a request with it begins at any endpoint. What is suspected of
+ * several crashes is blocked at every router. Each router keeps and passes on what it has learned,
+ * so that the record outlives the router that noticed a crash.
+ */
+export function createCrashRecord(options: CrashRecordOptions) {
+  const { clock, hash, self, listRouters, notify } = options;
+  const suspects = new Map<SuspectId, Suspect>();
+  const starts = createStartMemory(clock);
+
+  const countCrashes = ({ crashes }: Suspect): number =>
+    [...crashes.values()].filter(({ clearedAt }) => clearedAt === undefined).length;
+
+  const updateIsBlocked = (id: SuspectId, suspect: Suspect): void => {
+    const count = countCrashes(suspect);
+    const isBlocked = count >= blockThreshold;
+    if (isBlocked === suspect.isBlocked) return;
+    suspect.isBlocked = isBlocked;
+    notify(isBlocked ? 'blocked' : 'cleared', id, count);
+  };
+
+  const findOrAdd = (id: SuspectId): Suspect => {
+    const known = suspects.get(id) ?? { crashes: new Map(), delayedFrom: 0, isBlocked: false };
+    suspects.set(id, known);
+    return known;
+  };
+
+  const removeExpired = (): void => {
+    const now = clock.monotonic();
+    suspects.forEach((suspect, id) => {
+      const count = countCrashes(suspect);
+      suspect.crashes.forEach((crash, crashId) => {
+        if (isCrashExpired(crash, count, now)) suspect.crashes.delete(crashId);
+      });
+      updateIsBlocked(id, suspect);
+      if (suspect.crashes.size === 0) suspects.delete(id);
+    });
+    for (const [id, { isBlocked }] of suspects) {
+      if (suspects.size <= maxSuspects) return;
+      if (!isBlocked) suspects.delete(id);
+    }
+  };
+
+  const clear = (id: SuspectId): void => {
+    const suspect = suspects.get(id);
+    if (!suspect) return;
+    suspect.crashes.forEach((crash) => {
+      crash.clearedAt ??= clock.monotonic();
+    });
+    updateIsBlocked(id, suspect);
+  };
+
+  const mergeCrash = (
+    id: SuspectId,
+    crashId: CrashId,
+    { ageMs, clearedAgeMs }: CrashReports[SuspectId][CrashId],
+  ): void => {
+    const now = clock.monotonic();
+    const suspect = findOrAdd(id);
+    const known = suspect.crashes.get(crashId);
+    const crash = known ?? { at: now - ageMs };
+    crash.at = Math.min(crash.at, now - ageMs);
+    const hasStartedSince = starts.hasSince(id, crash.at);
+    if (clearedAgeMs !== undefined) crash.clearedAt ??= now - clearedAgeMs;
+    else if (hasStartedSince) crash.clearedAt ??= now;
+    suspect.crashes.set(crashId, crash);
+    if (!known && crash.clearedAt === undefined) suspect.delayedFrom = now;
+    updateIsBlocked(id, suspect);
+  };
+
+  const isProbeDue = (id: SuspectId): boolean => {
+    const suspect = suspects.get(id);
+    if (!suspect) return true;
+    const routers = sortByRendezvous(hash, id, listRouters());
+    const rank = routers.includes(self) ? routers.indexOf(self) : routers.length;
+    const delayMs = computeProbeDelay(countCrashes(suspect) - blockThreshold, rank);
+    return clock.monotonic() - suspect.delayedFrom >= delayMs;
+  };
+
+  const startProbe = (id: SuspectId): void => {
+    const suspect = findOrAdd(id);
+    suspect.delayedFrom = clock.monotonic();
+    notify('probed', id, countCrashes(suspect));
+  };
+
+  return {
+    /** Whether nothing is suspected; then requests need not be checked. */
+    isEmpty: (): boolean => suspects.size === 0,
+    /** Whether an answer to a prompt with each of these parts has begun at this router. */
+    haveStarted: (ids: readonly SuspectId[]): boolean => ids.every(starts.has),
+    listBlocked: (ids: readonly SuspectId[]): SuspectId[] =>
+      ids.filter((id) => suspects.get(id)?.isBlocked),
+    /**
+     * Whether this router may send one request with these blocked suspects, to find out whether they
+     * are harmless; if so, that is recorded.
+     */
+    takeProbe: (ids: readonly SuspectId[]): boolean => {
+      if (!ids.every(isProbeDue)) return false;
+      ids.forEach(startProbe);
+      return true;
+    },
+    /** Records that an endpoint crashed before the answer to a request with these had begun. */
+    recordCrash: (ids: readonly SuspectId[], crash: CrashId): void =>
+      ids.forEach((id) => mergeCrash(id, crash, { ageMs: 0 })),
+    /** Records that the answer to a prompt with these parts has begun, which clears them. */
+    recordStart: (ids: readonly SuspectId[]): void => {
+      starts.record(ids);
+      if (suspects.size > 0) ids.forEach(clear);
+    },
+    /** Clears the content of a request that was answered completely. */
+    clear,
+    countBlocked: (): number => [...suspects.values()].filter(({ isBlocked }) => isBlocked).length,
+    /** What this router knows, for the others; only the suspects with the most crashes. */
+    readLocal: (): CrashReports => {
+      removeExpired();
+      const now = clock.monotonic();
+      const reported = [...suspects]
+        .sort(([, a], [, b]) => b.crashes.size - a.crashes.size || b.delayedFrom - a.delayedFrom)
+        .slice(0, maxReportedSuspects);
+      const reports: CrashReports = {};
+      reported.forEach(([id, { crashes }]) => {
+        reports[id] = buildReport(crashes, now);
+      });
+      return reports;
+    },
+    /** Merges what the other routers know. */
+    updateRemote: (reports: CrashReports): void => {
+      Object.entries(reports).forEach(([id, crashes]) => {
+        Object.entries(crashes).forEach(([crash, report]) => {
+          mergeCrash(id as SuspectId, crash as CrashId, report);
+        });
+      });
+    },
+  };
+}
+
+function buildReport(crashes: Suspect['crashes'], now: number): CrashReports[SuspectId] {
+  const report: CrashReports[SuspectId] = {};
+  crashes.forEach(({ at, clearedAt }, id) => {
+    report[id] = {
+      ageMs: Math.round(now - at),
+      ...(clearedAt === undefined ? {} : { clearedAgeMs: Math.round(now - clearedAt) }),
+    };
+  });
+  return report;
+}
--- /dev/null
+++ b/packages/routing/src/crashes/is-crash-expired.ts
@@ -0,0 +1,18 @@
+import type { Suspect } from './suspect.js';
+
+/** How long a single crash is kept; endpoints also crash for other reasons. */
+const singleRetentionMs = 60_000;
+/** How long repeated crashes are kept; callers may keep sending what crashes endpoints. */
+const repeatedRetentionMs = 600_000;
+/** How long a crash is kept after its suspect was cleared, until all routers know that. */
+const clearedRetentionMs = 30_000;
+
+/** Whether a crash of a suspect with the given number of uncleared crashes is forgotten. */
+export function isCrashExpired(
+  { at, clearedAt }: NonNullable<ReturnType<Suspect['crashes']['get']>>,
+  crashCount: number,
+  now: number,
+): boolean {
+  if (clearedAt !== undefined) return now - clearedAt > clearedRetentionMs;
+  return now - at > (crashCount > 1 ? repeatedRetentionMs : singleRetentionMs);
+}
