fix(router): a lost prompt with an unknown part is not sent to a second endpoint

Callers saw: each request with a deadly part took two engines down, since the router sent it again 0.1 s after the first crash. Ruled out: no repeat after any loss, which fails prompts that were merely in flight; a lower threshold for repeats, which each router alone reaches only after two crashes. Change: after a loss before the answer began, a prompt is sent again only if answers with each of its parts (but the last) have begun at this router. Test: crashing-parts.test.ts, 'are not sent again', failed before (two crashes by one request). A prompt whose part is new to a router now loses its try when its endpoint crashes for another reason; that router answers 502.

--- a/packages/router/__tests__/crashing-parts.test.ts
+++ b/packages/router/__tests__/crashing-parts.test.ts
@@ -58,4 +58,33 @@
     expect(bad.slice(5).every((status) => status === 503)).toBe(true);
     expect(new Set(good)).toEqual(new Set([200]));
   });
+
+  // Guards against a request that crashes a second endpoint because it is sent again.
+  it('are not sent again after a crash unless answers with their parts have begun', async () => {
+    fixture = await createRouterFixture();
+    const crashes: string[] = [];
+    for (const id of endpointIds) await addCrashingEndpoint(fixture, id, crashes);
+    const sound = await post('good', 'common,topic,own');
+    const status = await post('bad-1', 'common,bad,own-1');
+    expect([sound, status, crashes.length]).toEqual([200, 502, 1]);
+  });
+
+  // Guards against failing prompts that were merely in flight when their endpoint crashed.
+  it('are sent again after a crash when answers with their parts have begun', async () => {
+    fixture = await createRouterFixture();
+    for (const id of endpointIds) await addCrashingEndpoint(fixture, id, []);
+    const before = await post('good-1', 'common,topic,own-1');
+    let losses = 0;
+    await fixture.addEndpoint('e0', (message) => {
+      losses += 1;
+      message.socket.destroy();
+    });
+    endpointIds.slice(1).forEach((id) => fixture.endpoints.remove(id as never));
+    const statuses = [];
+    for (let index = 2; index < 6; index += 1) {
+      statuses.push(await post(`good-${index}`, `common,topic,own-${index}`));
+    }
+    expect(losses).toBeGreaterThan(0);
+    expect([before, statuses]).toEqual([200, [200, 200, 200, 200]]);
+  });
 });
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -99,7 +99,7 @@
     }
     if (request.caller.signal.aborted) return { ...result, outcome: 'callerLeft' };
     if (signal.aborted) return endAfterDeadline(request, state);
-    if (!isRetryAllowed(request, state, outcome)) return endFailed(request, state);
+    if (!isRetryAllowed(context, request, state, outcome)) return endFailed(request, state);
   }
 }
 
