fix(router): an attempt that reached no endpoint spends no retry budget

Cause: the budget was spent for each send after the first one. It protects endpoints from repeated arrivals; a refused connection reaches none. Ruled out: a larger budget, which would let real repeats through. Change: the budget is spent for the first send after one that may have arrived, and stays paid until a send arrives. Why a request did not run at an endpoint is one value in place of two flags. Test: requests.test.ts, 'does not spend the retry budget on endpoints that refuse connections', failed before.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -101,7 +101,7 @@
 };
 
 /** Starts a router on the loopback interface; a test adds the endpoints. */
-export async function createRouterFixture() {
+export async function createRouterFixture({ retryExtra = 100 } = {}) {
   const clock = createSystemClock();
   const endpoints = createEndpointTable({ clock, silenceMs });
   const results: RequestResult[] = [];
@@ -118,7 +118,7 @@
     ...{
       retryRatio: 0.2,
       retryWindowMs: 10_000,
-      retryExtra: 100,
+      retryExtra,
       coldMultiplier: 1.5,
       coldSlack: 5,
     },
--- a/packages/router/__tests__/requests.test.ts
+++ b/packages/router/__tests__/requests.test.ts
@@ -232,3 +232,26 @@
   const { refusal, waitedMs } = fixture.results.at(-1) ?? {};
   expect([refusal?.code, waitedMs]).toEqual([ResultCode.crashConvicted, undefined]);
 });
+
+// Guards against refusing requests because several endpoints are down that they never reached.
+it('does not spend the retry budget on endpoints that refuse connections', async () => {
+  fixture = await createRouterFixture({ retryExtra: 0 });
+  unusedPorts.forEach((port) => fixture.announce(`closed-${port}`, port));
+  await fixture.addEndpoint('e1', answer);
+  const statuses = [];
+  for (let tries = 0; tries < 4; tries += 1) statuses.push((await post('/lookup/1')).status);
+  const sends = fixture.results.map((result) => result.sends.length);
+  expect(Math.max(...sends)).toBeGreaterThan(1);
+  expect(statuses).toEqual([200, 200, 200, 200]);
+});
+
+// Guards against more retries than the budget allows when attempts between them reached no endpoint.
+it('spends the retry budget once an attempt has reached an endpoint', async () => {
+  fixture = await createRouterFixture({ retryExtra: 0 });
+  for (const id of ['e1', 'e2']) await fixture.addEndpoint(id, shed);
+  expect((await post('/lookup/1')).status).toBe(503);
+  expect(fixture.results[0]?.refusal?.code).toBe(ResultCode.retryBudgetSpent);
+});
+
+/** Ports on which nothing listens. */
+const unusedPorts = [7, 9, 11];
--- a/packages/router/src/requests/attempt-outcome.ts
+++ b/packages/router/src/requests/attempt-outcome.ts
@@ -1,9 +1,11 @@
+import type { NotRunCause } from './not-run-cause.js';
+
 /** The outcome of one attempt to run a request at an endpoint. */
 export type AttemptOutcome =
   /** The complete answer was sent to the caller. */
   | { type: 'answered'; status: number }
   /** It is certain that the request did not run at the endpoint. */
-  | { type: 'notRun'; reason: string; isUnreachable: boolean; isReplaced?: boolean }
+  | { type: 'notRun'; reason: string; cause: NotRunCause }
   /** The request may have run; no part of an answer was sent to the caller. */
   | { type: 'failed'; reason: string; isSilent: boolean; status?: number }
   /** The answer was interrupted after part of it was sent to the caller. */
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -80,11 +80,11 @@
     const answerFacts = wire.parseAnswer(status, answer.headers);
     if (answerFacts.isMisdirected) {
       releaseAnswer(answer, clock);
-      return { type: 'notRun', reason: 'otherEndpoint', isUnreachable: true, isReplaced: true };
+      return { type: 'notRun', reason: 'otherEndpoint', cause: 'replaced' };
     }
     if (answerFacts.isNotRun) {
       releaseAnswer(answer, clock);
-      return { type: 'notRun', reason: `endpoint answered ${status}`, isUnreachable: false };
+      return { type: 'notRun', reason: `endpoint answered ${status}`, cause: 'rejected' };
     }
     const fault = findAnswerFault(status, answerFacts, facts.id);
     if (fault !== undefined) {
@@ -132,6 +132,6 @@
   if (!(error instanceof CallFailure)) throw error;
   const { isSent, kind, message } = error;
   const reason = `${kind}: ${message}`;
-  if (!isSent) return { type: 'notRun', reason, isUnreachable: true };
+  if (!isSent) return { type: 'notRun', reason, cause: 'unreachable' };
   return { type: 'failed', reason, isSilent: kind === 'silent' };
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -6,6 +6,7 @@
 import { endFailed } from './end-failed.js';
 import { endWithoutSend } from './end-without-send.js';
 import { findCacheSource } from './find-cache-source.js';
+import { hasArrived } from './has-arrived.js';
 import { isBlocked } from './is-blocked.js';
 import { isLost } from './is-lost.js';
 import { isRepeatable } from './is-repeatable.js';
@@ -49,6 +50,8 @@
     signal: abortController.signal,
     tried: new Set(),
     possibleRuns: 0,
+    hasArrived: false,
+    isRetryPaid: false,
     progress: { lastEventId: facts.lastEventId, events: 0 },
     lastReason: '',
     affinityKey: route.hasPrompt ? buildAffinityKey(facts) : undefined,
@@ -67,8 +70,8 @@
   request: RoutedRequest,
   state: RunState,
 ): Promise<RequestResult> {
-  const { clock, budget } = context;
-  const { result, service, signal } = state;
+  const { clock } = context;
+  const { result, signal } = state;
   for (;;) {
     if (isBlocked(context, request, state)) {
       const reason = 'the request crashes its endpoints';
@@ -81,11 +84,12 @@
       const reason = `${chosen.reason} ${JSON.stringify(chosen.passedOver)}`;
       return endWithoutSend(request, state, chosen.code, reason);
     }
-    if (result.sends.length > 0 && !budget.spend(service)) {
+    if (!spendRetry(context, state)) {
       return endWithoutSend(request, state, ResultCode.retryBudgetSpent, 'retry budget spent');
     }
     const sentAt = clock.monotonic();
     const outcome = await send(context, request, state, chosen.id);
+    if (hasArrived(outcome)) Object.assign(state, { hasArrived: true, isRetryPaid: false });
     state.lastReason = 'reason' in outcome ? outcome.reason : outcome.type;
     result.sends.push({
       endpoint: chosen.id,
@@ -103,6 +107,13 @@
   }
 }
 
+/** Spends the budget for a retry; an attempt that reached no endpoint leaves it unused. */
+function spendRetry({ budget }: RouterContext, state: RunState): boolean {
+  const isFirst = !state.hasArrived;
+  if (!isFirst && !state.isRetryPaid) state.isRetryPaid = budget.spend(state.service);
+  return isFirst || state.isRetryPaid;
+}
+
 async function send(
   context: RouterContext,
   request: RoutedRequest,
@@ -111,7 +122,7 @@
 ): Promise<AttemptOutcome> {
   const { clock, endpoints, health, coldRateLimiter } = context;
   const endpoint = endpoints.find(id);
-  if (!endpoint) return { type: 'notRun', reason: 'endpoint has left', isUnreachable: false };
+  if (!endpoint) return { type: 'notRun', reason: 'endpoint has left', cause: 'departed' };
   const { tried, deadlineAt, signal, progress, possibleRuns } = state;
   if (endpoint.coldUntil > clock.monotonic()) coldRateLimiter.record(id);
   tried.add(id);
@@ -130,8 +141,8 @@
     if (outcome.type === 'failed' && outcome.isSilent) health.recordUnreachable(id);
     else health.recordFailure(id);
   }
-  if (outcome.type === 'notRun' && outcome.isReplaced) endpoints.remove(id);
-  else if (outcome.type === 'notRun' && outcome.isUnreachable) health.recordUnreachable(id);
+  if (outcome.type === 'notRun' && outcome.cause === 'replaced') endpoints.remove(id);
+  if (outcome.type === 'notRun' && outcome.cause === 'unreachable') health.recordUnreachable(id);
   return outcome;
 }
 
--- a/packages/router/src/requests/run-state.ts
+++ b/packages/router/src/requests/run-state.ts
@@ -10,6 +10,10 @@
   tried: Set<EndpointId>;
   /** Number of endpoints on which the request may have run. */
   possibleRuns: number;
+  /** Whether an attempt has reached an endpoint, which may have refused it. */
+  hasArrived: boolean;
+  /** Whether the budget was spent for a retry that has not reached an endpoint yet. */
+  isRetryPaid: boolean;
   progress: StreamProgress;
   result: RequestResult;
   lastReason: string;
