fix(router): endpoints that refuse connections come last

Callers saw: 228 refusals with 'ECONNREFUSED' after four sends while two engines had room. Cause: an endpoint that refused a connection was treated like one that answers late: it takes what would load the healthy ones above their bound. With four of six engines down all four sends went to these. The mean load counted them too, so the engines that were up refused prompts at their homes. Ruled out: more sends per request, which only adds refused connections. Change: endpoints that refused a connection since they started, within the known pause, are used only when there is no other, and do not count in the mean load. Late endpoints are treated as before. Test: choose-endpoint.test.ts, 'prefers loaded endpoints to ones that refuse connections'; list-candidates.test.ts; limits.test.ts. They name the new state, so they do not compile before.

--- a/packages/router/__tests__/list-candidates.test.ts
+++ b/packages/router/__tests__/list-candidates.test.ts
@@ -17,7 +17,7 @@
   announce('e3', 3, { state: 'leaving' });
   const context = {
     ...{ endpoints, clock },
-    health: { listFailing: () => new Set(), isAvoided: () => false },
+    health: { listFailing: () => new Set(), isAvoided: () => false, isRefusing: () => false },
     loads: { estimate: (id: string) => (id === 'e2' ? 6 : 0) },
     coldRateLimiter: { hasCapacity: () => true },
     isDataCentreOut: (id: string) => id === 'multan',
@@ -30,3 +30,24 @@
     passedOver: { out: 1, leaving: 1 },
   });
 });
+
+// Guards against a load bound so low that the endpoints which are left accept no prompts while the
+// others are down.
+it('computes the mean load without endpoints that refuse connections', async () => {
+  fixture = await createRouterFixture();
+  const { endpoints, clock, announce } = fixture;
+  ['e1', 'e2', 'e3', 'e4'].forEach((id, index) => announce(id, index + 1));
+  const context = {
+    ...{ endpoints, clock },
+    health: {
+      listFailing: () => new Set(),
+      isAvoided: () => false,
+      isRefusing: (id: string) => id !== 'e1',
+    },
+    loads: { estimate: (id: string) => (id === 'e1' ? 8 : 0) },
+    coldRateLimiter: { hasCapacity: () => true },
+    isDataCentreOut: () => false,
+  } as unknown as RouterContext;
+  const { meanLoad, passedOver } = listCandidates(context, 'desk' as never, undefined);
+  expect({ meanLoad, passedOver }).toEqual({ meanLoad: 8, passedOver: { refusing: 3 } });
+});
--- a/packages/router/src/requests/list-candidates.ts
+++ b/packages/router/src/requests/list-candidates.ts
@@ -12,7 +12,10 @@
   open: Candidate[];
   /** Number of endpoints of the service that accept requests, even if they have no capacity now. */
   total: number;
-  /** Mean load of all endpoints of the service, including those that accept no requests now. */
+  /**
+   * Mean load of the endpoints of the service, including those that accept no requests now, but not
+   * those that refuse connections.
+   */
   meanLoad: number;
   passedOver: PassedOver;
 }
@@ -54,8 +57,9 @@
     const { dataCentre, slots } = record;
     return [{ id: record.id, dataCentre, slots, load, ...(healthIssue ? { healthIssue } : {}) }];
   });
-  const totalLoad = all.reduce((sum, { record }) => sum + loads.estimate(record.id), 0);
-  const meanLoad = totalLoad / Math.max(1, all.length);
+  const listening = all.filter((row) => !isRefusing(context, row));
+  const totalLoad = listening.reduce((sum, { record }) => sum + loads.estimate(record.id), 0);
+  const meanLoad = totalLoad / Math.max(1, listening.length);
   return { open, total: accepting.length, meanLoad, passedOver };
 }
 
@@ -80,11 +84,18 @@
 }
 
 function findHealthIssue(
-  { health }: RouterContext,
-  { record }: EndpointTableRow,
+  context: RouterContext,
+  row: EndpointTableRow,
   failing: ReadonlySet<string>,
 ): Candidate['healthIssue'] {
+  const { health } = context;
+  const { record } = row;
+  if (isRefusing(context, row)) return 'refusing';
   if (record.isSilent) return 'silent';
   if (health.isAvoided(record.id)) return 'unreachable';
   return failing.has(record.id) ? 'failing' : undefined;
 }
+
+function isRefusing({ health }: RouterContext, { record, firstSeenAt }: EndpointTableRow): boolean {
+  return health.isRefusing(record.id, firstSeenAt);
+}
--- a/packages/router/src/requests/not-run-cause.ts
+++ b/packages/router/src/requests/not-run-cause.ts
@@ -2,7 +2,9 @@
 export type NotRunCause =
   /** The endpoint left before the request was sent. */
   | 'departed'
-  /** No connection could be established. */
+  /** The endpoint refused the connection. */
+  | 'refused'
+  /** The connection was not established in time. */
   | 'unreachable'
   /** The address now belongs to another endpoint, which refused the request. */
   | 'replaced'
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -132,6 +132,8 @@
   if (!(error instanceof CallFailure)) throw error;
   const { isSent, kind, message } = error;
   const reason = `${kind}: ${message}`;
-  if (!isSent) return { type: 'notRun', reason, cause: 'unreachable' };
+  if (!isSent) {
+    return { type: 'notRun', reason, cause: kind === 'refused' ? 'refused' : 'unreachable' };
+  }
   return { type: 'failed', reason, isSilent: kind === 'silent' };
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -143,6 +143,7 @@
   }
   if (outcome.type === 'notRun' && outcome.cause === 'replaced') endpoints.remove(id);
   if (outcome.type === 'notRun' && outcome.cause === 'unreachable') health.recordUnreachable(id);
+  if (outcome.type === 'notRun' && outcome.cause === 'refused') health.recordRefusal(id);
   return outcome;
 }
 
--- a/packages/routing/__tests__/choose-endpoint.test.ts
+++ b/packages/routing/__tests__/choose-endpoint.test.ts
@@ -150,3 +150,19 @@
     expect(chooseCacheSource(recentlyJoined, 'p', home, hash)).toBe(former);
   });
 });
+
+// Guards against sending to endpoints that are down, one after the other, while the few others are
+// above their load bound.
+it('prefers loaded endpoints to ones that refuse connections', () => {
+  const candidates = ['e1', 'e2', 'e3', 'e4'].map((id, index) => ({
+    ...{ id: id as EndpointId, dataCentre: 'dc' as never, slots: 8, load: index < 2 ? 0 : 20 },
+    ...(index < 2 ? { healthIssue: 'refusing' as const } : {}),
+  }));
+  const choose = (tried: string[]) =>
+    chooseEndpoint(
+      candidates,
+      { affinityKey: 'p', meanLoad: 2, tried: new Set(tried as EndpointId[]) },
+      { hash, random: () => 0, dataCentre: 'dc' as never },
+    )?.id;
+  expect([choose([]), choose(['e3']), choose(['e3', 'e4'])]).toEqual(['e3', 'e4', 'e1']);
+});
--- a/packages/routing/__tests__/limits.test.ts
+++ b/packages/routing/__tests__/limits.test.ts
@@ -113,6 +113,16 @@
     expect([...tracker.listFailing(all)]).toEqual([]);
   });
 
+  // Guards against avoiding an endpoint that has started again since it refused connections.
+  it('counts an endpoint as refusing connections only since it started', () => {
+    let now = 100;
+    const tracker = createHealthTracker({ monotonic: () => now });
+    tracker.recordRefusal(endpoint);
+    const before = [tracker.isRefusing(endpoint, 50), tracker.isRefusing(endpoint, 150)];
+    now = 700;
+    expect([before, tracker.isRefusing(endpoint, 50)]).toEqual([[true, false], false]);
+  });
+
   it('avoids an unreachable endpoint for longer after each failure', () => {
     let now = 0;
     const tracker = createHealthTracker({ monotonic: () => now });
--- a/packages/routing/src/placement/candidate.ts
+++ b/packages/routing/src/placement/candidate.ts
@@ -7,6 +7,9 @@
   slots: number;
   /** Estimated number of requests in flight at the endpoint. */
   load: number;
-  /** Why the endpoint is used only when healthy ones are overloaded; absent when it is healthy. */
-  healthIssue?: 'silent' | 'unreachable' | 'failing';
+  /**
+   * Why the endpoint is used only when healthy ones are overloaded, or, if it refuses connections,
+   * only when there is no other; absent when it is healthy.
+   */
+  healthIssue?: 'silent' | 'unreachable' | 'failing' | 'refusing';
 }
--- a/packages/routing/src/placement/choose-endpoint.ts
+++ b/packages/routing/src/placement/choose-endpoint.ts
@@ -41,7 +41,8 @@
  * order is the same at every router. Other requests are sent to the least loaded endpoint, with a
  * preference for the router's data centre. Endpoints with a health issue receive requests only when
  * the healthy ones are loaded far above the mean of all, so that the requests are never
- * concentrated on a few endpoints. Returns undefined when there is no candidate.
+ * concentrated on a few endpoints; those that refuse connections receive requests only when there is
+ * no other endpoint. Returns undefined when there is no candidate.
  */
 export function chooseEndpoint(
   candidates: readonly Candidate[],
@@ -56,10 +57,12 @@
     if (home) return home;
   }
   const bound = computeUpperBound(meanLoad);
-  const belowBound = untried.filter(({ load }) => load < bound);
+  const listening = untried.filter(({ healthIssue }) => healthIssue !== 'refusing');
+  const belowBound = listening.filter(({ load }) => load < bound);
   const healthyBelowBound = belowBound.filter(({ healthIssue }) => healthIssue === undefined);
   const usable =
-    [healthyBelowBound, belowBound, healthy, untried].find(({ length }) => length > 0) ?? [];
+    [healthyBelowBound, belowBound, healthy, listening, untried].find(({ length }) => length > 0) ??
+    [];
   if (affinityKey !== undefined && usable === healthyBelowBound) {
     const [next] = sortByRendezvous(options.hash, affinityKey, usable.map(toId));
     if (next !== undefined) return { id: next, reason: 'nextHome' };
--- a/packages/routing/src/placement/create-health-tracker.ts
+++ b/packages/routing/src/placement/create-health-tracker.ts
@@ -10,6 +10,8 @@
   consecutiveUnreachable: number;
   /** Monotonic time until which the endpoint counts as unreachable. */
   avoidedUntil: number;
+  /** Monotonic time at which it last refused a connection. */
+  refusedAt: number;
 }
 
 /** Time in which the weight of an outcome halves. */
@@ -35,7 +37,10 @@
     const known = byEndpoint.get(id);
     const at = clock.monotonic();
     if (!known)
-      return { successes: 0, failures: 0, at, consecutiveUnreachable: 0, avoidedUntil: 0 };
+      return {
+        ...{ successes: 0, failures: 0, at, consecutiveUnreachable: 0 },
+        ...{ avoidedUntil: 0, refusedAt: -Infinity },
+      };
     const weight = 0.5 ** ((at - known.at) / halfLifeMs);
     return { ...known, successes: known.successes * weight, failures: known.failures * weight, at };
   };
@@ -50,6 +55,15 @@
   const toShare = ({ successes, failures }: { successes: number; failures: number }): number =>
     failures === 0 ? 0 : failures / (successes + failures);
 
+  const recordUnreachable = (id: EndpointId): void => {
+    const health = readHealth(id);
+    const consecutiveUnreachable = health.consecutiveUnreachable + 1;
+    const backoffMs = Math.min(maxBackoffMs, initialBackoffMs * 2 ** (consecutiveUnreachable - 1));
+    const avoidedUntil = clock.monotonic() + backoffMs;
+    const failures = health.failures + unreachableWeight;
+    byEndpoint.set(id, { ...health, failures, consecutiveUnreachable, avoidedUntil });
+  };
+
   return {
     recordSuccess: (id: EndpointId): void => {
       const health = readHealth(id);
@@ -59,22 +73,17 @@
       const health = readHealth(id);
       byEndpoint.set(id, { ...health, failures: health.failures + 1 });
     },
-    /** Records that the endpoint refused the connection or did not answer in time. */
-    recordUnreachable: (id: EndpointId): void => {
-      const health = readHealth(id);
-      const consecutiveUnreachable = health.consecutiveUnreachable + 1;
-      const backoffMs = Math.min(
-        maxBackoffMs,
-        initialBackoffMs * 2 ** (consecutiveUnreachable - 1),
-      );
-      const avoidedUntil = clock.monotonic() + backoffMs;
-      const failures = health.failures + unreachableWeight;
-      byEndpoint.set(id, {
-        ...health,
-        failures,
-        consecutiveUnreachable,
-        avoidedUntil,
-      });
+    /** Records that the endpoint did not answer in time. */
+    recordUnreachable,
+    /** Records that the endpoint refused the connection. */
+    recordRefusal: (id: EndpointId): void => {
+      recordUnreachable(id);
+      byEndpoint.set(id, { ...readHealth(id), refusedAt: clock.monotonic() });
+    },
+    /** Whether the endpoint, which started at `since`, last refused connections. */
+    isRefusing: (id: EndpointId, since: number): boolean => {
+      const { refusedAt = -Infinity, avoidedUntil = 0 } = byEndpoint.get(id) ?? {};
+      return refusedAt > since && avoidedUntil > clock.monotonic();
     },
     isAvoided: (id: EndpointId): boolean =>
       (byEndpoint.get(id)?.avoidedUntil ?? 0) > clock.monotonic(),
