fix(fleet): ages in observations include the time that a hub kept them

Cause: a hub keeps what a daemon reported for up to 2.5 s and passed the ages on as they came, so a crash looked newer with each hub on its way. Change: the table of daemons adds the time since it received a report.

--- /dev/null
+++ b/packages/fleet/src/sync/add-observation-age.ts
@@ -0,0 +1,18 @@
+import type { CrashId, SuspectId } from '@vanillarelay/core';
+import type { Observations } from '../messages/observations.js';
+
+/** Adds the time since observations were received to the ages in them. */
+export function addObservationAge(observations: Observations, addedMs: number): Observations {
+  const crashes: Observations['crashes'] = {};
+  Object.entries(observations.crashes).forEach(([suspect, reports]) => {
+    const aged: Observations['crashes'][SuspectId] = {};
+    Object.entries(reports).forEach(([crash, { ageMs, clearedAgeMs }]) => {
+      aged[crash as CrashId] = {
+        ageMs: ageMs + addedMs,
+        ...(clearedAgeMs === undefined ? {} : { clearedAgeMs: clearedAgeMs + addedMs }),
+      };
+    });
+    crashes[suspect as SuspectId] = aged;
+  });
+  return { ...observations, crashes };
+}
--- a/packages/fleet/src/sync/create-daemon-table.ts
+++ b/packages/fleet/src/sync/create-daemon-table.ts
@@ -1,6 +1,7 @@
 import type { Clock, DaemonId } from '@vanillarelay/core';
 import type { DaemonInfo } from '../messages/daemon-info.js';
 import type { Observations } from '../messages/observations.js';
+import { addObservationAge } from './add-observation-age.js';
 import { mergeObservations } from './merge-observations.js';
 
 interface DirectRow {
@@ -39,6 +40,9 @@
 
   const listRemote = () => [...remote.values()].filter(isFresh);
 
+  const readObservations = ({ observations, at }: DirectRow | RemoteRow): Observations =>
+    addObservationAge(observations, Math.round(clock.monotonic() - at));
+
   const listAll = (): DaemonInfo[] => {
     const all = new Map<DaemonId, DaemonInfo>();
     listRemote().forEach(({ daemons }) => daemons.forEach((info) => all.set(info.id, info)));
@@ -76,14 +80,11 @@
       }
       return version;
     },
-    sumDirect: (): Observations =>
-      mergeObservations(listDirect().map(({ observations }) => observations)),
+    sumDirect: (): Observations => mergeObservations(listDirect().map(readObservations)),
     /** Sums the observations of all daemons except one. */
-    sumWithout: (id: DaemonId): Observations =>
-      mergeObservations(
-        [...listDirect().filter(({ info }) => info.id !== id), ...listRemote()].map(
-          ({ observations }) => observations,
-        ),
-      ),
+    sumWithout: (id: DaemonId): Observations => {
+      const others = listDirect().filter(({ info }) => info.id !== id);
+      return mergeObservations([...others, ...listRemote()].map(readObservations));
+    },
   };
 }
