feat(router): log the rate limits that endpoints name

Ruled out: logging each answer that names a limit. Change: the adapter reads the header, answers carry the limit, and each router keeps the newest one of an endpoint. endpoint.limited is logged when it changes.

--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -5,6 +5,7 @@
   createCrashRecord,
   createHealthTracker,
   createLoadView,
+  createNamedLimits,
   createRetryBudget,
   createRouteTable,
   type EndpointTable,
@@ -57,6 +58,10 @@
       extra: options.retryExtra,
       countRouters: () => listRouters().length,
     }),
+    limits: createNamedLimits({
+      clock,
+      notify: (endpoint, limitPerS = 0) => record('endpoint.limited', { endpoint, limitPerS }),
+    }),
     coldRateLimiter: createColdRateLimiter({
       ...{ clock, hash, self, listRouters },
       multiplier: options.coldMultiplier,
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -13,6 +13,8 @@
   'request.callerLeft': 'the caller closed its connection first',
   'request.lost':
     'the connection to an endpoint was lost while it ran the request; the endpoint may have crashed',
+  'endpoint.limited':
+    'an endpoint named a limit of requests per second for all routers, or names none any more (0)',
   'suspect.blocked':
     'requests with this content or prompt part are refused, since endpoints crashed with them',
   'suspect.probed': 'one request with a blocked content or prompt part is sent, as a test',
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -6,6 +6,7 @@
   EndpointTable,
   HealthTracker,
   LoadView,
+  NamedLimits,
   RetryBudget,
 } from '@vanillarelay/routing';
 import type { LogEvent } from '../log/log-event.js';
@@ -24,6 +25,7 @@
   loads: LoadView;
   budget: RetryBudget;
   crashes: CrashRecord;
+  limits: NamedLimits;
   coldRateLimiter: ColdRateLimiter;
   isDataCentreOut: (id: DataCentreId) => boolean;
   /** Writes a line to the log. */
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -3,6 +3,7 @@
 import { CallFailure } from '../dispatch/call-failure.js';
 import { callEndpoint } from '../dispatch/call-endpoint.js';
 import { releaseAnswer } from '../dispatch/release-answer.js';
+import type { AnswerFacts } from '../wire/answer-facts.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { relayAnswer } from './relay-answer.js';
 import { relayEvents } from './relay-events.js';
@@ -82,6 +83,7 @@
       releaseAnswer(answer, clock);
       return { type: 'notRun', reason: 'otherEndpoint', cause: 'replaced' };
     }
+    recordLimit(context, request, record.id, answerFacts);
     if (answerFacts.isNotRun) {
       releaseAnswer(answer, clock);
       return { type: 'notRun', reason: `endpoint answered ${status}`, cause: 'rejected' };
@@ -113,10 +115,21 @@
   }
 }
 
+/** Records the limit that an answer names; only one that is certainly the endpoint's clears it. */
+function recordLimit(
+  { limits }: RouterContext,
+  { facts }: RoutedRequest,
+  id: EndpointId,
+  { rateLimitPerS, isSigned, requestId }: AnswerFacts,
+): void {
+  if (requestId !== undefined && requestId !== facts.id) return;
+  if (rateLimitPerS !== undefined || isSigned) limits.record(id, rateLimitPerS);
+}
+
 /** Why an answer must not be relayed; undefined when it may be. */
 function findAnswerFault(
   status: number,
-  facts: ReturnType<RouterContext['wire']['parseAnswer']>,
+  facts: AnswerFacts,
   requestId: EndpointId | string,
 ): string | undefined {
   if (facts.requestId !== undefined && facts.requestId !== requestId)
--- a/packages/router/src/wire/answer-facts.ts
+++ b/packages/router/src/wire/answer-facts.ts
@@ -10,4 +10,6 @@
   isMisdirected: boolean;
   /** Whether the body was modified in transit. */
   isBodyModified: boolean;
+  /** Requests per second that the endpoint accepts from all routers together, if it names a limit. */
+  rateLimitPerS?: number;
 }
