--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -48,6 +48,9 @@
     isNotRun: headers['x-not-run'] !== undefined,
     isMisdirected: status === 421,
     isBodyModified: false,
+    ...(typeof headers['x-limit'] === 'string'
+      ? { rateLimitPerS: Number(headers['x-limit']) }
+      : {}),
   }),
 };
 
