fix(router): streams whose answer had begun are no suspects of a crash

Cause: a long stream that is resumed at one endpoint after the other, and loses several to requests of others, was counted like one that crashes them. Its content was blocked after three losses. Change: a loss counts against a content, too, only if the answer had not begun. Test: crashing-parts.test.ts, 'a stream that lost several endpoints', failed before (503).

--- a/packages/router/__tests__/crashing-parts.test.ts
+++ b/packages/router/__tests__/crashing-parts.test.ts
@@ -88,3 +88,24 @@
     expect([before, statuses]).toEqual([200, [200, 200, 200, 200]]);
   });
 });
+
+// Guards against refusing a long stream because several endpoints crashed while it was answered.
+it('a stream that lost several endpoints after its answer began is still sent', async () => {
+  fixture = await createRouterFixture();
+  const headers = { 'x-signed': '1', 'x-id': 'long', 'content-type': 'text/event-stream' };
+  for (const id of endpointIds) {
+    await fixture.addEndpoint(id, (message, response) => {
+      message.resume();
+      response.writeHead(200, headers);
+      response.write('id: 1\ndata: a\n\n', () => message.socket.destroy());
+    });
+  }
+  for (let index = 0; index < 3; index += 1) {
+    await expect(post('long', 'common,topic,own')).rejects.toThrow();
+  }
+  expect(fixture.results.map(({ refusal, sends }) => [refusal?.code, sends.length])).toEqual([
+    [4000, 2],
+    [4000, 2],
+    [4000, 2],
+  ]);
+});
--- a/packages/router/src/requests/record-crash.ts
+++ b/packages/router/src/requests/record-crash.ts
@@ -10,10 +10,10 @@
 const idRadix = 36;
 
 /**
- * Records a possible crash when the connection to the endpoint was lost while it ran the request.
- * The parts of the prompt are harmless once an answer has begun, the content of a request once it
- * was answered completely. Each loss of the same content counts, but of a part, which many requests
- * share, only one loss per process of an endpoint: a process that resets connections has not crashed.
+ * Records a possible crash when the connection to the endpoint was lost before the answer to the
+ * request had begun. An answer that begins clears the parts of the prompt, a complete one the content
+ * of the request. Each loss of the same content counts, but of a part, which many requests share, only
+ * one loss per process of an endpoint: a process that resets connections has not crashed.
  */
 export function recordCrash(
   { crashes, hash, clock }: RouterContext,
@@ -23,11 +23,11 @@
   outcome: AttemptOutcome,
 ): void {
   const buildId = (text: string) => toId<CrashId>(hash(text).toString(idRadix));
-  if (isLost(outcome)) {
+  const hasStarted = state.progress.events > 0;
+  if (isLost(outcome) && !hasStarted) {
     const content = readContentSuspect(request, state);
     crashes.recordCrash([content], buildId(`${id} ${bornAt} ${clock.monotonic()}`));
-    const hasStarted = state.progress.events > 0;
-    if (!hasStarted) crashes.recordCrash(state.partSuspects, buildId(`${id} ${bornAt}`));
+    crashes.recordCrash(state.partSuspects, buildId(`${id} ${bornAt}`));
   } else if (outcome.type === 'answered') {
     crashes.recordStart(state.partSuspects);
     if (!crashes.isEmpty()) crashes.clear(readContentSuspect(request, state));
