fix(routing): tests of a blocked suspect take turns

Callers saw: three engines crashed within 2.1 s, ten seconds after the part was blocked. Cause: once its first turn had come a router stayed entitled, and turns of two parts that come together have different orders, so no test was sent for ten seconds and then three at once, before news of the first crash had spread. Ruled out: tests by one router alone: a part that few requests have may not reach it for minutes. Change: one order for all suspects of a request; after a fourth crash only the router whose turn it is may test, in cycles.

--- a/packages/routing/__tests__/crash-record.test.ts
+++ b/packages/routing/__tests__/crash-record.test.ts
@@ -161,4 +161,20 @@
       afterFive: [1_000, 15_000, 16_000, 25_000].map((at) => countProbes(afterFive, at)),
     }).toEqual({ afterThree: [0, 1, 1], afterFive: [0, 0, 1, 1] });
   });
+
+  // Guards against routers whose turns pile up while no request comes, and then all send one.
+  it('is sent by one router only, long after a further crash', () => {
+    const fleet = createRecords(13);
+    block(fleet, 4);
+    expect(countProbes(fleet, 120_000)).toBe(1);
+  });
+
+  // Guards against parts that always come together and whose turns never meet.
+  it('tests two parts that always come together in one request', () => {
+    const fleet = createRecords(13);
+    crashes.slice(0, 4).forEach((crash) => fleet.records[0]?.recordCrash([bad, common], crash));
+    fleet.exchange();
+    fleet.time.now = 4_100;
+    expect(fleet.records.filter((record) => record.takeProbe([bad, common])).length).toBe(1);
+  });
 });
--- a/packages/routing/src/crashes/create-crash-record.ts
+++ b/packages/routing/src/crashes/create-crash-record.ts
@@ -6,10 +6,10 @@
   type Hash,
   type SuspectId,
 } from '@vanillarelay/core';
-import { computeProbeDelay } from './compute-probe-delay.js';
 import type { CrashReports } from './crash-reports.js';
 import { createStartMemory } from './create-start-memory.js';
 import { isCrashExpired } from './is-crash-expired.js';
+import { isProbeDue } from './is-probe-due.js';
 import type { Suspect } from './suspect.js';
 
 interface CrashRecordOptions {
@@ -101,13 +101,17 @@
     updateIsBlocked(id, suspect);
   };
 
-  const isProbeDue = (id: SuspectId): boolean => {
-    const suspect = suspects.get(id);
-    if (!suspect) return true;
-    const routers = sortByRendezvous(hash, id, listRouters());
-    const rank = routers.includes(self) ? routers.indexOf(self) : routers.length;
-    const delayMs = computeProbeDelay(countCrashes(suspect) - blockThreshold, rank);
-    return clock.monotonic() - suspect.delayedFrom >= delayMs;
+  /** Whether it is this router's turn to test these suspects, all in one request. */
+  const hasProbeTurn = (ids: readonly SuspectId[]): boolean => {
+    const known = ids.map(findOrAdd);
+    const key = [...ids].sort()[0] ?? '';
+    const routers = sortByRendezvous(hash, key, listRouters());
+    return isProbeDue({
+      elapsedMs: clock.monotonic() - Math.max(...known.map(({ delayedFrom }) => delayedFrom)),
+      furtherCrashes: Math.max(...known.map(countCrashes)) - blockThreshold,
+      rank: routers.includes(self) ? routers.indexOf(self) : routers.length,
+      routerCount: Math.max(1, routers.length),
+    });
   };
 
   const startProbe = (id: SuspectId): void => {
@@ -128,7 +132,7 @@
      * are harmless; if so, that is recorded.
      */
     takeProbe: (ids: readonly SuspectId[]): boolean => {
-      if (!ids.every(isProbeDue)) return false;
+      if (!hasProbeTurn(ids)) return false;
       ids.forEach(startProbe);
       return true;
     },
