refactor(routing): token buckets in their own module

Cause: a second limiter needs the buckets of the one for cold endpoints. Ruled out: one limiter with both rules; the cold one must hold without any exchange between routers. Change: createTokenBuckets, used by the cold limiter; behaviour is the same (limits.test.ts).

--- a/packages/routing/src/limits/create-cold-rate-limiter.ts
+++ b/packages/routing/src/limits/create-cold-rate-limiter.ts
@@ -5,6 +5,7 @@
   type EndpointId,
   type Hash,
 } from '@vanillarelay/core';
+import { createTokenBuckets } from './create-token-buckets.js';
 
 interface ColdRateLimiterOptions {
   clock: Pick<Clock, 'monotonic'>;
@@ -17,12 +18,6 @@
   slack: number;
 }
 
-interface Bucket {
-  tokens: number;
-  at: number;
-}
-
-const msPerS = 1_000;
 /** Share of the capacity that is used; the rest covers an outdated list of routers. */
 const usableShare = 0.85;
 
@@ -34,7 +29,7 @@
  */
 export function createColdRateLimiter(options: ColdRateLimiterOptions) {
   const { clock, hash, self, listRouters, multiplier, slack } = options;
-  const buckets = new Map<EndpointId, Bucket>();
+  const buckets = createTokenBuckets(clock);
 
   /** Requests per second that this router may send. */
   const computeRate = (id: EndpointId, ratePerS: number): number => {
@@ -49,25 +44,13 @@
   const isAmongFirst = (id: EndpointId, count: number, routers: readonly DaemonId[]): boolean =>
     sortByRendezvous(hash, id, routers).slice(0, count).includes(self);
 
-  const readBucket = (id: EndpointId, ratePerS: number): Bucket => {
-    const at = clock.monotonic();
-    const known = buckets.get(id) ?? { tokens: 1, at };
-    const rate = computeRate(id, ratePerS);
-    if (rate === 0) return { tokens: 0, at };
-    const tokens = Math.min(1, known.tokens + ((at - known.at) / msPerS) * rate);
-    return { tokens, at };
-  };
-
   return {
     hasCapacity: (id: EndpointId, ratePerS: number): boolean => {
-      const bucket = readBucket(id, ratePerS);
-      buckets.set(id, bucket);
-      return bucket.tokens >= 1;
+      const rate = computeRate(id, ratePerS);
+      if (rate === 0) return false;
+      return buckets.update(id, { ratePerS: rate, capacity: 1, initialTokens: 1 }) >= 1;
     },
     /** Removes a token from the bucket for a request that is sent. */
-    record: (id: EndpointId): void => {
-      const bucket = buckets.get(id);
-      if (bucket) bucket.tokens -= 1;
-    },
+    record: (id: EndpointId): void => buckets.take(id),
   };
 }
