fix(routing): prompts keep one home while endpoints are limited

Cause: a prompt went to its home whenever that had a token, and elsewhere when not, so that both had to process it; and prompts were spread without regard to homes over the two engines that were left, because these were above a load bound relative to the mean of all. Change: an endpoint with a limit accepts a fixed share of the prompts, by hash, at every router. When all healthy endpoints are above the bound, prompts have their homes among these by their own mean. Test: choose-endpoint.test.ts, 'keeps each prompt at one endpoint'.

--- a/packages/routing/__tests__/choose-endpoint.test.ts
+++ b/packages/routing/__tests__/choose-endpoint.test.ts
@@ -166,3 +166,34 @@
     )?.id;
   expect([choose([]), choose(['e3']), choose(['e3', 'e4'])]).toEqual(['e3', 'e4', 'e1']);
 });
+
+// Guards against prompts that alternate between their home, whenever it accepts a request again, and
+// another endpoint, so that both have to process them.
+it('keeps each prompt at one endpoint while the request rates of some are limited', () => {
+  const limited = new Set(['e1', 'e2', 'e3', 'e4']);
+  const build = (open: ReadonlySet<string>): Candidate[] =>
+    ['e1', 'e2', 'e3', 'e4', 'e5', 'e6']
+      .filter((id) => !limited.has(id) || open.has(id))
+      .map((id) => ({
+        ...{ id: id as EndpointId, dataCentre: 'dc' as never, slots: 128 },
+        ...(limited.has(id) ? { load: 1, promptShare: 0.5 } : { load: 20 }),
+      }));
+  const placeAll = (open: ReadonlySet<string>) =>
+    Array.from({ length: 200 }, (_, index) =>
+      chooseEndpoint(
+        build(open),
+        { affinityKey: `p${index}`, meanLoad: 7, tried: new Set() },
+        { hash, random: () => 0, dataCentre: 'dc' as never },
+      ),
+    );
+  const whenOpen = placeAll(limited);
+  const whenClosed = placeAll(new Set());
+  const others = whenOpen.filter((placement) => placement && !limited.has(placement.id));
+  const kept = whenOpen.filter(
+    (placement, index) =>
+      placement && !limited.has(placement.id) && placement.id === whenClosed[index]?.id,
+  );
+  expect(others.length).toBeGreaterThan(80);
+  expect(kept.length).toBe(others.length);
+  expect(new Set(whenClosed.map((placement) => placement?.reason))).toEqual(new Set(['nextHome']));
+});
--- a/packages/routing/__tests__/rate-limiter.test.ts
+++ b/packages/routing/__tests__/rate-limiter.test.ts
@@ -38,11 +38,11 @@
 function replay(options: Replay): number[] {
   const { routers, limitPerS, demandPerS, skew = 1, durationMs = 20_000, restartAt } = options;
   const random = createSeededRandom(7);
-  let now = 0;
+  const time = { now: 0 };
   const names = Array.from({ length: routers }, (_, index) => `router-${index}` as DaemonId);
   const create = (self: DaemonId) =>
     createRateLimiter({
-      ...{ hash, self, clock: { monotonic: () => now }, listRouters: () => names },
+      ...{ hash, self, clock: { monotonic: () => time.now }, listRouters: () => names },
       findService: () => service,
       notify: () => {},
     });
@@ -51,7 +51,8 @@
   const totalWeight = weights.reduce((sum, weight) => sum + weight, 0);
   const sent: number[] = [];
   const reports: { at: number; parts: RateReports[] }[] = [];
-  for (; now < durationMs; now += stepMs) {
+  const runStep = (now: number): void => {
+    time.now = now;
     if (now === restartAt) {
       limiters.splice(
         0,
@@ -78,7 +79,8 @@
       sent.push(now);
       limiter.recordAnswer(endpoint, limitPerS);
     });
-  }
+  };
+  for (let now = 0; now < durationMs; now += stepMs) runStep(now);
   return sent;
 }
 
--- a/packages/routing/src/placement/choose-endpoint.ts
+++ b/packages/routing/src/placement/choose-endpoint.ts
@@ -41,7 +41,7 @@
  * order is the same at every router. Other requests are sent to the least loaded endpoint, with a
  * preference for the router's data centre. Endpoints with a health issue receive requests only when
  * the healthy ones are loaded far above the mean of all, so that the requests are never
- * concentrated on a few endpoints; those that refuse connections receive requests only when there is
+ * concentrated on a few endpoints; if all are, the bound is that of the healthy ones. Those that refuse connections receive requests only when there is
  * no other endpoint. Returns undefined when there is no candidate.
  */
 export function chooseEndpoint(
@@ -49,9 +49,13 @@
   request: PlacementRequest,
   options: PlacementOptions,
 ): Placement | undefined {
-  const untried = candidates.filter(({ id }) => !request.tried.has(id));
-  const healthy = untried.filter(({ healthIssue }) => healthIssue === undefined);
   const { meanLoad, affinityKey } = request;
+  const untried = selectForPrompt(
+    candidates.filter(({ id }) => !request.tried.has(id)),
+    affinityKey,
+    options,
+  );
+  const healthy = untried.filter(({ healthIssue }) => healthIssue === undefined);
   if (affinityKey !== undefined) {
     const home = chooseHome(healthy, affinityKey, meanLoad, options);
     if (home) return home;
@@ -67,6 +71,10 @@
     const [next] = sortByRendezvous(options.hash, affinityKey, usable.map(toId));
     if (next !== undefined) return { id: next, reason: 'nextHome' };
   }
+  if (affinityKey !== undefined && usable === healthy) {
+    const next = chooseHome(usable, affinityKey, computeMeanLoad(usable), options);
+    if (next) return { id: next.id, reason: 'nextHome' };
+  }
   const id = chooseLeastLoaded(usable, options);
   if (id === undefined) return undefined;
   const hasHealthIssue = usable.some(
@@ -75,6 +83,28 @@
   return { id, reason: hasHealthIssue ? 'doubted' : 'leastLoaded' };
 }
 
+/** Leaves out endpoints whose request rate is limited if the prompt is beyond the share they accept. */
+function selectForPrompt(
+  candidates: readonly Candidate[],
+  key: string | undefined,
+  { hash }: PlacementOptions,
+): readonly Candidate[] {
+  if (key === undefined) return candidates;
+  const draw = computeDraw(hash, key);
+  const accepting = candidates.filter(({ promptShare = 1 }) => promptShare > draw);
+  return accepting.length > 0 ? accepting : candidates;
+}
+
+/** A number from 0 to below 1 for a prompt, which is the same at every router. */
+function computeDraw(hash: Hash, key: string): number {
+  return hash(`share ${key}`) / hashRange;
+}
+
+function computeMeanLoad(candidates: readonly Candidate[]): number {
+  const total = candidates.reduce((sum, { load }) => sum + load, 0);
+  return total / Math.max(1, candidates.length);
+}
+
 function chooseHome(
   healthy: readonly Candidate[],
   key: string,
@@ -85,7 +115,7 @@
   const upper = computeUpperBound(meanLoad);
   const loads = new Map(healthy.map(({ id, load }) => [id, load]));
   const order = sortByRendezvous(hash, key, healthy.map(toId));
-  const draw = hash(`share ${key}`) / hashRange;
+  const draw = computeDraw(hash, key);
   const id = order.find((candidate) => {
     const share = (upper - (loads.get(candidate) ?? 0)) / (upper - lower);
     return share > draw;
