fix(router): refusals by full endpoints keep their retry time

Cause: the check for endpoints that are all at their rate limit also held, with a wait of 0, once a request had waited in vain for full or cold ones. Its caller was told to return after 50 ms, and the reason named a rate limit. Ruled out: a change of the bounds of the retry time. Change: the check needs a known wait. Test: requests.test.ts, 'refuses a request with a retry time', failed before (50 ms, wrong reason). Conclusion: fixed.

--- a/packages/router/__tests__/requests.test.ts
+++ b/packages/router/__tests__/requests.test.ts
@@ -253,5 +253,21 @@
   expect(fixture.results[0]?.refusal?.code).toBe(ResultCode.retryBudgetSpent);
 });
 
+// Guards against telling callers to return at once while all endpoints are full.
+it('refuses a request with a retry time after it waited for endpoints that stay full', async () => {
+  fixture = await createRouterFixture();
+  await fixture.addEndpoint('e1', answer);
+  fixture.endpoints.listAll().forEach(({ record }) => {
+    fixture.endpoints.merge({ ...record, sequence: record.sequence + 1, slots: 0 });
+  });
+  await post('/lookup/1');
+  const { refusal, waitedMs } = fixture.results[0] ?? {};
+  expect(waitedMs).toBeGreaterThan(0);
+  expect([refusal?.message, refusal?.retryAfterMs]).toEqual([
+    'all are full or cold {"full":1}; ',
+    500,
+  ]);
+});
+
 /** Ports on which nothing listens. */
 const unusedPorts = [7, 9, 11];
--- a/packages/router/src/requests/wait-for-endpoint.ts
+++ b/packages/router/src/requests/wait-for-endpoint.ts
@@ -46,7 +46,7 @@
       return { code: ResultCode.noEndpoint, reason: 'no endpoint takes work', passedOver };
     if (tried.size >= total)
       return { code: ResultCode.noEndpoint, reason: 'all were tried', passedOver };
-    if (clock.monotonic() + waitMs > waitUntil) {
+    if (waitMs > 0 && clock.monotonic() + waitMs > waitUntil) {
       const reason = 'all are at their rate limit';
       return { code: ResultCode.endpointBusy, reason, retryAfterMs: waitMs, passedOver };
     }
