feat(router): log late event loops and the age of requests when they are sent

Cause: the log could not tell a request that lay unread at a late router from one that waited at an endpoint: the delay of the event loop was a metric only, and a line had neither the age of a request at its sends nor when the router noticed that the caller had left.

Ruled out: monitorEventLoopDelay of Node, which wakes up every few milliseconds.

Change: loop.late, afterMs in sends, leftAfterMs in request.callerLeft. The timer that measures the loop is a module of its own, without the metrics.

--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -22,6 +22,7 @@
 import { countEndpoints } from '../metrics/count-endpoints.js';
 import { createMetricsServer } from '../metrics/create-metrics-server.js';
 import { createMetrics } from '../metrics/create-metrics.js';
+import { observeLoopDelay } from '../metrics/observe-loop-delay.js';
 import { createFleetServer } from '../transport/create-fleet-server.js';
 import { openFleetPeer } from '../transport/open-fleet-peer.js';
 import type { RouterWire } from '../wire/router-wire.js';
@@ -49,6 +50,9 @@
 /** Number of announcements that may be missed before an endpoint is marked silent. */
 const maxMissedAnnouncements = 4;
 
+/** Delay of the event loop that is logged. */
+const lateLoopMs = 200;
+
 /** Runs a router daemon until it is stopped by a signal. */
 export async function runRouter(options: RunRouterOptions): Promise<void> {
   const { clock, wire, decodeConfig } = options;
@@ -76,7 +80,11 @@
     silenceMs: settings.announcePeriodMs * maxMissedAnnouncements,
   });
   let seeds = toPeerAddresses(settings);
-  const metrics = createMetrics(clock);
+  const metrics = createMetrics();
+  void observeLoopDelay(clock, (delayMs) => {
+    metrics.recordLoopDelay(delayMs);
+    if (delayMs >= lateLoopMs) log.write('loop.late', { ms: Math.round(delayMs) });
+  });
   const router = createRouter({
     ...{ clock, hash, wire, endpoints, random: readRandom },
     self: self.id,
@@ -103,6 +111,9 @@
       log.write(isAnsweredByFirstSend ? 'request.answered' : `request.${result.outcome}`, {
         ...{ request: request.id, route: request.route, version: request.version, ms },
         ...{ status: result.status, refusal: result.refusal, sends: result.sends },
+        ...(request.leftAt === undefined
+          ? {}
+          : { leftAfterMs: Math.round(request.leftAt - request.startedAt) }),
         ...(result.waitedMs === undefined ? {} : { waitedMs: result.waitedMs }),
       });
     },
--- a/packages/router/src/front/create-front-server.ts
+++ b/packages/router/src/front/create-front-server.ts
@@ -25,6 +25,8 @@
   route?: string;
   startedAt: number;
   version?: number;
+  /** Monotonic time at which the router noticed that the caller had disconnected. */
+  leftAt?: number;
 }
 
 const maxHeaderBytes = 64 * 1024;
@@ -86,6 +88,10 @@
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
     const caller = createCaller(message, response, isClosing);
     const reported: ReportedRequest = { id: '', startedAt: clock.monotonic() };
+    const recordLeave = () => {
+      reported.leftAt = clock.monotonic();
+    };
+    caller.signal.addEventListener('abort', recordLeave, { once: true });
     try {
       const request = await admit(message, caller, reported);
       const result = await options.run(request);
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -10,9 +10,12 @@
   'request.refused': 'the request did not run and never will; the caller received a retry time',
   'request.failed': 'the request may have run, but no valid answer was received',
   'request.brokenOff': 'a stream was interrupted and could not be resumed at another endpoint',
-  'request.callerLeft': 'the caller closed its connection first',
+  'request.callerLeft':
+    'the caller closed its connection first; `leftAfterMs` is when the router noticed it',
   'request.lost':
     'the connection to an endpoint was lost while it ran the request; the endpoint may have crashed',
+  'loop.late':
+    'the event loop was blocked or short of processor time; `ms` is how late a timer fired',
   'endpoint.limited':
     'an endpoint named a limit of requests per second for all routers, or names none any more (0)',
   'suspect.blocked':
--- a/packages/router/src/metrics/create-metrics.ts
+++ b/packages/router/src/metrics/create-metrics.ts
@@ -1,13 +1,10 @@
-import { createHistograms, type Clock } from '@vanillarelay/core';
+import { createHistograms } from '@vanillarelay/core';
 import type { RequestResult } from '../requests/request-result.js';
 
 type Gauges = Record<string, number>;
 
-/** Interval of the timer whose delay is measured. */
-const loopCheckIntervalMs = 500;
-
 /** Creates the counters and latency histograms of a daemon, in the Prometheus text format. */
-export function createMetrics(clock: Clock) {
+export function createMetrics() {
   const counts = new Map<string, number>();
   const histograms = createHistograms();
   let readGauges = (): Gauges => ({});
@@ -20,20 +17,6 @@
     counts.set(key, (counts.get(key) ?? 0) + count);
   };
 
-  /** Records how late timers fire, as a measure of the delay in the event loop. */
-  const measureLoopDelay = async (): Promise<void> => {
-    for (;;) {
-      const startedAt = clock.monotonic();
-      await clock.wait(loopCheckIntervalMs);
-      histograms.record(
-        'relay_loop_delay_ms',
-        '',
-        clock.monotonic() - startedAt - loopCheckIntervalMs,
-      );
-    }
-  };
-  void measureLoopDelay();
-
   return {
     recordRequest: (
       route: string,
@@ -47,6 +30,8 @@
       histograms.record('relay_request_ms', route, ms);
       if (waitedMs !== undefined) histograms.record('relay_wait_ms', route, waitedMs);
     },
+    /** Records how late a timer fired. */
+    recordLoopDelay: (ms: number): void => histograms.record('relay_loop_delay_ms', '', ms),
     /** Counts the payload bytes of calls between daemons. */
     recordBytes: (direction: 'sent' | 'received', bytes: number): void =>
       add('relay_control_bytes_total', { direction }, bytes),
--- a/packages/router/src/requests/request-result.ts
+++ b/packages/router/src/requests/request-result.ts
@@ -7,6 +7,9 @@
   /** Number of endpoints that were excluded or have a health issue, by reason. */
   passedOver: object;
   outcome: string;
+  /** Age of the request when it was sent, in milliseconds. */
+  afterMs: number;
+  /** Duration of the attempt, in milliseconds. */
   ms: number;
 }
 
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -97,6 +97,7 @@
       reason: chosen.reason,
       passedOver: chosen.passedOver,
       outcome: state.lastReason,
+      afterMs: Math.round(sentAt - request.startedAt),
       ms: Math.round(clock.monotonic() - sentAt),
     });
     if (outcome.type === 'answered') {
