fix(router): time limits count the time for which a request lay unread

Callers saw answers and time-outs late by the delay of the router itself.

Cause: a request's time began when the router read it, so a late router's own delay was in no deadline, no time-out and no decision.

Ruled out: reading the age of the bytes from the socket (Node has no call for it); counting from the client's own time (clocks differ, and the header names none).

Change: a monitor observes the turns of the event loop while requests come in. What is read in one turn reached the VM after the turn before had begun to read its input; a request counts from then, the first one of a connection from the connection's arrival if that was accepted in the turn before. While the loop rests, both are the present. A request whose deadline has passed is refused before it is sent, also if the timer is late.

Conclusion: the estimate covers at most two turns. A request in the queue of the kernel for new connections is not seen; neither is a pause while the loop rested.

--- a/packages/router/__tests__/callers-that-left.test.ts
+++ b/packages/router/__tests__/callers-that-left.test.ts
@@ -1,3 +1,4 @@
+import { ResultCode } from '@vanillarelay/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createRouterFixture } from './create-router-fixture.js';
 import { startLeavingCallers } from './start-leaving-callers.js';
@@ -103,6 +104,23 @@
     expect(await countLateSends()).toBe(0);
   });
 
+  // Guards against time limits that begin only when a late router reads the request.
+  it('refuses a request whose deadline passed before it was read', async () => {
+    announce('e1');
+    await openConnections();
+    fixture.front.once('request', () => blockLoop(blockMs));
+    const first = fetch(`${fixture.url}/lookup/1`, { headers: { 'x-id': 'r1' } });
+    await callers.startCallers({
+      ...{ count: 1, port: Number(new URL(fixture.url).port), leaveAfterMs: 2 * blockMs },
+      ...{ parts: [urgentRequest], how: 'destroy', startAfterMs: leaveAfterMs },
+    });
+    await first;
+    await fixture.clock.wait(settleMs);
+    const refusals = fixture.results.flatMap(({ refusal }) => (refusal ? [refusal] : []));
+    expect(refusals).toMatchObject([{ code: ResultCode.deadlineExceeded, notRun: true }]);
+    expect(await callers.takeArrivals()).toBe(1);
+  });
+
   it('still sends the requests of callers that stay', async () => {
     announce('e1');
     await openConnections();
@@ -113,6 +131,8 @@
 });
 
 const request = 'GET /lookup/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: r1\r\n\r\n';
+/** Its deadline is shorter than the time for which the loop is blocked. */
+const urgentRequest = request.replace('x-id', 'x-deadline: 300\r\nx-id');
 const chunkedHead =
   'POST /lookup/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: r1\r\nTransfer-Encoding: chunked\r\n\r\n';
 
--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -129,6 +129,7 @@
   router.updateConfig(config);
   const front = createFrontServer({
     ...{ clock, wire, readTable: router.readTable, run: router.run },
+    estimateArrival: router.estimateArrival,
     isClosing: () => false,
     report: (_, result) => results.push(result),
   });
@@ -148,7 +149,7 @@
   };
 
   return {
-    ...{ clock, router, endpoints, results, events, announce },
+    ...{ clock, router, front, endpoints, results, events, announce },
     url: `http://127.0.0.1:${(front.address() as AddressInfo).port}`,
     /** Adds an endpoint that answers through an HTTP listener. */
     addEndpoint: async (id: string, listener: RequestListener): Promise<void> => {
--- a/packages/router/__tests__/leaving-callers-worker.mjs
+++ b/packages/router/__tests__/leaving-callers-worker.mjs
@@ -36,8 +36,10 @@
     answerAfterMs = options.answerAfterMs ?? 0;
     isRefusing = options.isRefusing ?? false;
   },
-  startCallers: ({ count, ...caller }) => {
-    for (let i = 0; i < count; i += 1) startCaller(caller);
+  startCallers: ({ count, startAfterMs = 0, ...caller }) => {
+    setTimeout(() => {
+      for (let i = 0; i < count; i += 1) startCaller(caller);
+    }, startAfterMs);
   },
   takeArrivals: () => {
     const count = arrivals;
--- a/packages/router/__tests__/send-queue.test.ts
+++ b/packages/router/__tests__/send-queue.test.ts
@@ -5,7 +5,7 @@
 function createQueueFixture() {
   let next: (() => void) | undefined;
   const queue = createSendQueue({
-    scheduleTurn: (callback) => {
+    runAfterTurn: (callback) => {
       next = callback;
     },
   });
--- a/packages/router/__tests__/start-leaving-callers.ts
+++ b/packages/router/__tests__/start-leaving-callers.ts
@@ -6,6 +6,8 @@
   count: number;
   /** Bytes that each caller writes, in this order. */
   parts: string[];
+  /** Time until the callers connect. */
+  startAfterMs?: number;
   leaveAfterMs: number;
   how: 'end' | 'destroy' | 'resetAndDestroy';
 }
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -15,6 +15,7 @@
 import { createConnectionPool } from './dispatch/create-connection-pool.js';
 import { createSendQueue } from './dispatch/create-send-queue.js';
 import type { LogEvent } from './log/log-event.js';
+import { createLoopMonitor } from './loop/create-loop-monitor.js';
 import type { RequestResult } from './requests/request-result.js';
 import type { RoutedRequest } from './requests/routed-request.js';
 import { runRequest } from './requests/run-request.js';
@@ -44,10 +45,11 @@
   let table: RouteTable | undefined;
   let dataCentresOut: ReadonlySet<DataCentreId> = new Set();
   const loads = createLoadView();
+  const loop = createLoopMonitor({ clock, scheduleTurn: setImmediate });
   const context = {
     ...{ clock, random, hash, dataCentre, wire, endpoints, loads, record },
     pool: createConnectionPool(),
-    sendQueue: createSendQueue({ scheduleTurn: setImmediate }),
+    sendQueue: createSendQueue(loop),
     health: createHealthTracker(clock),
     crashes: createCrashRecord({
       ...{ clock, hash, self, listRouters },
@@ -87,6 +89,7 @@
       context.rateLimiter.updateRemote(rates);
     },
     readTable: () => table,
+    estimateArrival: loop.estimateArrival,
     /** Number of contents and prompt parts that are blocked because they crash endpoints. */
     countBlockedSuspects: () => context.crashes.countBlocked(),
     /** Number of endpoints that name a limit of requests per second. */
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -103,6 +103,7 @@
     wire,
     readTable: router.readTable,
     isClosing: () => shutdown.isShuttingDown,
+    estimateArrival: router.estimateArrival,
     run: router.run,
     report: (request, result) => {
       const ms = Math.round(clock.monotonic() - request.startedAt);
--- a/packages/router/src/dispatch/create-send-queue.ts
+++ b/packages/router/src/dispatch/create-send-queue.ts
@@ -1,7 +1,4 @@
-interface SendQueueOptions {
-  /** Calls back in the next turn of the event loop, after its input was read. */
-  scheduleTurn: (callback: () => void) => void;
-}
+import type { LoopMonitor } from '../loop/loop-monitor.js';
 
 /**
  * Sends that may follow each other before input is read again. It bounds the time for which a
@@ -15,8 +12,8 @@
  * connection, and a timer before any input, so a router that is late would otherwise send requests
  * of callers that have left.
  */
-export function createSendQueue({ scheduleTurn }: SendQueueOptions) {
-  /** Requests that came in since the last turn; the input of a whole turn is still to be read. */
+export function createSendQueue({ runAfterTurn }: Pick<LoopMonitor, 'runAfterTurn'>) {
+  /** Requests that came in during the current turn; the input of a whole turn is still to be read. */
   let entering: (() => void)[] = [];
   const waiting: (() => void)[] = [];
   let isScheduled = false;
@@ -24,7 +21,7 @@
   const schedule = (): void => {
     if (isScheduled) return;
     isScheduled = true;
-    scheduleTurn(run);
+    runAfterTurn(run);
   };
   const run = (): void => {
     isScheduled = false;
--- a/packages/router/src/front/create-front-server.ts
+++ b/packages/router/src/front/create-front-server.ts
@@ -1,7 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { RelayError, ResultCode, toRefusal, type Clock } from '@vanillarelay/core';
 import { readBody } from '@vanillarelay/daemon';
 import type { RouteTable } from '@vanillarelay/routing';
+import type { Arrival } from '../loop/arrival.js';
+import type { LoopMonitor } from '../loop/loop-monitor.js';
 import type { RequestResult } from '../requests/request-result.js';
 import type { RoutedRequest } from '../requests/routed-request.js';
 import type { RouterWire } from '../wire/router-wire.js';
@@ -15,6 +18,8 @@
   readTable: () => RouteTable | undefined;
   /** Whether this daemon is shutting down and closes connections after their current request. */
   isClosing: () => boolean;
+  /** Estimates when a request that is read now, or its connection, reached the VM. */
+  estimateArrival: LoopMonitor['estimateArrival'];
   run: (request: RoutedRequest) => Promise<RequestResult>;
   /** Called once for each request, with its result. */
   report: (request: ReportedRequest, result: RequestResult) => void;
@@ -23,6 +28,7 @@
 interface ReportedRequest {
   id: string;
   route?: string;
+  /** Monotonic time at which it reached the VM, as estimated. */
   startedAt: number;
   version?: number;
   /** Monotonic time at which the router noticed that the caller had disconnected. */
@@ -48,6 +54,14 @@
 } {
   const { clock, wire, readTable, isClosing } = options;
 
+  /** Arrivals of connections until their first request. */
+  const connections = new WeakMap<Socket, Arrival>();
+  const readArrival = (socket: Socket): number => {
+    const { at } = options.estimateArrival(connections.get(socket));
+    connections.delete(socket);
+    return at;
+  };
+
   const admit = async (
     message: IncomingMessage,
     caller: RoutedRequest['caller'],
@@ -87,7 +101,7 @@
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
     const caller = createCaller(message, response, isClosing);
-    const reported: ReportedRequest = { id: '', startedAt: clock.monotonic() };
+    const reported: ReportedRequest = { id: '', startedAt: readArrival(message.socket) };
     const recordLeave = () => {
       reported.leftAt = clock.monotonic();
     };
@@ -113,7 +127,10 @@
     void serve(message, response);
   });
   // Each pipelined request listens for the end of its connection.
-  server.on('connection', (socket) => socket.setMaxListeners(0));
+  server.on('connection', (socket) => {
+    socket.setMaxListeners(0);
+    connections.set(socket, options.estimateArrival());
+  });
   server.keepAliveTimeout = initialIdleTimeoutMs;
   server.requestTimeout = 0;
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
--- a/packages/router/src/requests/routed-request.ts
+++ b/packages/router/src/requests/routed-request.ts
@@ -12,6 +12,6 @@
   route: Route;
   account?: RoutedAccount;
   caller: Caller;
-  /** Monotonic time at which it arrived. */
+  /** Monotonic time at which it reached the VM, as estimated. */
   startedAt: number;
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -80,7 +80,9 @@
     }
     const chosen = await waitForEndpoint(context, request, state);
     if (request.caller.signal.aborted) return { ...result, outcome: 'callerLeft' };
-    if (signal.aborted) return endAfterDeadline(request, state);
+    // The timer of the deadline may be as late as the rest.
+    if (signal.aborted || clock.monotonic() >= state.deadlineAt)
+      return endAfterDeadline(request, state);
     if ('code' in chosen) {
       const reason = `${chosen.reason} ${JSON.stringify(chosen.passedOver)}`;
       return endWithoutSend(request, state, chosen.code, reason, chosen.retryAfterMs);
