fix(router): an earlier refusal that comes again does not refuse the next request

Cause: the router looked at "misdirected" and "not run" before it compared the id in the answer. An endpoint that writes an earlier refusal once more, in one packet with or ahead of the next answer, was believed. The pool closes connections only for bytes that come while they are idle.

Change: whether an answer is that of the request is decided first, for every status. An answer with another id leaves the outcome unknown, and its connection is closed. An answer without an id is accepted only as the first on its connection, since nothing earlier can come there.

Weighed: reading on for the own answer after a foreign one. Node's HTTP client ends a request with the first answer, and an endpoint that mixes answers up is better left.

The endpoint of callers-that-left.test.ts now echoes ids.

The older path (entry and agent): an agent takes "not run" from a connection that could not be opened, never from an answer's status, so no refusal comes of it. Its protocol has no ids: an answer that comes again could be taken for that of the next request (docs/promises.md).

Conclusion: a refusal is believed only when it certainly belongs to the request.

--- a/packages/router/__tests__/leaving-callers-worker.mjs
+++ b/packages/router/__tests__/leaving-callers-worker.mjs
@@ -12,7 +12,8 @@
 const endpoint = createServer((message, response) => {
   arrivals += 1;
   message.resume();
-  const head = isRefusing ? { 'x-not-run': '1' } : { 'x-signed': '1' };
+  const proof = isRefusing ? { 'x-not-run': '1' } : { 'x-signed': '1' };
+  const head = { ...proof, 'x-id': message.headers['x-id'] };
   setTimeout(() => response.writeHead(isRefusing ? 503 : 200, head).end('ok'), answerAfterMs);
 });
 
--- a/packages/router/src/dispatch/call-endpoint.ts
+++ b/packages/router/src/dispatch/call-endpoint.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { splitAddress } from '@vanillarelay/daemon';
 import { CallFailure } from './call-failure.js';
+import type { EndpointAnswer } from './endpoint-answer.js';
 import type { EndpointCall } from './endpoint-call.js';
 
 /**
@@ -20,7 +21,7 @@
  * that closely follows the last bytes is reported as an ordinary end of the connection and becomes
  * visible only through a write, so `checkEnd` writes an empty chunk when the connection ends.
  */
-export function callEndpoint(call: EndpointCall): Promise<IncomingMessage> {
+export function callEndpoint(call: EndpointCall): Promise<EndpointAnswer> {
   const { address, method, path, headers, body, agent, signal, headTimeoutMs, waitForTurn } = call;
   const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
@@ -86,7 +87,7 @@
       const cancelAnswer = () => answer.destroy(new CallFailure('cancelled', true, 'cancelled'));
       signal.addEventListener('abort', cancelAnswer, { once: true });
       answer.once('close', () => signal.removeEventListener('abort', cancelAnswer));
-      resolve(answer);
+      resolve({ message: answer, isConnectionReused: outgoing.reusedSocket });
     });
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
       settle();
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -5,6 +5,7 @@
 import { releaseAnswer } from '../dispatch/release-answer.js';
 import type { AnswerFacts } from '../wire/answer-facts.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
+import { isOwnAnswer } from './is-own-answer.js';
 import { relayAnswer } from './relay-answer.js';
 import { relayEvents } from './relay-events.js';
 import type { RoutedRequest } from './routed-request.js';
@@ -71,7 +72,7 @@
   if (body.length > 0 || method !== 'GET') headers.push('Content-Length', String(body.length));
   loads.start(record.id);
   try {
-    const answer = await callEndpoint({
+    const { message: answer, isConnectionReused } = await callEndpoint({
       ...{ method, path, headers, body, signal },
       address: record.address,
       agent: pool,
@@ -80,16 +81,20 @@
     });
     const status = answer.statusCode ?? 0;
     const answerFacts = wire.parseAnswer(status, answer.headers);
+    if (!isOwnAnswer(facts.id, answerFacts.requestId, isConnectionReused)) {
+      answer.destroy();
+      return { type: 'failed', reason: 'answer to another request', isSilent: false, status };
+    }
     if (answerFacts.isMisdirected) {
       releaseAnswer(answer, clock);
       return { type: 'notRun', reason: 'otherEndpoint', cause: 'replaced' };
     }
-    recordLimit(context, request, record.id, answerFacts);
+    recordLimit(context, record.id, answerFacts);
     if (answerFacts.isNotRun) {
       releaseAnswer(answer, clock);
       return { type: 'notRun', reason: `endpoint answered ${status}`, cause: 'rejected' };
     }
-    const fault = findAnswerFault(status, answerFacts, facts.id);
+    const fault = findAnswerFault(status, answerFacts);
     if (fault !== undefined) {
       answer.destroy();
       return { type: 'failed', reason: fault, isSilent: false, status };
@@ -116,25 +121,17 @@
   }
 }
 
-/** Records the limit that an answer names; only one that is certainly the endpoint's clears it. */
+/** Records the limit that an answer names; only a signed answer clears it. */
 function recordLimit(
   { rateLimiter }: RouterContext,
-  { facts }: RoutedRequest,
   id: EndpointId,
-  { rateLimitPerS, isSigned, requestId }: AnswerFacts,
+  { rateLimitPerS, isSigned }: AnswerFacts,
 ): void {
-  if (requestId !== undefined && requestId !== facts.id) return;
   if (rateLimitPerS !== undefined || isSigned) rateLimiter.recordAnswer(id, rateLimitPerS);
 }
 
 /** Why an answer must not be relayed; undefined when it may be. */
-function findAnswerFault(
-  status: number,
-  facts: AnswerFacts,
-  requestId: EndpointId | string,
-): string | undefined {
-  if (facts.requestId !== undefined && facts.requestId !== requestId)
-    return 'answer to another request';
+function findAnswerFault(status: number, facts: AnswerFacts): string | undefined {
   if (notRunStatuses.has(status)) return `endpoint answered ${status} without proof`;
   if (status < 300 && (!facts.isSigned || facts.isBodyModified))
     return 'answer is not the endpoint’s';
