fix(router): a resumed stream that begins again is cut, not relayed twice

Callers would receive events twice (ORDER): an endpoint that takes a stream over and ignores the id of the last event, or repeats or goes back, was relayed as it came.

Cause: the router noted the id of the last event but compared no id with it.

Change: ids that are numbers must increase, others must differ from the one before. At the first event that comes again the endpoint's connection is closed, and the stream goes on elsewhere or is cut.

Not proved: ids that leave a gap are relayed, since ids need not be consecutive.

--- a/packages/router/src/dispatch/create-event-splitter.ts
+++ b/packages/router/src/dispatch/create-event-splitter.ts
@@ -1,8 +1,4 @@
-/** A complete event of a stream. */
-interface StreamEvent {
-  bytes: Buffer;
-  id?: string;
-}
+import type { StreamEvent } from './stream-event.js';
 
 const newline = 0x0a;
 const idField = 'id:';
--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/relay-events.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '@vanillarelay/core';
 import { createEventSplitter } from '../dispatch/create-event-splitter.js';
+import type { StreamEvent } from '../dispatch/stream-event.js';
 import { selectAnswerHeaders } from '../wire/select-answer-headers.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
+import { isLaterEvent } from './is-later-event.js';
 import type { StreamProgress } from './stream-progress.js';
 import type { Caller } from './caller.js';
 
@@ -48,17 +50,22 @@
   startTimer(firstEventMs);
   try {
     for await (const chunk of answer as AsyncIterable<Buffer>) {
-      const events = splitter.push(chunk);
+      const received = splitter.push(chunk);
       if (splitter.countPendingBytes() > maxEventBytes) return fail('an event has no end');
-      if (events.length === 0) continue;
+      if (received.length === 0) continue;
       if (!hasStarted) notifyStart();
       hasStarted = true;
-      const lastId = events.findLast(({ id }) => id !== undefined)?.id;
-      if (!caller.hasSentHead()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
-      if (lastId !== undefined) progress.lastEventId = lastId;
-      progress.events += events.length;
-      startTimer(pauseMs);
-      await caller.sendChunk(mergeEvents(events));
+      const events = takeLaterEvents(received, progress);
+      if (events.length > 0) {
+        if (!caller.hasSentHead()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
+        progress.events += events.length;
+        startTimer(pauseMs);
+        await caller.sendChunk(mergeEvents(events));
+      }
+      if (events.length < received.length) {
+        answer.destroy();
+        return fail('an event comes again');
+      }
     }
   } catch (error) {
     return fail(isSilent ? 'silent' : (error as Error).message);
@@ -71,7 +78,18 @@
   return { type: 'answered', status: 200 };
 }
 
-function mergeEvents(events: { bytes: Buffer }[]): Buffer {
+/** Takes the events up to the first one that was relayed before, and notes the last one's id. */
+function takeLaterEvents(events: StreamEvent[], progress: StreamProgress): StreamEvent[] {
+  const repeatedAt = events.findIndex(({ id }) => {
+    if (id === undefined) return false;
+    if (!isLaterEvent(id, progress.lastEventId)) return true;
+    progress.lastEventId = id;
+    return false;
+  });
+  return repeatedAt < 0 ? events : events.slice(0, repeatedAt);
+}
+
+function mergeEvents(events: StreamEvent[]): Buffer {
   const [first] = events;
   return events.length === 1 && first
     ? first.bytes
