--- a/packages/router/src/requests/list-candidates.ts
+++ b/packages/router/src/requests/list-candidates.ts
@@ -10,6 +10,13 @@
   >
 >;
 
+/** An endpoint with what is decided by more than once. */
+interface LoadedRow extends EndpointTableRow {
+  load: number;
+  /** Whether it refuses connections. */
+  isRefusing: boolean;
+}
+
 interface CandidateList {
   /** Endpoints that may receive a request now. */
   open: Candidate[];
@@ -45,7 +52,11 @@
   const countReason = (reason: keyof PassedOver): void => {
     passedOver[reason] = (passedOver[reason] ?? 0) + 1;
   };
-  const all = endpoints.listService(id);
+  const all = endpoints.listService(id).map((row): LoadedRow => ({
+    ...row,
+    load: loads.estimate(row.record.id),
+    isRefusing: health.isRefusing(row.record.id, row.firstSeenAt),
+  }));
   const accepting = all.filter((row) => {
     const reason = findExclusion(context, row);
     if (reason) countReason(reason);
@@ -53,9 +64,8 @@
   });
   const failing = health.listFailing(accepting.map(({ record }) => record.id));
   const open = accepting.flatMap((row): Candidate[] => {
-    const { record } = row;
-    const load = loads.estimate(record.id);
-    const reason = findLimit(context, row, service, load);
+    const { record, load } = row;
+    const reason = findLimit(context, row, service);
     if (reason) {
       countReason(reason);
       return [];
@@ -72,8 +82,8 @@
       },
     ];
   });
-  const listening = all.filter((row) => !isRefusing(context, row));
-  const totalLoad = listening.reduce((sum, { record }) => sum + loads.estimate(record.id), 0);
+  const listening = all.filter((row) => !row.isRefusing);
+  const totalLoad = listening.reduce((sum, { load }) => sum + load, 0);
   const meanLoad = totalLoad / Math.max(1, listening.length);
   const isLimitedByRate = passedOver.limited === accepting.length;
   const waitMs = isLimitedByRate ? computeShortestWait(context, accepting) : 0;
@@ -97,9 +107,8 @@
 
 function findLimit(
   { clock, coldRateLimiter, rateLimiter }: RouterContext,
-  { record, coldUntil }: EndpointTableRow,
+  { record, coldUntil, load }: LoadedRow,
   service: RoutedService | undefined,
-  load: number,
 ): 'cold' | 'limited' | 'full' | undefined {
   const coldRate = service?.coldRatePerS ?? 0;
   const isCold = coldUntil > clock.monotonic() && coldRate > 0;
@@ -109,18 +118,12 @@
 }
 
 function findHealthIssue(
-  context: RouterContext,
-  row: EndpointTableRow,
+  { health }: RouterContext,
+  { record, isRefusing }: LoadedRow,
   failing: ReadonlySet<string>,
 ): Candidate['healthIssue'] {
-  const { health } = context;
-  const { record } = row;
-  if (isRefusing(context, row)) return 'refusing';
+  if (isRefusing) return 'refusing';
   if (record.isSilent) return 'silent';
   if (health.isAvoided(record.id)) return 'unreachable';
   return failing.has(record.id) ? 'failing' : undefined;
 }
-
-function isRefusing({ health }: RouterContext, { record, firstSeenAt }: EndpointTableRow): boolean {
-  return health.isRefusing(record.id, firstSeenAt);
-}
