fix(daemon): entries and agents handle no requests of peers that left while they were late

Change: both servers wait until a whole turn of the event loop has read its input before they hand a request on, and the close signal is taken from the connection's end. A resend or a wait inside the entry is not covered; the entry cancels those when it notices the end.

--- a/packages/daemon/src/agent/create-agent-server.ts
+++ b/packages/daemon/src/agent/create-agent-server.ts
@@ -8,6 +8,7 @@
 import { createCloseSignal } from '../http/create-close-signal.js';
 import { createHttpServer } from '../http/create-http-server.js';
 import { readBody } from '../http/read-body.js';
+import { waitForInput } from '../http/wait-for-input.js';
 import { writeBody } from '../http/write-body.js';
 import { hasKey } from '../trust/has-key.js';
 import type { TlsFiles } from '../trust/tls-files.js';
@@ -66,6 +67,8 @@
       const signal = createCloseSignal(response);
       const head = parseHead(request, DispatchHead);
       const body = await readBody(request, maxBodyBytes);
+      await waitForInput();
+      if (signal.aborted) return;
       await writeReply(response, await handlers.dispatch({ ...head, body }, signal));
     },
     '/relay/resume': async (request, response) => {
--- a/packages/daemon/src/entry/create-entry-server.ts
+++ b/packages/daemon/src/entry/create-entry-server.ts
@@ -5,6 +5,7 @@
 import { createHttpServer } from '../http/create-http-server.js';
 import { readBody } from '../http/read-body.js';
 import { toPlainHeaders } from '../http/to-plain-headers.js';
+import { waitForInput } from '../http/wait-for-input.js';
 import { writeBody } from '../http/write-body.js';
 import { writeEarly } from '../http/write-early.js';
 import { hasKey } from '../trust/has-key.js';
@@ -46,6 +47,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> => {
+    const signal = createCloseSignal(response);
     let account: AccountId;
     let body: Uint8Array;
     try {
@@ -58,7 +60,8 @@
     }
     const { method = 'GET', url: path = '/' } = request;
     const headers = toPlainHeaders(request.headers);
-    const signal = createCloseSignal(response);
+    await waitForInput();
+    if (signal.aborted) return;
     const reply: CallerReply = await entry.handle({ method, path, headers, body, account }, signal);
     if (!server.listening) reply.headers.connection = 'close';
     response.writeHead(reply.status, reply.headers);
