--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -98,6 +98,7 @@
 
   return {
     ...{ id, zone, start },
+    readAddress: () => `${ip}:${port}`,
     /** Ends as a crash does: all connections are reset and nothing is announced. */
     crash: () => {
       log('replica.crashed', { id });
