fix(fleet): a departure is acknowledged only once it is on a majority's disks

Cause: a departure counted as confirmed when a majority of the hubs held it in memory. The copy on disk was written 20 ms later and nobody waited for it, so hubs that were killed right after the acknowledgement read the older record and passed it on.

Ruled out: asking the other daemons for newer records after a restart. They know of the departure only if they were told in time, and all daemons may be killed at once.

Change: each hub confirms a departure when its own copy on disk covers it; the daemon that relays it counts itself only then. A hub whose disk refuses writes confirms nothing, so one full disk of three delays no departure.

Conclusion: the acknowledgement of a departure comes later by the write delay of 20 ms and two syncs. Fixed for kills; disks that are lost at the same moment are covered as far as a majority keeps its disks.

--- a/packages/fleet/__tests__/fleet.test.ts
+++ b/packages/fleet/__tests__/fleet.test.ts
@@ -180,6 +180,26 @@
     expect(states).toEqual(others.map(() => 'leaving'));
   });
 
+  // Guards against requests to an endpoint whose departure was acknowledged just before all hubs died.
+  it.each([0, 1, 5, 10, 20])(
+    'keeps an acknowledged departure when all hubs are killed %i ms later',
+    async (delayMs) => {
+      const fleet = await startSettled(seed);
+      const ready = fleet.buildRecord();
+      await fleet.virtual.runUntil(fleet.find('daemon-3').node.announce(ready));
+      await fleet.virtual.run(1_000);
+      const gone = fleet.buildRecord({ state: 'gone' });
+      await fleet.virtual.runUntil(fleet.find('daemon-4').node.announce(gone));
+      await fleet.virtual.run(delayMs);
+      const hubs = ['daemon-0', 'daemon-1', 'daemon-2'];
+      hubs.forEach(fleet.kill);
+      hubs.forEach((id) => fleet.restart(id));
+      await fleet.virtual.run(2_000);
+      const states = fleet.all.map((id) => fleet.find(id).table.find(ready.id)?.record.state);
+      expect(states).toEqual(fleet.all.map(() => 'gone'));
+    },
+  );
+
   // Guards against a fleet that has no endpoints until each has announced itself again.
   it('restores its endpoint records after all daemons were killed', async () => {
     const fleet = await startSettled(seed);
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -18,9 +18,9 @@
 import type { Observations } from './messages/observations.js';
 import { createOperatorCalls } from './proposals/create-operator-calls.js';
 import type { SharedState } from './state/shared-state.js';
+import { createEndpointPersistence } from './sync/create-endpoint-persistence.js';
 import { createHub } from './sync/create-hub.js';
 import { createSyncClient } from './sync/create-sync-client.js';
-import { runEndpointPersistence } from './sync/run-endpoint-persistence.js';
 import { runHubAnnouncements } from './sync/run-hub-announcements.js';
 import { runHubLinks } from './sync/run-hub-links.js';
 import { createFounderSelection } from './voter/create-founder-selection.js';
@@ -83,8 +83,17 @@
         hub.wake();
       },
     });
+  const persistence =
+    options.openDisk &&
+    createEndpointPersistence({
+      ...{ clock, table, openDisk: options.openDisk, record, signal: stopping.signal },
+    });
   const hub = createHub({
     ...{ clock, table, voter, contents, openPeer, record },
+    waitUntilDurable: async (signal) => {
+      if (!persistence) throw new RelayError(ResultCode.notMember, 'this daemon has no disk');
+      await persistence.waitUntilDurable(signal);
+    },
     incarnation: self.incarnation,
     address: self.address,
   });
@@ -190,10 +199,7 @@
       voter?.start();
       client.start();
       void runSilenceChecks();
-      if (options.openDisk) {
-        const { openDisk } = options;
-        void runEndpointPersistence({ clock, table, openDisk, record, signal: stopping.signal });
-      }
+      void persistence?.run();
       if (voter) {
         const { listSeeds } = options;
         const { signal } = stopping;
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -28,6 +28,8 @@
   contents: ContentStore;
   openPeer: (address: string) => FleetPeer;
   record: (name: string, details?: EventDetails) => void;
+  /** Resolves once all changes of the table up to now are on this daemon's disk. */
+  waitUntilDurable: (signal: AbortSignal) => Promise<void>;
 }
 
 /** Longest wait of a sync request before it checks for changes again. */
@@ -107,14 +109,19 @@
     };
   };
 
-  /** Sends a record to the other hubs; resolves once a majority of all hubs has it. */
+  /** Lets one hub, which may be this daemon, write a record to its disk. */
+  const writeRecord = (hub: string, record: EndpointRecord, signal: AbortSignal): Promise<void> =>
+    hub === address
+      ? options.waitUntilDurable(signal)
+      : openPeer(hub).announce({ record, isRelayed: true }, signal);
+
+  /** Resolves once a majority of the hubs, this daemon included, has a record on disk. */
   const relay = async (record: EndpointRecord): Promise<void> => {
     const hubs = listHubs();
-    const others = hubs.filter((hub) => hub !== address);
-    const needed = Math.floor(hubs.length / 2) + 1 - (others.length < hubs.length ? 1 : 0);
+    const needed = Math.floor(hubs.length / 2) + 1;
     let confirmed = 0;
+    let pending = hubs.length;
     await new Promise<void>((resolve, reject) => {
-      let pending = others.length;
       const settle = () => {
         if (confirmed >= needed) resolve();
         else if (pending === 0) {
@@ -122,11 +129,9 @@
         }
       };
       settle();
-      others.forEach(async (hub) => {
+      hubs.forEach(async (hub) => {
         try {
-          await withTimeout(clock, relayTimeoutMs, (signal) =>
-            openPeer(hub).announce({ record, isRelayed: true }, signal),
-          );
+          await withTimeout(clock, relayTimeoutMs, (signal) => writeRecord(hub, record, signal));
           confirmed += 1;
         } catch (error) {
           options.record('fleet.relayFailed', {
@@ -160,17 +165,15 @@
       await waitForChanges(request, signal);
       return buildReply(request);
     },
-    announce: async ({
-      record: received,
-      isRelayed,
-    }: {
-      record: EndpointRecord;
-      isRelayed: boolean;
-    }) => {
+    announce: async (
+      { record: received, isRelayed }: { record: EndpointRecord; isRelayed: boolean },
+      signal: AbortSignal,
+    ): Promise<void> => {
       const record = checkRecord(received);
       if (isRelayed) table.merge(record);
       else table.announce(record);
-      if (!isRelayed && record.state !== 'ready') await relay(record);
+      if (record.state === 'ready') return;
+      await (isRelayed ? options.waitUntilDurable(signal) : relay(record));
     },
   };
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 test -f target/router.mjs
-for file in review/lib/*.mjs review/[1-5]/*.mjs; do
+for file in review/lib/*.mjs review/[1-6]/*.mjs; do
   node --check "$file"
 done
