--- a/packages/control/__tests__/log-store.test.ts
+++ b/packages/control/__tests__/log-store.test.ts
@@ -195,3 +195,27 @@
   expect(store.readSnapshot()).toEqual({ index: 435, term: 1, at: 435, group });
   expect(store.takeSnapshotParts()).toEqual(['state 435']);
 });
+
+// Guards against losing acknowledged entries after a disk was full between the leader's snapshot and
+// the log that belongs to it: the entries of the replaced log stay in the file before the new ones.
+it.each([5, 12])('keeps what follows a snapshot installed over %i entries', async (count) => {
+  let isFull = false;
+  const fake = createFakeDisk({
+    random: createSeededRandom(seed),
+    observe: (operation, name) => {
+      if (isFull && operation === 'append' && name === 'log.new') throw new Error('ENOSPC');
+    },
+  });
+  const store = await openStore(fake);
+  for (let index = 1; index <= count; index += 1) await store.append(buildEntry(index));
+  isFull = true;
+  const head = { index: 10, term: 2, at: 10, group };
+  await expect(store.install(head, ['state 10'])).rejects.toThrow('ENOSPC');
+  isFull = false;
+  const reopened = await openStore(fake);
+  await reopened.append(buildEntry(11, 2));
+  fake.crash();
+  const last = await openStore(fake);
+  expect(last.memory.readLast()).toMatchObject({ index: 11, term: 2 });
+  expect(last.identity.diskId).toBe(store.identity.diskId);
+});
--- a/packages/control/src/log/open-log-store.ts
+++ b/packages/control/src/log/open-log-store.ts
@@ -42,7 +42,6 @@
   let hardState = (isUsable && found.hardState) || emptyHardState;
   let snapshot = isUsable ? found.snapshot : undefined;
   let snapshotBytes = isUsable ? found.snapshotBytes : 0;
-  let { logBytes } = found;
   const entries = isUsable ? selectConnected(found.entries, snapshot) : [];
   const base = findBase(entries, snapshot);
   const memory = createLogMemory(base);
@@ -55,6 +54,11 @@
       ...memory.list().map((entry) => encodeEntry(entry)),
     ]);
 
+  // New entries must not follow those of a log that the snapshot replaced.
+  const isReplaced = isUsable && entries.length < found.entries.length;
+  if (isReplaced) await replaceFile(disk, FileName.log, [buildLogFile()]);
+  let logBytes = isReplaced ? 0 : found.logBytes;
+
   const push = (bytes: Uint8Array): Promise<void> => {
     logBytes += bytes.length;
     return writer.push(bytes);
