fix(control): sync the log at the start before anything is acknowledged

Seen by callers: nothing yet; an acknowledged change or a vote could be lost.

Cause: after a failed sync, or a kill between write and sync, the file holds entries and votes that were never made durable. The next start reads them and acknowledges them at once, since nothing waits to be written. A loss of power before the next append takes them away. Only a torn last frame was followed by a sync.

Change: the start syncs the log that it read.

Before: after a failed sync, a start and a loss of power, entry 1, which the start had taken for durable, was gone (read 0). After: it is kept.

--- a/packages/control/__tests__/log-store.test.ts
+++ b/packages/control/__tests__/log-store.test.ts
@@ -219,3 +219,25 @@
   expect(last.memory.readLast()).toMatchObject({ index: 11, term: 2 });
   expect(last.identity.diskId).toBe(store.identity.diskId);
 });
+
+// Guards against acknowledging what a failed sync left in the file and never made durable.
+it('makes durable at the start what it read, before anything is acknowledged', async () => {
+  let isFull = false;
+  const fake = createFakeDisk({
+    random: () => 0,
+    observe: (operation) => {
+      if (isFull && operation === 'sync') throw new Error('ENOSPC');
+    },
+  });
+  const store = await openStore(fake);
+  await store.saveHardState({ term: 1, incarnations: {} });
+  isFull = true;
+  await expect(store.append(buildEntry(1))).rejects.toThrow('ENOSPC');
+  isFull = false;
+  const reopened = await openStore(fake);
+  await reopened.sync();
+  const read = reopened.memory.readLast().index;
+  fake.crash();
+  const last = await openStore(fake);
+  expect(last.memory.readLast().index).toBe(read);
+});
--- a/packages/control/src/log/open-log-store.ts
+++ b/packages/control/src/log/open-log-store.ts
@@ -33,10 +33,9 @@
   const found = await readDataFolder(disk);
   const isUsable = found.status === 'whole' && !found.hardState?.isStale;
   if (!isUsable) await removeFiles(disk, found.status);
-  if (isUsable && found.isTorn) {
-    await disk.truncate(FileName.log, found.logBytes);
-    await disk.sync(FileName.log);
-  }
+  if (isUsable && found.isTorn) await disk.truncate(FileName.log, found.logBytes);
+  // What was read may never have been synced, and it counts as durable from now on.
+  if (isUsable) await disk.sync(FileName.log);
   const identity = await writeIdentity(disk, isUsable ? found.identity : undefined, createDiskId);
 
   let hardState = (isUsable && found.hardState) || emptyHardState;
