--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -42,7 +42,7 @@
   wire: RouterWire;
   decodeConfig: (source: string) => RoutingConfig;
   /** Creates the server for operators and endpoints. */
-  createControlServer: (calls: ControlCalls, settings: RouterSettings) => Server;
+  createControlServer: (calls: ControlCalls, settings: RouterSettings, clock: Clock) => Server;
   /** Creates the server for readiness checks. */
   createReadinessServer: (calls: ControlCalls) => Server;
 }
@@ -176,7 +176,7 @@
   const servers: [Server, string][] = [
     [front, listen.callers],
     [options.createReadinessServer(calls), listen.readiness],
-    [options.createControlServer(calls, settings), listen.control],
+    [options.createControlServer(calls, settings, clock), listen.control],
     [
       createFleetServer({ handlers: node.handlers, formatMetrics: () => metrics.format() }),
       listen.peers ?? self.address,
--- a/packages/routing/__tests__/endpoint-record.test.ts
+++ b/packages/routing/__tests__/endpoint-record.test.ts
@@ -29,6 +29,8 @@
     { slots: 0 },
     { sequence: 2 ** 53 },
     { bornAt: 0.5 },
+    { bornAt: 1_700_000_000_000 },
+    { bornAt: 1_700_000_000_000_000 },
     { coldLeftMs: 1e12 },
     { state: 'resting' },
   ];
--- a/packages/routing/src/endpoints/check-endpoint-record.ts
+++ b/packages/routing/src/endpoints/check-endpoint-record.ts
@@ -10,6 +10,8 @@
 const maxPort = 65_535;
 const maxSlots = 1_000_000;
 const maxColdMs = 3_600_000;
+/** The year 2100, in milliseconds since the epoch; a later start is in another unit. */
+const maxStart = 4_102_444_800_000;
 
 const name = z.string().check(z.minLength(1), z.maxLength(maxNameLength));
 const count = z.number().check(z.int(), z.nonnegative());
@@ -25,7 +27,8 @@
   .check(z.refine(isUnicastAddress, `allowed: a unicast IPv4 address and a port up to ${maxPort}`));
 
 const schema = z.object({
-  ...{ id, bornAt: count, sequence: count, service: name, address, dataCentre: name },
+  ...{ id, bornAt: count.check(z.maximum(maxStart)), sequence: count },
+  ...{ service: name, address, dataCentre: name },
   slots: count.check(z.minimum(1), z.maximum(maxSlots)),
   state: z.enum(['ready', 'leaving', 'gone']),
   coldLeftMs: z.number().check(z.nonnegative(), z.maximum(maxColdMs)),
