feat(router): log the bytes of a stream that are not its next event

Cause: nothing in the log showed which bytes of which endpoint were relayed or ended an attempt at a stream, so the hypotheses of docs/incidents/spoilt-streams.md could not be told apart.

Change: `stream.spoilt` with request, endpoint, reason, the last id, the number of events before, the size of the block and its first 80 bytes. What is relayed stays the same.

Test: spoilt-streams.test.ts, one log line for a block with an empty id; no such line existed before.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -81,6 +81,11 @@
     ...{ name: 'chat', pathPrefix: '/chat/', repeat: 'nonIdempotent' as const },
     ...{ isStream: true, isResumable: true, hasPrompt: true },
   },
+  {
+    ...plainRoute,
+    ...{ name: 'once', pathPrefix: '/once/', repeat: 'nonIdempotent' as const, maxEndpoints: 1 },
+    isStream: true,
+  },
 ];
 
 const config: RoutingConfig = {
--- a/packages/router/src/dispatch/create-event-splitter.ts
+++ b/packages/router/src/dispatch/create-event-splitter.ts
@@ -20,6 +20,7 @@
     },
     /** Counts the buffered bytes of an incomplete event. */
     countPendingBytes: (): number => pending.length,
+    readPending: (): Buffer => pending,
   };
 }
 
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -14,6 +14,8 @@
     'the caller closed its connection first; `leftAfterMs` is when the router noticed it',
   'request.lost':
     'the connection to an endpoint was lost while it ran the request; the endpoint may have crashed',
+  'stream.spoilt':
+    'bytes of an endpoint are not the next event of a stream; `excerpt` holds the first of them',
   'request.unexpectedError':
     'an attempt ended with an error that no part of the router expects; it counts as failed',
   'process.unexpectedError':
--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/relay-events.ts
@@ -7,6 +7,7 @@
 import { isLaterEvent } from './is-later-event.js';
 import type { StreamProgress } from './stream-progress.js';
 import type { Caller } from './caller.js';
+import type { StreamFault } from './stream-fault.js';
 
 interface EventRelay {
   answer: IncomingMessage;
@@ -19,6 +20,8 @@
   pauseMs: number | undefined;
   /** Called when the first event has arrived. */
   notifyStart: () => void;
+  /** Called with bytes that are not the stream's next event. */
+  reportFault: (fault: StreamFault) => void;
 }
 
 /** Largest incomplete event that is buffered. */
@@ -29,7 +32,8 @@
  * endpoint that fails before its first event can be replaced.
  */
 export async function relayEvents(relay: EventRelay): Promise<AttemptOutcome> {
-  const { answer, caller, progress, clock, firstEventMs, pauseMs, notifyStart } = relay;
+  const { answer, caller, progress, clock, firstEventMs, pauseMs, notifyStart, reportFault } =
+    relay;
   const splitter = createEventSplitter();
   let isSilent = false;
   let cancelTimer = () => {};
@@ -55,7 +59,7 @@
       if (received.length === 0) continue;
       if (!hasStarted) notifyStart();
       hasStarted = true;
-      const events = takeLaterEvents(received, progress);
+      const events = takeLaterEvents(received, progress, reportFault);
       if (events.length > 0) {
         if (!caller.hasSentHead()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
         progress.events += events.length;
@@ -72,6 +76,8 @@
   } finally {
     cancelTimer();
   }
+  if (splitter.countPendingBytes() > 0)
+    reportFault({ reason: 'incomplete event', bytes: splitter.readPending() });
   if (!answer.complete || splitter.countPendingBytes() > 0) return fail('stream cut off');
   if (!caller.hasSentHead()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
   caller.finish();
@@ -79,10 +85,19 @@
 }
 
 /** Takes the events up to the first one that was relayed before, and notes the last one's id. */
-function takeLaterEvents(events: StreamEvent[], progress: StreamProgress): StreamEvent[] {
-  const repeatedAt = events.findIndex(({ id }) => {
+function takeLaterEvents(
+  events: StreamEvent[],
+  progress: StreamProgress,
+  reportFault: EventRelay['reportFault'],
+): StreamEvent[] {
+  const repeatedAt = events.findIndex(({ id, bytes }) => {
+    if (id === undefined || !/^\d+$/.test(id))
+      reportFault({ reason: id === undefined ? 'no id' : 'an id that is no number', bytes });
     if (id === undefined) return false;
-    if (!isLaterEvent(id, progress.lastEventId)) return true;
+    if (!isLaterEvent(id, progress.lastEventId)) {
+      reportFault({ reason: 'an event that comes again', bytes });
+      return true;
+    }
     progress.lastEventId = id;
     return false;
   });
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -6,6 +6,7 @@
 import type { AnswerFacts } from '../wire/answer-facts.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { isOwnAnswer } from './is-own-answer.js';
+import { logSpoiltStream } from './log-spoilt-stream.js';
 import { relayAnswer } from './relay-answer.js';
 import { relayEvents } from './relay-events.js';
 import type { RoutedRequest } from './routed-request.js';
@@ -109,6 +110,7 @@
       return await relayEvents({
         ...{ answer, caller, progress, clock, pauseMs, notifyStart },
         firstEventMs: silentMs,
+        reportFault: (found) => logSpoiltStream(context, request, record, progress, found),
       });
     }
     if (request.caller.hasSentHead()) {
