fix(router): relay only what is the next event of a stream

The relay took what an endpoint sent until something showed that it was wrong, and only an id that came again showed that. A block without an id passed, any id that is no number counted as later than any other, and any number as later than it.

Ruled out: bytes after the end of an answer, and the splitter.

Change: the router parses a block into fields, and `RouterWire.parseEvent` decides whether they are the event after the last one. Sound events before a fault are relayed; the attempt ends at the fault, so that another endpoint goes on or the caller's connection is cut. Comments and blank lines are dropped, do not count as progress and do not start the time between events anew; 256 KiB of them without an event end the attempt.

Weighed: a whole event with the right number and foreign data cannot be told from a sound one. A stream that is complete and has no event stays an answer, since a resumed one may have none left.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -54,6 +54,13 @@
       ? { rateLimitPerS: Number(headers['x-limit']) }
       : {}),
   }),
+  parseEvent: ([first, ...others], lastEventId) => {
+    const id = String(Number(lastEventId ?? 0) + 1);
+    const isNext = first?.name === 'id' && first.value === id && others.length > 0;
+    return isNext && others.every(({ name }) => name === 'data')
+      ? { id }
+      : { fault: `not event ${id}` };
+  },
 };
 
 const plainRoute: Route = {
--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/relay-events.ts
@@ -1,13 +1,13 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '@vanillarelay/core';
 import { createEventSplitter } from '../dispatch/create-event-splitter.js';
-import type { StreamEvent } from '../dispatch/stream-event.js';
+import type { RouterWire } from '../wire/router-wire.js';
 import { selectAnswerHeaders } from '../wire/select-answer-headers.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
-import { isLaterEvent } from './is-later-event.js';
 import type { StreamProgress } from './stream-progress.js';
 import type { Caller } from './caller.js';
 import type { StreamFault } from './stream-fault.js';
+import { takeNextEvents } from './take-next-events.js';
 
 interface EventRelay {
   answer: IncomingMessage;
@@ -22,18 +22,19 @@
   notifyStart: () => void;
   /** Called with bytes that are not the stream's next event. */
   reportFault: (fault: StreamFault) => void;
+  parseEvent: RouterWire['parseEvent'];
 }
 
-/** Largest incomplete event that is buffered. */
+/** Bytes that may follow an event before the next one is complete. */
 const maxEventBytes = 256 * 1024;
 
 /**
- * Relays complete events as they arrive. The head is sent together with the first event, so that an
+ * Relays events as they arrive, and nothing else: an attempt ends at the first block that is not the
+ * stream's next event. Comments and blank lines are dropped and do not count as progress. The head is sent together with the first event, so that an
  * endpoint that fails before its first event can be replaced.
  */
 export async function relayEvents(relay: EventRelay): Promise<AttemptOutcome> {
-  const { answer, caller, progress, clock, firstEventMs, pauseMs, notifyStart, reportFault } =
-    relay;
+  const { answer, caller, progress, clock, firstEventMs, pauseMs, notifyStart } = relay;
   const splitter = createEventSplitter();
   let isSilent = false;
   let cancelTimer = () => {};
@@ -50,63 +51,45 @@
     if (caller.hasSentHead()) return { type: 'broken', reason };
     return { type: 'failed', reason, isSilent };
   };
+  const endAtFault = (fault: StreamFault): AttemptOutcome => {
+    answer.destroy();
+    relay.reportFault(fault);
+    return fail(fault.reason);
+  };
   let hasStarted = false;
+  let unusedBytes = 0;
   startTimer(firstEventMs);
   try {
     for await (const chunk of answer as AsyncIterable<Buffer>) {
-      const received = splitter.push(chunk);
-      if (splitter.countPendingBytes() > maxEventBytes) return fail('an event has no end');
-      if (received.length === 0) continue;
-      if (!hasStarted) notifyStart();
-      hasStarted = true;
-      const events = takeLaterEvents(received, progress, reportFault);
+      const blocks = splitter.push(chunk);
+      const { events, fault } = takeNextEvents(blocks, progress, relay.parseEvent);
       if (events.length > 0) {
+        if (!hasStarted) notifyStart();
+        hasStarted = true;
         if (!caller.hasSentHead()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
-        progress.events += events.length;
         startTimer(pauseMs);
         await caller.sendChunk(mergeEvents(events));
       }
-      if (events.length < received.length) {
-        answer.destroy();
-        return fail('an event comes again');
-      }
+      if (fault) return endAtFault(fault);
+      const pending = splitter.readPending();
+      unusedBytes = events.length > 0 ? pending.length : unusedBytes + chunk.length;
+      if (unusedBytes > maxEventBytes)
+        return endAtFault({ reason: 'an event has no end', bytes: pending });
     }
   } catch (error) {
     return fail(isSilent ? 'silent' : (error as Error).message);
   } finally {
     cancelTimer();
   }
-  if (splitter.countPendingBytes() > 0)
-    reportFault({ reason: 'incomplete event', bytes: splitter.readPending() });
-  if (!answer.complete || splitter.countPendingBytes() > 0) return fail('stream cut off');
+  if (!answer.complete) return fail('stream cut off');
+  const pending = splitter.readPending();
+  if (pending.length > 0) return endAtFault({ reason: 'an incomplete event', bytes: pending });
   if (!caller.hasSentHead()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
   caller.finish();
   return { type: 'answered', status: 200 };
 }
 
-/** Takes the events up to the first one that was relayed before, and notes the last one's id. */
-function takeLaterEvents(
-  events: StreamEvent[],
-  progress: StreamProgress,
-  reportFault: EventRelay['reportFault'],
-): StreamEvent[] {
-  const repeatedAt = events.findIndex(({ id, bytes }) => {
-    if (id === undefined || !/^\d+$/.test(id))
-      reportFault({ reason: id === undefined ? 'no id' : 'an id that is no number', bytes });
-    if (id === undefined) return false;
-    if (!isLaterEvent(id, progress.lastEventId)) {
-      reportFault({ reason: 'an event that comes again', bytes });
-      return true;
-    }
-    progress.lastEventId = id;
-    return false;
-  });
-  return repeatedAt < 0 ? events : events.slice(0, repeatedAt);
-}
-
-function mergeEvents(events: StreamEvent[]): Buffer {
+function mergeEvents(events: Buffer[]): Buffer {
   const [first] = events;
-  return events.length === 1 && first
-    ? first.bytes
-    : Buffer.concat(events.map((event) => event.bytes));
+  return events.length === 1 && first ? first : Buffer.concat(events);
 }
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -109,7 +109,7 @@
       const { caller } = request;
       return await relayEvents({
         ...{ answer, caller, progress, clock, pauseMs, notifyStart },
-        firstEventMs: silentMs,
+        ...{ firstEventMs: silentMs, parseEvent: wire.parseEvent },
         reportFault: (found) => logSpoiltStream(context, request, record, progress, found),
       });
     }
