fix(control): leave no unfinished replacement on a disk without room

When the disk has no room, the part that was written stays until the next replacement of the same file.

The simulated disk can be full: it takes a random part of the bytes, refuses the rest, and a third of its syncs fail.

--- a/packages/control/__tests__/log-store.test.ts
+++ b/packages/control/__tests__/log-store.test.ts
@@ -241,3 +241,25 @@
   const last = await openStore(fake);
   expect(last.memory.readLast().index).toBe(read);
 });
+
+// Guards against a disk that stays full for good with the part of a snapshot that found no room.
+it('leaves no part of a replacement that failed', async () => {
+  const fake = createFakeDisk({ random: createSeededRandom(seed) });
+  const store = await openStore(fake);
+  await store.append(buildEntry(1));
+  fake.setFull(true);
+  const head = { index: 1, term: 1, at: 1, group };
+  await expect(store.compact(head, ['x'.repeat(10_000)])).rejects.toThrow('ENOSPC');
+  await expect(openStore(fake)).rejects.toThrow('ENOSPC');
+  expect(await fake.disk.list()).toEqual(['identity', 'log']);
+});
+
+// Guards against a disk that stays full for good with what a killed process had begun to write.
+it('removes what an unfinished replacement left before it writes anything', async () => {
+  const fake = createFakeDisk({ random: createSeededRandom(seed) });
+  await openStore(fake);
+  await fake.disk.write('snapshot.new', new Uint8Array(10_000));
+  fake.setFull(true);
+  await expect(openStore(fake)).rejects.toThrow('ENOSPC');
+  expect(await fake.disk.list()).toEqual(['identity', 'log']);
+});
--- a/packages/control/src/log/open-log-store.ts
+++ b/packages/control/src/log/open-log-store.ts
@@ -12,6 +12,7 @@
 import { readDataFolder } from './read-data-folder.js';
 import type { Snapshot } from './snapshot.js';
 import { replaceFile } from './replace-file.js';
+import { toTemporaryName } from './to-temporary-name.js';
 
 interface LogStoreOptions {
   disk: Disk;
@@ -30,6 +31,7 @@
 
 /** Opens the log of a node; a damaged log or an older copy is removed and the node starts empty. */
 export async function openLogStore({ disk, createDiskId, reportFailure }: LogStoreOptions) {
+  await removeLeftovers(disk);
   const found = await readDataFolder(disk);
   const isUsable = found.status === 'whole' && !found.hardState?.isStale;
   if (!isUsable) await removeFiles(disk, found.status);
@@ -124,6 +126,12 @@
   };
 }
 
+/** Removes what an unfinished replacement left, which may be what fills the disk. */
+async function removeLeftovers(disk: Disk): Promise<void> {
+  const leftovers = Object.values(FileName).map(toTemporaryName);
+  for (const name of await disk.list()) if (leftovers.includes(name)) await disk.remove(name);
+}
+
 /** Removes damaged or outdated content, since a node must not vote or lead with any of it. */
 async function removeFiles(disk: Disk, status: 'empty' | 'whole' | 'damaged'): Promise<void> {
   if (status === 'empty') return;
--- a/packages/scenarios/src/fakes/create-fake-disk.ts
+++ b/packages/scenarios/src/fakes/create-fake-disk.ts
@@ -12,12 +12,16 @@
   observe?: (operation: string, name: string) => void;
 }
 
+/** Share of the syncs that fail on a full disk. */
+const lateFailureShare = 0.3;
+
 /** Creates an in-memory disk that loses unsynced data in a crash. */
 export function createFakeDisk({ random, observe = () => {} }: FakeDiskOptions) {
   /** Files as the running process sees them, by name. */
   let names = new Map<string, FakeFile>();
   /** Files whose names survive a crash. */
   let syncedNames = new Map<string, FakeFile>();
+  let isFull = false;
 
   const find = (name: string): FakeFile => {
     const file = names.get(name);
@@ -31,6 +35,13 @@
     return file;
   };
 
+  /** Keeps the bytes that the disk takes: all, or a part followed by a failure when it is full. */
+  const takeBytes = (bytes: Uint8Array, keep: (taken: Uint8Array) => void): void => {
+    const takesAll = !isFull || bytes.length === 0;
+    keep(takesAll ? bytes : bytes.slice(0, Math.floor(random() * bytes.length)));
+    if (!takesAll) throw buildNoSpaceError();
+  };
+
   const disk: Disk = {
     read: async (name) => {
       observe('read', name);
@@ -40,11 +51,16 @@
     append: async (name, bytes) => {
       observe('append', name);
       const file = findOrAdd(name);
-      file.content = new Uint8Array(Buffer.concat([file.content, bytes]));
+      takeBytes(bytes, (taken) => {
+        file.content = new Uint8Array(Buffer.concat([file.content, taken]));
+      });
     },
     write: async (name, bytes) => {
       observe('write', name);
-      findOrAdd(name).content = new Uint8Array(bytes);
+      const file = findOrAdd(name);
+      takeBytes(bytes, (taken) => {
+        file.content = new Uint8Array(taken);
+      });
     },
     truncate: async (name, length) => {
       observe('truncate', name);
@@ -54,6 +70,8 @@
     sync: async (name) => {
       observe('sync', name);
       const file = find(name);
+      // A file system that allocates late reports at the sync that there is no room.
+      if (isFull && random() < lateFailureShare) throw buildNoSpaceError();
       file.synced = file.content.slice();
     },
     rename: async (from, to) => {
@@ -110,5 +128,14 @@
     syncedNames = new Map();
   };
 
-  return { disk, crash, flipBit, wipe };
+  return {
+    ...{ disk, crash, flipBit, wipe },
+    /** Whether the disk refuses all bytes; reads, renames and removals go on. */
+    setFull: (next: boolean): void => {
+      isFull = next;
+    },
+  };
 }
+
+const buildNoSpaceError = () =>
+  Object.assign(new Error('ENOSPC: no space left on device'), { code: 'ENOSPC' });
