fix(fleet): close a disk before it is opened again

Seen by callers: nothing yet. While a disk is full, the voter opens it again every second, and each attempt left its files open, up to three of them; they closed only when the garbage collector came to it. Those of the renamed and removed files also keep their room on a disk without any.

Cause: the files stay open between writes, and a disk could not be closed through its interface.

Change: `Disk.close`; the voter closes the disk after each run, also when its log could not be opened.

--- a/packages/core/src/storage/disk.ts
+++ b/packages/core/src/storage/disk.ts
@@ -16,4 +16,6 @@
   syncFolder(): Promise<void>;
   remove(name: string): Promise<void>;
   list(): Promise<string[]>;
+  /** Closes the files that were kept open; nothing may be called afterwards. */
+  close(): Promise<void>;
 }
--- a/packages/daemon/src/platform/open-file-disk.ts
+++ b/packages/daemon/src/platform/open-file-disk.ts
@@ -5,7 +5,7 @@
 const namePattern = /^[a-z0-9][a-z0-9.-]*$/;
 
 /** Opens a data folder as a `Disk`. Only one process may use a folder at a time. */
-export async function openFileDisk(folder: string): Promise<Disk & { close(): Promise<void> }> {
+export async function openFileDisk(folder: string): Promise<Disk> {
   await mkdir(folder, { recursive: true });
   /** Files stay open between writes, so that an append and a sync cost one system call each. */
   const handles = new Map<string, FileHandle>();
--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -2,6 +2,7 @@
   toId,
   type DaemonId,
   type DataCentreId,
+  type Disk,
   type EndpointId,
   type EventDetails,
 } from '@vanillarelay/core';
@@ -43,6 +44,10 @@
   disks?: number;
   /** Number of daemons without a disk. */
   others?: number;
+  /** Size of the log above which a snapshot is taken, in bytes. */
+  snapshotBytes?: number;
+  /** Called with each disk that a daemon opens. */
+  wrapDisk?: (disk: Disk, process: VirtualProcess) => Disk;
 }
 
 const dataCentres = 3;
@@ -51,7 +56,13 @@
 const maxAttempts = 20;
 
 /** Creates daemons on virtual time, which initially know only the addresses of three seeds. */
-export function createTestFleet({ seed, disks = 3, others = 4 }: TestFleetOptions) {
+export function createTestFleet({
+  seed,
+  disks = 3,
+  others = 4,
+  snapshotBytes,
+  wrapDisk = (disk) => disk,
+}: TestFleetOptions) {
   const random = createSeededRandom(seed);
   const virtual = createVirtualClock();
   const network = createFakeNetwork({ virtual, random });
@@ -103,9 +114,13 @@
       ...{ random, table, isFirstStart },
       timeline: { record: (name, details) => events.push({ name, details }) },
       ...(disk
-        ? { openDisk: async () => wrapProcessDisk({ process, disk: disk.disk, syncMs: 1 }) }
+        ? {
+            openDisk: async () =>
+              wrapDisk(wrapProcessDisk({ process, disk: disk.disk, syncMs: 1 }), process),
+          }
         : {}),
       createDiskId: createId,
+      ...(snapshotBytes === undefined ? {} : { snapshotBytes }),
       openPeer: openPeer(process),
       listSeeds: () => seeds,
       readObservations: () => ({ loads: {}, outcomes: {}, crashes: {}, rates: {}, notices: {} }),
@@ -159,6 +174,7 @@
       seeds = ids.map((id) => find(id).address);
     },
     wipe: (id: string) => find(id).disk?.wipe(),
+    setFull: (id: string, isFull: boolean) => find(id).disk?.setFull(isFull),
     cut: (a: string, b: string) => network.cut(a, b),
     heal: (a: string, b: string) => network.clearCut(a, b),
     propose,
--- /dev/null
+++ b/packages/fleet/__tests__/reopened-disk.test.ts
@@ -0,0 +1,72 @@
+import type { Disk } from '@vanillarelay/core';
+import type { VirtualProcess } from '@vanillarelay/scenarios';
+import { expect, it } from 'vitest';
+import { createTestFleet } from './create-test-fleet.js';
+
+const logFiles = /^(log|snapshot|identity)/;
+/** Duration of one write to a snapshot on a slow disk, in milliseconds. */
+const slowWriteMs = 4_000;
+const refuse = () => Promise.reject(new Error('ENOSPC: no space left on device'));
+
+/** Watches the disks that a voter opens: which are open, and whether two are in use at once. */
+function createDiskWatch() {
+  const faults = { isSlow: false, isFull: false };
+  const inUse: Disk[] = [];
+  const seen = { opened: 0, closed: 0, overlaps: 0, slowWrites: 0 };
+
+  const wrapDisk = (disk: Disk, process: VirtualProcess): Disk => {
+    seen.opened += 1;
+    const use = async (name: string, run: () => Promise<void>): Promise<void> => {
+      if (!logFiles.test(name)) {
+        await run();
+        return;
+      }
+      if (inUse.some((other) => other !== disk)) seen.overlaps += 1;
+      inUse.push(disk);
+      try {
+        await run();
+      } finally {
+        inUse.splice(inUse.indexOf(disk), 1);
+      }
+    };
+    const append = async (name: string, bytes: Uint8Array): Promise<void> => {
+      if (faults.isFull && name === 'log') return refuse();
+      if (faults.isSlow && name === 'snapshot.new') {
+        seen.slowWrites += 1;
+        await process.clock.wait(slowWriteMs);
+      }
+      return disk.append(name, bytes);
+    };
+    return {
+      ...disk,
+      write: (name, bytes) => use(name, () => disk.write(name, bytes)),
+      append: (name, bytes) => use(name, () => append(name, bytes)),
+      sync: (name) => use(name, () => disk.sync(name)),
+      rename: (from, to) => use(from, () => disk.rename(from, to)),
+      close: async () => {
+        seen.closed += 1;
+        await disk.close();
+      },
+    };
+  };
+  return { wrapDisk, faults, seen };
+}
+
+// Guards against open files that add up, since each attempt to open a full disk keeps some.
+it('closes a disk whenever it opens it again', async () => {
+  const watch = createDiskWatch();
+  const fleet = createTestFleet({ seed: 4, disks: 1, others: 1, ...watch });
+  fleet.startAll();
+  await fleet.virtual.run(8_000);
+  const before = watch.seen.opened - watch.seen.closed;
+  fleet.setFull('daemon-0', true);
+  fleet
+    .find('daemon-1')
+    .node.propose({ type: 'putConfig', version: 1, source: 'y' })
+    .catch(() => {});
+  await fleet.virtual.run(6_000);
+  fleet.setFull('daemon-0', false);
+  await fleet.put('daemon-1', 2);
+  expect(watch.seen.opened).toBeGreaterThan(before + 3);
+  expect(watch.seen.opened - watch.seen.closed).toBe(before);
+});
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -36,6 +36,8 @@
   /** Absent on a VM without a disk. */
   openDisk?: () => Promise<Disk>;
   createDiskId: () => string;
+  /** Size of the log above which the voter takes a snapshot; has a default. */
+  snapshotBytes?: number;
   openPeer: (address: string) => FleetPeer;
   listSeeds: () => string[];
   /** Whether the whole fleet starts for the first time, with empty disks. */
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -3,6 +3,7 @@
   runMembershipTask,
   openLogStore,
   type GroupMember,
+  type LogStore,
   type RaftPeer,
 } from '@vanillarelay/control';
 import {
@@ -34,6 +35,8 @@
   timeline: Pick<Timeline, 'record'>;
   openDisk: () => Promise<Disk>;
   createDiskId: () => string;
+  /** Size of the log above which a snapshot is taken; has a default. */
+  snapshotBytes?: number;
   openPeer: (address: string) => RaftPeer;
   /** Lists the daemons with a disk that are alive now. */
   listNodes: () => { id: string; address: string; diskId: string }[];
@@ -53,7 +56,7 @@
  * discarded with its state in memory and opened again from the disk; the daemon keeps running.
  */
 export function openVoter(options: VoterOptions) {
-  const { id, address, clock, timeline, notify } = options;
+  const { id, address, clock, timeline, notify, snapshotBytes } = options;
   let node: RaftNode | undefined;
   let machine = createSharedStateMachine(notify);
   let founders: Founder[] = [];
@@ -62,25 +65,25 @@
   /** Closes the open node; it is opened again unless the voter was stopped. */
   let closeNode = () => {};
 
-  const openNode = async (reportFailure: (error: Error) => void): Promise<RaftNode> => {
-    const disk = await options.openDisk();
-    const log = await openLogStore({ disk, createDiskId: options.createDiskId, reportFailure });
-    if (log.removalReason) timeline.record('log.removed', { reason: log.removalReason });
+  const createNode = (log: LogStore, reportFailure: (error: Error) => void): RaftNode => {
     machine = createSharedStateMachine(notify);
     return createRaftNode({
       ...{ id, address, clock, machine, log, reportFailure, timeline },
       random: options.random,
       openPeer: options.openPeer,
       initialMembers: founders,
+      ...(snapshotBytes === undefined ? {} : { snapshotBytes }),
     });
   };
 
-  const runNode = async (): Promise<void> => {
+  const runNode = async (disk: Disk): Promise<void> => {
     let reportFailure: (error: Error) => void = () => {};
     const failed = new Promise<Error>((resolve) => {
       reportFailure = resolve;
     });
-    const opened = await openNode(reportFailure);
+    const log = await openLogStore({ disk, createDiskId: options.createDiskId, reportFailure });
+    if (log.removalReason) timeline.record('log.removed', { reason: log.removalReason });
+    const opened = createNode(log, reportFailure);
     node = opened;
     membershipTask = new AbortController();
     opened.start();
@@ -103,10 +106,19 @@
     if (error) throw error;
   };
 
+  const runOnDisk = async (): Promise<void> => {
+    const disk = await options.openDisk();
+    try {
+      await runNode(disk);
+    } finally {
+      await disk.close();
+    }
+  };
+
   const run = async (): Promise<void> => {
     while (!isStopped) {
       try {
-        await runNode();
+        await runOnDisk();
       } catch (error) {
         timeline.record('control.diskFailed', { reason: (error as Error).message });
         await clock.wait(reopenDelayMs);
--- a/packages/scenarios/src/fakes/create-fake-disk.ts
+++ b/packages/scenarios/src/fakes/create-fake-disk.ts
@@ -91,6 +91,7 @@
       observe('list', '');
       return [...names.keys()].sort();
     },
+    close: async () => {},
   };
 
   /** Loses unsynced data; a random part of unsynced appended bytes may stay (a torn write). */
--- a/packages/scenarios/src/fakes/wrap-process-disk.ts
+++ b/packages/scenarios/src/fakes/wrap-process-disk.ts
@@ -31,5 +31,6 @@
     syncFolder: wrap(() => disk.syncFolder(), syncMs),
     remove: wrap((name: string) => disk.remove(name)),
     list: wrap(() => disk.list()),
+    close: wrap(() => disk.close()),
   };
 }
