fix(control): open a log again only when its last writer is done

When disks fail one after another, the whole group goes that way.

Cause: after a failed write the voter opens its disk again one second later, whether or not the node before it still writes.

Change: `close` of the log refuses what has not begun and waits for what has; the voter awaits it. Any failure on the disk ends the writer.

--- a/packages/control/src/log/create-log-writer.ts
+++ b/packages/control/src/log/create-log-writer.ts
@@ -21,12 +21,14 @@
   let writing: Batch | undefined;
   let buildReplacement: (() => Uint8Array) | undefined;
   let failure: Error | undefined;
-  let isRunning = false;
+  /** Settled unless something is being written. */
+  let running: Promise<void> | undefined;
 
   const run = async (): Promise<void> => {
     while (waiting && !failure) {
       // Lets all calls made in the same turn of the event loop join the batch.
       await Promise.resolve();
+      if (failure) break;
       const batch = waiting;
       writing = batch;
       waiting = undefined;
@@ -34,11 +36,12 @@
         await writeBatch(batch);
         batch.resolve();
       } catch (error) {
+        batch.reject(error as Error);
         fail(error as Error);
       }
       writing = undefined;
     }
-    isRunning = false;
+    running = undefined;
   };
 
   const writeBatch = async ({ bytes }: Batch): Promise<void> => {
@@ -53,10 +56,14 @@
     await disk.sync(FileName.log);
   };
 
-  const fail = (error: Error): void => {
+  const refuseAll = (error: Error): void => {
     failure = error;
-    writing?.reject(error);
     waiting?.reject(error);
+  };
+
+  const fail = (error: Error): void => {
+    if (failure) return;
+    refuseAll(error);
     reportFailure(error);
   };
 
@@ -65,15 +72,19 @@
     waiting ??= createBatch();
     waiting.bytes.push(bytes);
     const { promise } = waiting;
-    if (!isRunning) {
-      isRunning = true;
-      void run();
-    }
+    running ??= run();
     return promise;
   };
 
   return {
     push,
+    /** Ends the writer after a failure elsewhere on the disk. */
+    fail,
+    /** Refuses all that was not begun; resolves when nothing is being written any more. */
+    close: async (): Promise<void> => {
+      if (!failure) refuseAll(new Error('the log is closed'));
+      await running;
+    },
     /** Resolves when everything pushed so far is durable. */
     sync: (): Promise<void> => {
       if (failure) return Promise.reject(failure);
--- a/packages/control/src/log/open-log-store.ts
+++ b/packages/control/src/log/open-log-store.ts
@@ -48,6 +48,7 @@
   const memory = createLogMemory(base);
   entries.filter(({ index }) => index > base.index).forEach((entry) => memory.add(entry));
   const writer = createLogWriter({ disk, reportFailure });
+  let snapshotWrite: Promise<void> = Promise.resolve();
 
   const buildLogFile = (): Uint8Array =>
     Buffer.concat([
@@ -73,12 +74,9 @@
         yield chunk;
       }
     }
-    try {
-      await replaceFile(disk, FileName.snapshot, encodeChunks());
-    } catch (error) {
-      reportFailure(error as Error);
-      throw error;
-    }
+    const written = replaceFile(disk, FileName.snapshot, encodeChunks());
+    snapshotWrite = written.catch(writer.fail);
+    await written;
     snapshot = next;
     snapshotBytes = bytes;
     logBytes = 0;
@@ -102,6 +100,10 @@
       return push(encodeEntry(entry));
     },
     sync: writer.sync,
+    /** Resolves when nothing is being written any more, so that the log may be opened again. */
+    close: async (): Promise<void> => {
+      await Promise.all([writer.close(), snapshotWrite]);
+    },
     readSnapshot: () => snapshot,
     readSnapshotFile: () => disk.read(FileName.snapshot),
     countSnapshotBytes: () => snapshotBytes,
--- a/packages/fleet/__tests__/reopened-disk.test.ts
+++ b/packages/fleet/__tests__/reopened-disk.test.ts
@@ -3,6 +3,7 @@
 import { expect, it } from 'vitest';
 import { createTestFleet } from './create-test-fleet.js';
 
+const seeds = [1, 2, 3];
 const logFiles = /^(log|snapshot|identity)/;
 /** Duration of one write to a snapshot on a slow disk, in milliseconds. */
 const slowWriteMs = 4_000;
@@ -52,6 +53,29 @@
   return { wrapDisk, faults, seen };
 }
 
+// Guards against a node that is opened again while the one before it still writes a snapshot: both
+// write the same file, which then counts as damaged, or the older log takes the newer one's place.
+it.each(seeds)('opens a disk again only when nothing is written to it (seed %i)', async (seed) => {
+  const watch = createDiskWatch();
+  const fleet = createTestFleet({ seed, disks: 1, others: 1, snapshotBytes: 1_000, ...watch });
+  fleet.startAll();
+  await fleet.virtual.run(8_000);
+  watch.faults.isSlow = true;
+  await fleet.put('daemon-1', 1, 'x'.repeat(2_000));
+  await fleet.virtual.run(200);
+  expect(watch.seen.slowWrites).toBe(1);
+  watch.faults.isFull = true;
+  fleet
+    .find('daemon-1')
+    .node.propose({ type: 'putConfig', version: 2, source: 'y' })
+    .catch(() => {});
+  await fleet.virtual.run(1_000);
+  watch.faults.isFull = false;
+  await fleet.virtual.run(12_000);
+  expect(watch.seen.overlaps).toBe(0);
+  await fleet.put('daemon-1', 3);
+});
+
 // Guards against open files that add up, since each attempt to open a full disk keeps some.
 it('closes a disk whenever it opens it again', async () => {
   const watch = createDiskWatch();
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -103,6 +103,7 @@
     membershipTask.abort();
     opened.stop();
     node = undefined;
+    await log.close();
     if (error) throw error;
   };
 
