feat(router): log what every order was answered, and commits that fail

Cause: an order that was refused, took long or was given up by its sender left no line, and neither did a commit of the leader that failed; so the hypotheses of the unacknowledged configurations could not be told apart. Ruled out: the lines of the calls to hubs (fleet.callFailed); they name no version, and nothing of what happens before or after the call. Change: order.answered (order, ms, status, reason, whether the sender had left), config.notAccepted with its version, control.commitFailed, relay_orders_total and relay_order_ms. Bounded: one line an order under the log's budget, labels of two collections. Conclusion: no change of logic.

--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -139,14 +139,21 @@
   const commit = async (command: PatchConfig | DataCentreCommand): Promise<CommandResult> => {
     const data = JSON.stringify(command);
     const startedAt = clock.monotonic();
-    const result = await findNode().propose(data);
-    timeline.record('control.committed', {
+    const buildDetails = () => ({
       command: command.type,
       ...(command.type === 'patchConfig' ? { version: command.version } : {}),
       bytes: data.length,
       ms: Math.round(clock.monotonic() - startedAt),
     });
-    return result;
+    try {
+      const result = await findNode().propose(data);
+      timeline.record('control.committed', buildDetails());
+      return result;
+    } catch (error) {
+      const reason = (error as Error).message;
+      timeline.record('control.commitFailed', { ...buildDetails(), reason });
+      throw error;
+    }
   };
 
   const configs = createConfigProposals({
--- a/packages/router/src/daemon/control-calls.ts
+++ b/packages/router/src/daemon/control-calls.ts
@@ -1,6 +1,7 @@
 import type { DataCentreId, EndpointId } from '@vanillarelay/core';
 import type { DaemonInfo } from '@vanillarelay/fleet';
 import type { EndpointRecord } from '@vanillarelay/routing';
+import type { OrderResult } from './order-result.js';
 
 /** Calls that operators and endpoints make to a daemon. */
 export interface ControlCalls {
@@ -14,6 +15,8 @@
   announce(record: EndpointRecord): Promise<void>;
   /** Logs why an announcement was refused. */
   reportInvalidAnnouncement(id: string, reason: string): void;
+  /** Records that an operator's call came in; the result is reported to the returned function. */
+  startOrder(order: string): (result: OrderResult) => void;
   /** Records an endpoint's departure. */
   removeEndpoint(id: EndpointId): Promise<void>;
   /** The hub that endpoints of a data centre should announce to from now on. */
--- a/packages/router/src/daemon/create-control-calls.ts
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -1,4 +1,4 @@
-import { RelayError, ResultCode, type DataCentreId } from '@vanillarelay/core';
+import { RelayError, ResultCode, type Clock, type DataCentreId } from '@vanillarelay/core';
 import type { FleetNode, SharedCommand } from '@vanillarelay/fleet';
 import {
   checkRoutingConfig,
@@ -10,16 +10,19 @@
 import type { ControlCalls } from './control-calls.js';
 
 interface ControlCallOptions {
+  clock: Pick<Clock, 'monotonic'>;
   node: FleetNode;
   endpoints: EndpointTable;
   log: Log;
   decodeConfig: (source: string) => RoutingConfig;
   isReady: () => boolean;
+  /** Counts an operator's call that was answered. */
+  recordOrder: (order: string, status: number, ms: number) => void;
 }
 
 /** Creates the calls for operators and endpoints on top of this daemon's fleet node. */
 export function createControlCalls(options: ControlCallOptions): ControlCalls {
-  const { node, endpoints, log, decodeConfig, isReady } = options;
+  const { clock, node, endpoints, log, decodeConfig, isReady } = options;
 
   const propose = async (command: SharedCommand): Promise<void> => {
     const result = await node.propose(command);
@@ -47,8 +50,14 @@
     putConfig: async (source) => {
       const config = decodeConfig(source);
       checkRoutingConfig(config);
-      await propose({ type: 'putConfig', version: config.version, source });
-      log.write('config.accepted', { version: config.version });
+      const { version } = config;
+      try {
+        await propose({ type: 'putConfig', version, source });
+      } catch (error) {
+        log.write('config.notAccepted', { version, reason: (error as Error).message });
+        throw error;
+      }
+      log.write('config.accepted', { version });
     },
     readConfig: async () => {
       const { version, source } = await node.readConfirmedState();
@@ -77,6 +86,14 @@
     },
     reportInvalidAnnouncement: (endpoint, reason) =>
       log.write('endpoint.invalid', { endpoint, reason }),
+    startOrder: (order) => {
+      const startedAt = clock.monotonic();
+      return (result) => {
+        const ms = Math.round(clock.monotonic() - startedAt);
+        log.write('order.answered', { order, ms, ...result });
+        options.recordOrder(order, result.status, ms);
+      };
+    },
     removeEndpoint: async (id) => {
       const known = endpoints.find(id);
       if (!known) return;
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -156,7 +156,8 @@
     },
   });
   const calls = createControlCalls({
-    ...{ node, endpoints, log, decodeConfig },
+    ...{ clock, node, endpoints, log, decodeConfig },
+    recordOrder: metrics.recordOrder,
     isReady: () => !stop.isStopping() && node.view.isCurrent && router.readTable() !== undefined,
   });
   metrics.registerGauges(() => ({
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -34,6 +34,9 @@
     'requests with this content or prompt part are refused, since endpoints crashed with them',
   'suspect.probed': 'one request with a blocked content or prompt part is sent, as a test',
   'suspect.cleared': 'a content or prompt part is no longer blocked',
+  'order.answered':
+    "an operator's call was answered after `ms`; with `hasLeft`, its sender had given it up",
+  'config.notAccepted': 'this daemon did not acknowledge a valid configuration',
   'config.accepted': 'this daemon acknowledged a configuration',
   'state.inForce': 'this daemon applied a newer shared state',
   'dataCentre.changed': 'this daemon acknowledged taking a data centre out or bringing it back',
@@ -64,6 +67,7 @@
   'fleet.linkRegained': 'a hub reaches another hub again',
   'control.diskFailed': 'the Raft log cannot be written; this node leaves the group until it can',
   'control.committed': 'this node, as leader, committed a change of the shared state',
+  'control.commitFailed': 'this node, as leader, did not commit a change of the shared state',
   'control.memberReplaced': 'a node replaced a lost member of the group',
   'control.memberRemoved': 'a node that stayed silent was removed from the group',
   'control.membershipFailed': 'a membership change failed; it is retried',
--- a/packages/router/src/metrics/create-metrics.ts
+++ b/packages/router/src/metrics/create-metrics.ts
@@ -30,6 +30,11 @@
       histograms.record('relay_request_ms', route, ms);
       if (waitedMs !== undefined) histograms.record('relay_wait_ms', route, waitedMs);
     },
+    /** Records an operator's call by what it was answered. */
+    recordOrder: (order: string, status: number, ms: number): void => {
+      add('relay_orders_total', { order, status });
+      histograms.record('relay_order_ms', order, ms);
+    },
     /** Records how late a timer fired. */
     recordLoopDelay: (ms: number): void => histograms.record('relay_loop_delay_ms', '', ms),
     /** Counts the payload bytes of calls between daemons. */
