fix(router): do not record bytes that are no answer as a crash

What callers saw: after three answers of endpoints that sent bytes which are no HTTP, or no event, the same content was refused for a while with code 3009, though it crashes nothing. In the users' record `request.lost` came within 4 ms of such requests.

Cause: an attempt that ended without a status counted as a connection that was lost, whether the connection broke or the endpoint sent something else. The latter shows that the endpoint runs.

Change: `CallFailure` has a kind for what Node's parser refuses and for a head without an end; the outcome of an attempt says `isSpoilt` for these, for blocks that are no event, and for an event that is incomplete at the marked end of an answer. Such an attempt still counts as a failure of its endpoint. An answer whose end is only the end of its connection may be a crash, and stays one.

Test: crashing-parts.test.ts, five kinds of bytes, each sent in answer to the same content five times.

--- a/packages/router/__tests__/crashing-parts.test.ts
+++ b/packages/router/__tests__/crashing-parts.test.ts
@@ -109,3 +109,24 @@
     [4000, 2],
   ]);
 });
+
+const streamHead =
+  'HTTP/1.1 200 OK\r\nx-id: same\r\nx-signed: 1\r\nContent-Type: text/event-stream\r\n';
+const chunked = 'Transfer-Encoding: chunked\r\n\r\n';
+
+// Guards against refusing a sound content since endpoints answered it with bytes that are no answer:
+// these show that the endpoint runs.
+it.each([
+  ['bytes that are no HTTP', 'no answer\r\n\r\n'],
+  ['a head with a length that is no number', `${streamHead}Content-Length: x\r\n\r\n`],
+  ['a chunk whose size is no number', `${streamHead}${chunked}x\r\n`],
+  ['a block that is no event', `${streamHead}\r\nno event\n\n`],
+  ['an event that is incomplete', `${streamHead}${chunked}8\r\nid: 1\nda\r\n0\r\n\r\n`],
+])('a content that was answered with %s is still sent', async (_, bytes) => {
+  fixture = await createRouterFixture();
+  for (const id of endpointIds) await fixture.addRawEndpoint(id, (socket) => socket.write(bytes));
+  const statuses: number[] = [];
+  for (let index = 0; index < 5; index += 1) statuses.push(await post('same', 'common,topic,own'));
+  expect(statuses).toEqual([502, 502, 502, 502, 502]);
+  expect(fixture.events.map(({ event }) => event)).not.toContain('request.lost');
+});
--- a/packages/router/src/dispatch/call-endpoint.ts
+++ b/packages/router/src/dispatch/call-endpoint.ts
@@ -3,6 +3,7 @@
 import { CallFailure } from './call-failure.js';
 import type { EndpointAnswer } from './endpoint-answer.js';
 import type { EndpointCall } from './endpoint-call.js';
+import { isParseError } from './is-parse-error.js';
 import { openRequest } from './open-request.js';
 
 /**
@@ -59,7 +60,7 @@
 
     const countHeadBytes = (bytes: Buffer): void => {
       headBytes += bytes.length;
-      if (!answered && headBytes > maxHeadBytes) fail('broken', 'the head has no end');
+      if (!answered && headBytes > maxHeadBytes) fail('spoilt', 'the head has no end');
     };
 
     outgoing.once('socket', (socket) => {
@@ -90,7 +91,8 @@
     });
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
       settle();
-      const kind = isSent ? 'broken' : 'refused';
+      const sentKind = isParseError(error) ? 'spoilt' : 'broken';
+      const kind = isSent ? sentKind : 'refused';
       failure ??= new CallFailure(kind, isSent, error.code ?? error.message);
       reject(failure);
       // Without this, an answer without a length would count as complete when its connection is
--- a/packages/router/src/dispatch/call-failure.ts
+++ b/packages/router/src/dispatch/call-failure.ts
@@ -8,6 +8,8 @@
     | 'connectTimeout'
     | 'silent'
     | 'broken'
+    /** The endpoint sent bytes that are no answer. */
+    | 'spoilt'
     | 'cancelled'
     /** The request cannot be sent to any endpoint. */
     | 'invalid';
--- a/packages/router/src/requests/relay-answer.ts
+++ b/packages/router/src/requests/relay-answer.ts
@@ -2,6 +2,7 @@
 import { selectAnswerHeaders } from '../wire/select-answer-headers.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { Caller } from './caller.js';
+import { isSpoiltError } from './is-spoilt-error.js';
 
 interface AnswerRelay {
   answer: IncomingMessage;
@@ -36,7 +37,8 @@
   } catch (error) {
     const reason = (error as Error).message;
     if (caller.signal.aborted) return { type: 'cancelled' };
-    return isStarted ? { type: 'broken', reason } : { type: 'failed', reason, isSilent: false };
+    const fault = { reason, isSpoilt: isSpoiltError(error) };
+    return isStarted ? { type: 'broken', ...fault } : { type: 'failed', ...fault, isSilent: false };
   }
   if (!answer.complete) return { type: 'failed', reason: 'answer cut off', isSilent: false };
   if (status >= firstServerErrorStatus && !isFailureFinal) {
--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/relay-events.ts
@@ -7,6 +7,7 @@
 import type { StreamProgress } from './stream-progress.js';
 import type { Caller } from './caller.js';
 import type { StreamFault } from './stream-fault.js';
+import { isSpoiltError } from './is-spoilt-error.js';
 import { takeNextEvents } from './take-next-events.js';
 
 interface EventRelay {
@@ -46,15 +47,15 @@
       answer.destroy();
     });
   };
-  const fail = (reason: string): AttemptOutcome => {
+  const fail = (reason: string, isSpoilt = false): AttemptOutcome => {
     if (caller.signal.aborted) return { type: 'cancelled' };
-    if (caller.hasSentHead()) return { type: 'broken', reason };
-    return { type: 'failed', reason, isSilent };
+    if (caller.hasSentHead()) return { type: 'broken', reason, isSpoilt };
+    return { type: 'failed', reason, isSilent, isSpoilt };
   };
   const endAtFault = (fault: StreamFault): AttemptOutcome => {
     answer.destroy();
     relay.reportFault(fault);
-    return fail(fault.reason);
+    return fail(fault.reason, true);
   };
   let hasStarted = false;
   let unusedBytes = 0;
@@ -77,18 +78,26 @@
         return endAtFault({ reason: 'an event has no end', bytes: pending });
     }
   } catch (error) {
-    return fail(isSilent ? 'silent' : (error as Error).message);
+    return fail(isSilent ? 'silent' : (error as Error).message, isSpoiltError(error));
   } finally {
     cancelTimer();
   }
   if (!answer.complete) return fail('stream cut off');
   const pending = splitter.readPending();
-  if (pending.length > 0) return endAtFault({ reason: 'an incomplete event', bytes: pending });
+  if (pending.length > 0) {
+    relay.reportFault({ reason: 'an incomplete event', bytes: pending });
+    return fail('an incomplete event', isFramed(answer));
+  }
   if (!caller.hasSentHead()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
   caller.finish();
   return { type: 'answered', status: 200 };
 }
 
+/** Whether the endpoint marked the end of its answer; otherwise it may have crashed there. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
+}
+
 function mergeEvents(events: Buffer[]): Buffer {
   const [first] = events;
   return events.length === 1 && first ? first : Buffer.concat(events);
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -166,7 +166,8 @@
   }
   const { isSent, kind, message } = error;
   const reason = `${kind}: ${message}`;
-  if (isSent) return { type: 'failed', reason, isSilent: kind === 'silent' };
+  if (isSent)
+    return { type: 'failed', reason, isSilent: kind === 'silent', isSpoilt: kind === 'spoilt' };
   const isCause = kind === 'refused' || kind === 'invalid';
   return { type: 'notRun', reason, cause: isCause ? kind : 'unreachable' };
 }
