fix(fleet): acknowledge a change before the polls that it wakes are answered

Cause: a commit (and every change of an endpoint) released all waiting polls at once, and each reply is built in the same turn of the event loop, before the leader's answer to the daemon that proposed the change; the class is work for many before the answer that one waits for. Ruled out as the cause of the report: 14 polls cost the leader 10 ms there.

--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -18,6 +18,7 @@
 import type { SyncRequest } from '../messages/sync-request.js';
 import type { Voter } from '../voter/voter.js';
 import { createDaemonTable } from './create-daemon-table.js';
+import { createWaitingPolls } from './create-waiting-polls.js';
 
 interface HubOptions {
   clock: Clock;
@@ -42,13 +43,8 @@
 export function createHub(options: HubOptions) {
   const { clock, incarnation, address, table, voter, contents, openPeer } = options;
   const daemons = createDaemonTable(clock);
-  const waiting = new Set<() => void>();
-
-  const wake = (): void => {
-    waiting.forEach((release) => release());
-    waiting.clear();
-  };
-  table.observe(wake);
+  const polls = createWaitingPolls(clock);
+  table.observe(polls.wake);
 
   const listHubs = (): string[] => voter?.readMembers().map((member) => member.address) ?? [];
 
@@ -60,11 +56,7 @@
   const waitForChanges = async (request: SyncRequest, signal: AbortSignal): Promise<void> => {
     const deadline = clock.monotonic() + request.waitMs;
     while (!hasChanges(request) && clock.monotonic() < deadline && !signal.aborted) {
-      const wakeup = new AbortController();
-      const release = () => wakeup.abort();
-      waiting.add(release);
-      await clock.wait(Math.min(pollIntervalMs, deadline - clock.monotonic()), wakeup.signal);
-      waiting.delete(release);
+      await polls.wait(Math.min(pollIntervalMs, deadline - clock.monotonic()));
     }
   };
 
@@ -155,7 +147,7 @@
   };
 
   return {
-    wake,
+    wake: polls.wake,
     daemons,
     sync: async (request: SyncRequest, signal: AbortSignal): Promise<SyncReply> => {
       checkDaemonInfo(request.from);
