fix(router): a success without a stream of events is no answer on a stream route

What callers saw: on a stream route, a 2xx answer of another type or status than a stream of events was relayed as a plain answer, whatever its body held.

Cause: only answers that are streams were checked event by event; the rest went the way of plain answers. The same class as bytes between events: relayed until something shows that it is wrong.

Change: on a stream route a 2xx answer is relayed only if it has status 200 and the type of a stream of events, whose name is read without regard to case. Otherwise the attempt fails; the endpoint has answered, so it is no crash. Answers with other statuses, which callers take for no result, are relayed as before.

--- a/packages/router/__tests__/spoilt-streams.test.ts
+++ b/packages/router/__tests__/spoilt-streams.test.ts
@@ -173,4 +173,21 @@
       expect(await readStream('/chat/1')).toEqual({ text: writeEvents(1, 2), hasEnded: false });
     },
   );
+
+  // Guards against a success that is no stream, and passes as the whole answer.
+  it.each([
+    ['text', 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'],
+    ['a body without a type', 'HTTP/1.1 200 OK\r\n'],
+    ['another status', 'HTTP/1.1 202 OK\r\nContent-Type: text/event-stream\r\n'],
+  ])('is asked of another endpoint when the first answers %s', async (_, start) => {
+    fixture = await createRouterFixture();
+    let arrivals = 0;
+    const answer = (socket: Socket): void => {
+      arrivals += 1;
+      const whole = `${start}x-id: r1\r\nx-signed: 1\r\nContent-Length: 3\r\n\r\nxyz`;
+      socket.end(arrivals === 1 ? whole : `${head}${writeEvents(1, 2)}`);
+    };
+    for (const id of ['e1', 'e2']) await fixture.addRawEndpoint(id, answer);
+    expect(await readStream('/chat/1')).toEqual({ text: writeEvents(1, 2), hasEnded: true });
+  });
 });
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from 'node:http';
 import type { EndpointId } from '@vanillarelay/core';
 import type { EndpointRecord } from '@vanillarelay/routing';
 import { CallFailure } from '../dispatch/call-failure.js';
@@ -98,13 +99,13 @@
       releaseAnswer(answer, clock);
       return { type: 'notRun', reason: `endpoint answered ${status}`, cause: 'rejected' };
     }
-    const fault = findAnswerFault(status, answerFacts);
+    const isStream = status === okStatus && hasEvents(answer);
+    const fault = findAnswerFault(status, answerFacts, route.isStream && !isStream);
     if (fault !== undefined) {
       answer.destroy();
       return { type: 'failed', reason: fault, isSilent: false, status };
     }
-    const isStream = answer.headers['content-type']?.startsWith(streamType) ?? false;
-    if (route.isStream && isStream && status === okStatus) {
+    if (route.isStream && isStream) {
       const pauseMs = isLast ? undefined : Math.max(minStreamSilentMs, route.maxPauseMs * 4);
       const { caller } = request;
       return await relayEvents({
@@ -148,14 +149,23 @@
 }
 
 /** Why an answer must not be relayed; undefined when it may be. */
-function findAnswerFault(status: number, facts: AnswerFacts): string | undefined {
+function findAnswerFault(
+  status: number,
+  facts: AnswerFacts,
+  lacksEvents: boolean,
+): string | undefined {
   if (status < firstStatus || status > lastStatus) return `endpoint answered ${status}`;
   if (notRunStatuses.has(status)) return `endpoint answered ${status} without proof`;
   if (status < 300 && (!facts.isSigned || facts.isBodyModified))
     return 'answer is not the endpoint’s';
+  if (status < 300 && lacksEvents) return `endpoint answered ${status} without a stream of events`;
   return undefined;
 }
 
+function hasEvents({ headers }: IncomingMessage): boolean {
+  return headers['content-type']?.toLowerCase().startsWith(streamType) ?? false;
+}
+
 function toOutcome({ record }: RouterContext, error: unknown, signal: AbortSignal): AttemptOutcome {
   if (signal.aborted) return { type: 'cancelled' };
   if (!(error instanceof CallFailure)) {
