feat(fleet): log which disk was opened, and with which last entry

`control.diskFailed` alone does not tell a node that came back with its disk from one that came back empty or with less than it had. `control.diskOpened` names the identity of the disk, how often it was opened and its last entry. The test of reopened disks checks that the identity stays.

--- a/packages/fleet/__tests__/reopened-disk.test.ts
+++ b/packages/fleet/__tests__/reopened-disk.test.ts
@@ -74,6 +74,12 @@
   await fleet.virtual.run(12_000);
   expect(watch.seen.overlaps).toBe(0);
   await fleet.put('daemon-1', 3);
+  const { events } = fleet.find('daemon-0');
+  const disks = events
+    .filter(({ name }) => name === 'control.diskOpened')
+    .map(({ details: { diskId } = {} }) => diskId);
+  expect(disks.length).toBeGreaterThan(1);
+  expect(new Set(disks).size).toBe(1);
 });
 
 // Guards against open files that add up, since each attempt to open a full disk keeps some.
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -83,6 +83,9 @@
     });
     const log = await openLogStore({ disk, createDiskId: options.createDiskId, reportFailure });
     if (log.removalReason) timeline.record('log.removed', { reason: log.removalReason });
+    const { diskId, incarnation } = log.identity;
+    const lastIndex = log.memory.readLast().index;
+    timeline.record('control.diskOpened', { diskId, incarnation, lastIndex });
     const opened = createNode(log, reportFailure);
     node = opened;
     membershipTask = new AbortController();
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -66,6 +66,8 @@
   'fleet.linkLost': 'a hub cannot reach another hub',
   'fleet.linkRegained': 'a hub reaches another hub again',
   'control.diskFailed': 'the Raft log cannot be written; this node leaves the group until it can',
+  'control.diskOpened':
+    'the Raft log was opened: the identity of its disk, how often, its last entry',
   'control.committed': 'this node, as leader, committed a change of the shared state',
   'control.commitFailed': 'this node, as leader, did not commit a change of the shared state',
   'control.memberReplaced': 'a node replaced a lost member of the group',
