fix(fleet): an order that was given up undoes no later one

A daemon that had been paused read an order that its operator had given up on it and had sent elsewhere, and carried it out after the next, acknowledged one. Cause: an order for a data centre held nothing that says when it was given, so whoever delays it (a paused daemon, a paused leader, a message that is sent twice) lets it win. Configurations have their version. Change: each order carries a base, the index of a state that the daemon knew before it checked that its operator still waits; the close may come up to 50 ms after the order. The state machine keeps the index of the last order of each data centre, also of one that changed nothing, and drops a command that would undo an order after its base (5005, so 503). A daemon whose own state was behind proposes again on the newest index while its operator waits. Once the operator has closed its connection nothing is sent any more. By reading: configurations compare versions, announcements start and sequence, records of crashes and limits carry ages. Not changed: the departure of an endpoint by DELETE names no start, so a late one would meet the next incarnation of the same id. Built program: the order that was given up was carried out before (request answered 200), not after (503).

--- a/packages/fleet/src/proposals/create-operator-calls.ts
+++ b/packages/fleet/src/proposals/create-operator-calls.ts
@@ -24,6 +24,14 @@
   record: (name: string, details?: EventDetails) => void;
 }
 
+/** When a call to the leader ends early. */
+interface CallLimits {
+  /** Monotonic time. */
+  deadline?: number;
+  /** Aborted once the operator has closed its connection. */
+  signal?: AbortSignal | undefined;
+}
+
 /** Time limit of an operator's call, below the 1 s after which operators try another daemon. */
 const operatorTimeoutMs = 900;
 /**
@@ -32,6 +40,11 @@
  */
 const attemptTimeoutMs = 500;
 const retryDelayMs = 50;
+/**
+ * Time in which a close that the operator sent right after its order arrives. A daemon that was
+ * paused reads the order first and the close in one of its next turns.
+ */
+const closeDelayMs = 50;
 /** Interval at which a read checks whether the confirmed state has arrived. */
 const indexPollIntervalMs = 10;
 
@@ -39,20 +52,23 @@
 export function createOperatorCalls(options: OperatorCallsOptions) {
   const { clock, view, listHubs, openPeer, record } = options;
 
-  /** Calls the leader, then every hub, and repeats until a call succeeds or the time is up. */
+  /**
+   * Calls the leader, then every hub, and repeats until a call succeeds, the time is up or the
+   * operator has left.
+   */
   const callLeader = async <T>(
     name: string,
     call: (peer: FleetPeer, signal: AbortSignal) => Promise<T>,
+    { deadline = clock.monotonic() + operatorTimeoutMs, signal: operator }: CallLimits = {},
   ): Promise<T> => {
     const startedAt = clock.monotonic();
-    const deadline = startedAt + operatorTimeoutMs;
     let failure: Error = new RelayError(ResultCode.noQuorum, 'no hub is known', { notRun: true });
-    while (clock.monotonic() < deadline) {
+    while (clock.monotonic() < deadline && !operator?.aborted) {
       const { leader } = view;
       const first = leader === undefined ? [] : [leader];
       for (const address of new Set([...first, ...listHubs()])) {
         const remainingMs = Math.min(deadline - clock.monotonic(), attemptTimeoutMs);
-        if (remainingMs <= 0) break;
+        if (remainingMs <= 0 || operator?.aborted) break;
         try {
           return await withTimeout(clock, remainingMs, (signal) => call(openPeer(address), signal));
         } catch (error) {
@@ -79,17 +95,53 @@
     return view.state;
   };
 
-  const callLeaderWith = (proposal: Proposal): Promise<ProposalReply> =>
-    callLeader(proposal.type, (peer, signal) => peer.propose(proposal, signal));
+  const callLeaderWith = (proposal: Proposal, limits?: CallLimits): Promise<ProposalReply> =>
+    callLeader(proposal.type, (peer, signal) => peer.propose(proposal, signal), limits);
+
+  /** Reads the index of the state that this daemon holds, or of the newest one. */
+  const readIndex = async (isNewest: boolean, limits: CallLimits): Promise<number> => {
+    if (!isNewest && view.isCurrent) return view.state.index;
+    const reply = await callLeader('readIndex', (peer, signal) => peer.readIndex(signal), limits);
+    return reply.index;
+  };
 
-  const proposeDataCentre = async (command: DataCentreCommand): Promise<CommandResult> => {
-    const reply = await callLeaderWith(command);
+  /**
+   * Proposes a command on top of a state, whose index is read before this daemon checks that the
+   * operator still waits. So every order that the operator sends after it has given this one up has
+   * a later index, and whatever delays the proposal from here on, it cannot undo such an order.
+   */
+  const proposeOnce = async (
+    command: DataCentreCommand,
+    isNewest: boolean,
+    limits: CallLimits,
+  ): Promise<CommandResult> => {
+    const base = await readIndex(isNewest, limits);
+    await clock.wait(closeDelayMs, limits.signal);
+    if (limits.signal?.aborted) {
+      throw new RelayError(ResultCode.cancelled, 'the operator gave the order up', {
+        notRun: true,
+      });
+    }
+    const reply = await callLeaderWith({ ...command, base }, limits);
     if (reply.type === 'result') return reply.result;
     throw new RelayError(ResultCode.internal, `${command.type} has no content to send`);
   };
 
-  const propose = async (command: SharedCommand): Promise<CommandResult> => {
-    if (command.type !== 'putConfig') return proposeDataCentre(command);
+  const proposeDataCentre = async (
+    command: DataCentreCommand,
+    signal?: AbortSignal,
+  ): Promise<CommandResult> => {
+    const limits = { deadline: clock.monotonic() + operatorTimeoutMs, signal };
+    let result = await proposeOnce(command, false, limits);
+    while (!result.ok && result.code === ResultCode.staleFencingToken) {
+      record('fleet.orderOutdated', { command: command.type, dataCentre: command.dataCentre });
+      result = await proposeOnce(command, true, limits);
+    }
+    return result;
+  };
+
+  const propose = async (command: SharedCommand, signal?: AbortSignal): Promise<CommandResult> => {
+    if (command.type !== 'putConfig') return proposeDataCentre(command, signal);
     const { state, isCurrent } = view;
     // What this daemon holds is committed, so a version that is not newer has no effect.
     if (isCurrent && command.version <= state.version) return { ok: true, index: state.index };
@@ -97,6 +149,10 @@
   };
 
   return {
+    /**
+     * Proposes a command. One for a data centre is not carried out once `signal`, which aborts when
+     * the operator closes its connection, is aborted before it is sent to the leader.
+     */
     propose,
     /** Reads the newest state, confirmed by a quorum. */
     readConfirmedState,
--- a/packages/fleet/src/state/create-shared-state-machine.ts
+++ b/packages/fleet/src/state/create-shared-state-machine.ts
@@ -31,8 +31,8 @@
     encode: () => [JSON.stringify(state)],
     install: (parts) => {
       const stored = JSON.parse(parts.join('')) as SharedState;
-      // Snapshots of earlier versions have no hash.
-      state = { ...stored, ...createContent(stored.source) };
+      // Snapshots of earlier versions have no hash and no indexes of orders.
+      state = { ...emptySharedState, ...stored, ...createContent(stored.source) };
       notify();
     },
     readState: () => state,
--- a/packages/fleet/src/state/empty-shared-state.ts
+++ b/packages/fleet/src/state/empty-shared-state.ts
@@ -7,4 +7,5 @@
   index: 0,
   version: 0,
   dataCentresOut: [],
+  orderIndexes: {},
 };
--- a/packages/fleet/src/state/shared-state.ts
+++ b/packages/fleet/src/state/shared-state.ts
@@ -8,4 +8,6 @@
   /** Version of the configuration; 0 before the first one. */
   version: number;
   dataCentresOut: DataCentreId[];
+  /** Log index of the last accepted order of each data centre, also of one that changed nothing. */
+  orderIndexes: Partial<Record<DataCentreId, number>>;
 }
--- a/packages/router/src/daemon/control-calls.ts
+++ b/packages/router/src/daemon/control-calls.ts
@@ -9,8 +9,9 @@
   putConfig(source: string): Promise<void>;
   /** The newest accepted configuration as it was sent; throws when a quorum cannot confirm it. */
   readConfig(): Promise<string>;
-  takeOutDataCentre(id: DataCentreId): Promise<void>;
-  bringBackDataCentre(id: DataCentreId): Promise<void>;
+  /** `signal` aborts when the operator closes its connection; the order is not carried out then. */
+  takeOutDataCentre(id: DataCentreId, signal: AbortSignal): Promise<void>;
+  bringBackDataCentre(id: DataCentreId, signal: AbortSignal): Promise<void>;
   /** Records an endpoint's announcement; resolves when it may be acknowledged. */
   announce(record: EndpointRecord): Promise<void>;
   /** Logs why an announcement was refused. */
--- a/packages/router/src/daemon/create-control-calls.ts
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -24,16 +24,17 @@
 export function createControlCalls(options: ControlCallOptions): ControlCalls {
   const { clock, node, endpoints, log, decodeConfig, isReady } = options;
 
-  const propose = async (command: SharedCommand): Promise<void> => {
-    const result = await node.propose(command);
+  const propose = async (command: SharedCommand, signal?: AbortSignal): Promise<void> => {
+    const result = await node.propose(command, signal);
     if (!result.ok) throw new RelayError(result.code, result.message);
   };
 
   const proposeDataCentre = async (
     type: SharedCommand['type'],
     id: DataCentreId,
+    signal: AbortSignal,
   ): Promise<void> => {
-    await propose({ type, dataCentre: id } as SharedCommand);
+    await propose({ type, dataCentre: id } as SharedCommand, signal);
     log.write('dataCentre.changed', { dataCentre: id, change: type });
   };
 
@@ -64,8 +65,8 @@
       if (version > 0) return source;
       throw new RelayError(ResultCode.notReady, 'there is no configuration yet', { notRun: true });
     },
-    takeOutDataCentre: (id) => proposeDataCentre('takeOutDataCentre', id),
-    bringBackDataCentre: (id) => proposeDataCentre('bringBackDataCentre', id),
+    takeOutDataCentre: (id, signal) => proposeDataCentre('takeOutDataCentre', id, signal),
+    bringBackDataCentre: (id, signal) => proposeDataCentre('bringBackDataCentre', id, signal),
     announce: async (record) => {
       const isUpdated = endpoints.announce(record);
       const { id, state, service, address, sequence, coldLeftMs } = record;
