fix(fleet): daemons return to the hub that they prefer

Cause: a daemon kept the hub to which a failure had taken it. Without a leader all hubs' states grow old, so all daemons move; the new leader's is the first that is current, and they stayed there.

Ruled out: a limit of daemons for each hub. The hubs do not know of each other's daemons soon enough, and a refused daemon would have no view meanwhile.

Change: a daemon that uses another hub returns to the one that it prefers after 2 to 4 s, at random, if the hub in use lists that one among the live daemons; if it fails, the daemon goes back and tries again as late. The choice is a module of its own now.

Conclusion: load no longer stays at the first server to recover. That this is the cause of the users' missing acknowledgement is suspected, not proved.

--- a/packages/fleet/__tests__/fleet.test.ts
+++ b/packages/fleet/__tests__/fleet.test.ts
@@ -200,6 +200,23 @@
     },
   );
 
+  // Guards against a hub that keeps the daemons of all others after these were lost for a while.
+  it('spreads daemons over the hubs again after a time without a leader', async () => {
+    const fleet = await startSettled(seed, { disks: 3, others: 12 });
+    const readHub = (id: string) =>
+      fleet.find(id).events.findLast(({ name }) => name === 'fleet.hubChosen')?.details?.hub;
+    const others = fleet.all.slice(3);
+    const before = others.map(readHub);
+    const leader = findLeader(fleet);
+    fleet.kill(leader);
+    await fleet.virtual.run(4_000);
+    const during = others.map(readHub);
+    fleet.restart(leader);
+    await fleet.virtual.run(recoverMs);
+    expect(during).not.toEqual(before);
+    expect(others.map(readHub)).toEqual(before);
+  });
+
   // Guards against a fleet that has no endpoints until each has announced itself again.
   it('restores its endpoint records after all daemons were killed', async () => {
     const fleet = await startSettled(seed);
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -143,6 +143,7 @@
 
   const client = createSyncClient({
     clock,
+    random: options.random,
     readSelf,
     table,
     record,
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -1,4 +1,4 @@
-import { withTimeout, type Clock, type EventDetails } from '@vanillarelay/core';
+import { withTimeout, type Clock, type EventDetails, type Random } from '@vanillarelay/core';
 import type { EndpointTable } from '@vanillarelay/routing';
 import type { Content } from '../content/content.js';
 import type { ContentHash } from '../content/content-hash.js';
@@ -13,12 +13,13 @@
 import type { SharedState } from '../state/shared-state.js';
 import type { StateSummary } from '../state/state-summary.js';
 import { createExchange } from './create-exchange.js';
+import { createHubChoice } from './create-hub-choice.js';
 import { createStateReceiver } from './create-state-receiver.js';
 import type { FleetView } from './fleet-view.js';
-import { sortHubs } from './sort-hubs.js';
 
 interface SyncClientOptions {
   clock: Clock;
+  random: Random;
   readSelf: () => DaemonInfo;
   /** Addresses of daemons to ask for the hubs. */
   listSeeds: () => string[];
@@ -49,8 +50,6 @@
 const stateAgeLimitMs = 1_000;
 /** A daemon applies its first state only from a hub whose state is at most this old. */
 const initialStateAgeLimitMs = 2_000;
-/** How long other hubs are preferred after one failed or lost contact with the quorum. */
-const backoffMs = 1_500;
 
 /**
  * Creates the client that keeps a daemon's view of the fleet current by syncing with one hub; it
@@ -66,17 +65,10 @@
     daemons: [readSelf()],
     quorumContactAt: Number.NEGATIVE_INFINITY,
   };
-  let hub: string | undefined;
+  const choice = createHubChoice(options);
   const callHub = createExchange({ clock, readSelf, openPeer, table, record });
   /** Position up to which this daemon has reported announcements to a hub. */
   let reportedCursor = 0;
-  /** Hubs that failed or lost contact with the quorum, and until when other hubs are preferred. */
-  const backoffs = new Map<string, { until: number; isReachable: boolean }>();
-
-  const startBackoff = (address: string, isReachable: boolean): void => {
-    backoffs.set(address, { until: clock.monotonic() + backoffMs, isReachable });
-  };
-
   const receiver = createStateReceiver({
     ...{ clock, record, findContent: options.findContent },
     readHeld: () => view.state,
@@ -116,22 +108,7 @@
     updateIsCurrent(reply);
   };
 
-  /** Chooses a hub that is not in backoff, this daemon's own first; otherwise a reachable one. */
-  const chooseHub = (): string | undefined => {
-    const self = readSelf();
-    const others = sortHubs(view.hubs, self).filter((candidate) => candidate !== self.address);
-    const own = options.isOwnHub() ? [self.address] : [];
-    const current = hub === undefined || hub === self.address ? [] : [hub];
-    const candidates = [...own, ...current, ...others];
-    const isBackedOff = (candidate: string) =>
-      (backoffs.get(candidate)?.until ?? 0) > clock.monotonic();
-    const preferred = candidates.find((candidate) => !isBackedOff(candidate));
-    return preferred ?? candidates.find((candidate) => backoffs.get(candidate)?.isReachable);
-  };
-
   const exchange = async (address: string): Promise<SyncReply> => {
-    if (address !== hub) record('fleet.hubChosen', { hub: address, before: hub ?? '' });
-    hub = address;
     const cursor = table.readLastHeardCursor();
     const reply = await callHub(address, {
       isHub: false,
@@ -144,8 +121,8 @@
     });
     reportedCursor = cursor;
     applyReply(reply);
-    if (reply.stateAgeMs > stateAgeLimitMs) startBackoff(address, true);
-    else backoffs.delete(address);
+    if (reply.stateAgeMs > stateAgeLimitMs) choice.startBackoff(address, true);
+    else choice.endBackoff(address);
     return reply;
   };
 
@@ -187,15 +164,17 @@
       const hasMore = hasMoreRecords || hasReceivedPart;
       if (!hasMore) await clock.wait(minPauseMs, abort.signal);
     } catch (error) {
-      startBackoff(address, false);
+      choice.startBackoff(address, false);
       const ms = Math.round(clock.monotonic() - startedAt);
       record('fleet.hubFailed', { hub: address, ms, reason: (error as Error).message });
     }
   };
 
   const syncOnce = async (): Promise<void> => {
-    const address = chooseHub();
+    const before = choice.readCurrent();
+    const address = choice.choose(view);
     if (address !== undefined) {
+      if (address !== before) record('fleet.hubChosen', { hub: address, before: before ?? '' });
       await syncWith(address);
       return;
     }
@@ -223,6 +202,9 @@
     stop: (): void => abort.abort(),
     addHubs,
     /** Lists the hub in use first, then the other known ones. */
-    listHubs: (): string[] => [...new Set([...(hub === undefined ? [] : [hub]), ...view.hubs])],
+    listHubs: (): string[] => {
+      const current = choice.readCurrent();
+      return [...new Set([...(current === undefined ? [] : [current]), ...view.hubs])];
+    },
   };
 }
