fix(agent): break a stream off at bytes that are no event

The codec took every block between blank lines as an event, dropped its id and numbered it, so bytes that are no event got a sound number.

Change: a block must consist of fields that a stream of events has, with data, or of comments alone; otherwise the answer breaks off with an error event, as when its connection does. What the data holds is up to the engine and is not checked.

--- a/packages/agent/__tests__/streams.test.ts
+++ b/packages/agent/__tests__/streams.test.ts
@@ -69,6 +69,38 @@
   },
 );
 
+// Guards against bytes that no engine meant as an event, numbered and passed on as one.
+it.each([
+  ...['xyz\n\n', '<html>\ndata: x\n\n', 'HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n', '{"a":1}\n\n'],
+  ...['id:\n\n', 'event: x\n\n', 'data: \0\n\n'],
+])('breaks off a stream that contains %j', async (bytes) => {
+  const { ask, endpoint } = await createHarness({ type: 'model' });
+  async function* write() {
+    for (const part of [events[0], bytes, events[2]])
+      yield await Promise.resolve(Buffer.from(part ?? ''));
+  }
+  endpoint.answer = async (): Promise<EndpointAnswer> => ({
+    ...{ status: 200, headers: { 'content-type': 'text/event-stream' }, body: write() },
+  });
+  const text = hideId(await ask());
+  expect(text).toMatch(
+    /^200 id: agent-1\.S\.1\ndata: {"a":1}\n\nid: agent-1\.S\.2\nevent: error\n/,
+  );
+  expect(text).toContain('<broke off: 4002>');
+});
+
+// Guards against a keepalive that breaks a stream.
+it('passes a comment on', async () => {
+  const { ask, endpoint } = await createHarness({ type: 'model' });
+  async function* write() {
+    yield await Promise.resolve(Buffer.from(`: wait\n\n${events[2]}`));
+  }
+  endpoint.answer = async (): Promise<EndpointAnswer> => ({
+    ...{ status: 200, headers: { 'content-type': 'text/event-stream' }, body: write() },
+  });
+  expect(hideId(await ask())).not.toContain('broke off');
+});
+
 // Guards against truncated plain answers that appear complete.
 it('breaks off an answer that is shorter than its content-length', async () => {
   const { ask, endpoint } = await createHarness();
--- a/packages/agent/src/streams/create-event-codec.ts
+++ b/packages/agent/src/streams/create-event-codec.ts
@@ -1,6 +1,7 @@
 import { findCodeName, RelayError, ResultCode } from '@vanillarelay/core';
 import type { ChunkCodec } from './chunk-codec.js';
 import { createEventSplitter } from './create-event-splitter.js';
+import { isSoundEvent } from './is-sound-event.js';
 import { parseUsage } from './parse-usage.js';
 import type { Usage } from './usage.js';
 
@@ -21,6 +22,8 @@
   let isDone = false;
 
   const encode = (lines: string[], sequence: number): Uint8Array => {
+    if (!isSoundEvent(lines))
+      throw new RelayError(ResultCode.streamBroken, 'endpoint sent bytes that are no event');
     const data = readData(lines);
     if (data === doneText) isDone = true;
     const usage = parseUsage(data);
