test(router): give the streams of the tests of spoilt streams more time

Beside other work (load average above 30 on 8 cores) an endpoint of these tests passed for silent after 600 ms, before it had sent anything, and three of 181 cases failed.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -91,7 +91,13 @@
   {
     ...plainRoute,
     ...{ name: 'once', pathPrefix: '/once/', repeat: 'nonIdempotent' as const, maxEndpoints: 1 },
-    isStream: true,
+    ...{ isStream: true, timeoutMs: 8_000 },
+  },
+  {
+    ...plainRoute,
+    ...{ name: 'patient', pathPrefix: '/patient/', repeat: 'nonIdempotent' as const },
+    ...{ isStream: true, isResumable: true },
+    ...{ timeoutMs: 8_000, objectiveMs: 2_000, maxPauseMs: 1_000 },
   },
 ];
 
