fix(router): close the connection of a daemon's answer that is too large

A call to another daemon refuses an answer above 16 MiB, but the connection stayed open and the rest of the answer went on being read and thrown away, without an end and without a time limit, as the call had ended and its signal is not aborted any more.

Ruled out: that the bytes are kept; the body's reader drops them. Change: the answer is destroyed with its connection when its body is refused. Before: "closes the connection of an answer that is too large" failed (not closed after 1 s). After: passes in 0.3 s; the other two of the file pass.

--- a/packages/router/__tests__/transport.test.ts
+++ b/packages/router/__tests__/transport.test.ts
@@ -56,3 +56,23 @@
   const [answer] = (await once(call, 'response')) as [IncomingMessage];
   expect(answer.statusCode).toBe(500);
 });
+
+// Guards against a daemon whose answer has no end: it must hold neither the caller nor a connection.
+it('closes the connection of an answer that is too large', async () => {
+  let isClosed = false;
+  const chunk = Buffer.alloc(256 * 1024, 'x');
+  const server = createServer((message, response) => {
+    message.resume();
+    response.once('close', () => {
+      isClosed = true;
+    });
+    const send = (): void => {
+      if (!response.destroyed) response.write(chunk, () => setImmediate(send));
+    };
+    send();
+  });
+  const port = await listen(server);
+  const peer = openFleetPeer({ address: `127.0.0.1:${port}`, recordBytes: () => {} });
+  await expect(peer.readIndex(new AbortController().signal)).rejects.toMatchObject({ code: 1001 });
+  await expect.poll(() => isClosed).toBe(true);
+});
--- a/packages/router/src/transport/call-json.ts
+++ b/packages/router/src/transport/call-json.ts
@@ -38,7 +38,11 @@
       (message) => {
         readBody(message, maxMessageBytes).then(
           (received) => resolve({ answer: message, bytes: received }),
-          reject,
+          (error: Error) => {
+            // The rest may have no end.
+            message.destroy();
+            reject(error);
+          },
         );
       },
     );
