fix(router): bound the memory of request bodies

Cause: each body was bounded, their sum was not, and nothing ended the wait for a body that never comes. Ruled out: the JavaScript heap; the bodies lie outside of it, so its limit does not cover them. Change: one budget for a process, from the memory limit in its settings (256 MB when they name none), divided before it is spent. Memory for a body is taken before the body is read, large and small ones from different parts, so that small requests are served meanwhile. What does not fit stays unread for at most half of the route's objective and is then refused, at once when as much waits already: 503 with 2001 and Retry-After; nothing was sent. A body that is not complete by its deadline is refused with 408, 1007, and its connection is closed. Nothing that runs is shed. New gauges: relay_held_bytes by part, relay_heap_bytes, relay_buffer_bytes.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -5,6 +5,7 @@
 import { createSystemClock } from '@vanillarelay/daemon';
 import {
   createFrontServer,
+  createMemoryBudget,
   createRouter,
   type RequestResult,
   type RouterWire,
@@ -126,6 +127,8 @@
 /** Starts a router on the loopback interface; a test adds the endpoints. */
 export async function createRouterFixture({
   retryExtra = 100,
+  memoryBytes = 272 * 1024 * 1024,
+  maxBodyBytes = config.bounds.maxBodyBytes,
   stopSignal = new AbortController().signal,
 } = {}) {
   const clock = createSystemClock();
@@ -133,8 +136,9 @@
   const results: RequestResult[] = [];
   const events: Record<string, unknown>[] = [];
   const closers: (() => void)[] = [];
+  const memory = createMemoryBudget(memoryBytes);
   const router = createRouter({
-    ...{ clock, wire, endpoints },
+    ...{ clock, wire, endpoints, memory },
     random: () => 0,
     hash: await createHash(),
     self: 'router-1' as never,
@@ -149,9 +153,9 @@
       coldSlack: 5,
     },
   });
-  router.updateConfig(config);
+  router.updateConfig({ ...config, bounds: { ...config.bounds, maxBodyBytes } });
   const front = createFrontServer({
-    ...{ clock, wire, readTable: router.readTable, run: router.run },
+    ...{ clock, wire, memory, readTable: router.readTable, run: router.run },
     estimateArrival: router.estimateArrival,
     isClosing: () => false,
     canComplete: () => true,
@@ -173,7 +177,7 @@
   };
 
   return {
-    ...{ clock, router, front, endpoints, results, events, announce },
+    ...{ clock, router, memory, front, endpoints, results, events, announce },
     url: `http://127.0.0.1:${(front.address() as AddressInfo).port}`,
     /** Adds an endpoint that answers through an HTTP listener. */
     addEndpoint: async (id: string, listener: RequestListener): Promise<void> => {
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -17,6 +17,7 @@
 import { createSendQueue } from './dispatch/create-send-queue.js';
 import type { LogEvent } from './log/log-event.js';
 import { createLoopMonitor } from './loop/create-loop-monitor.js';
+import type { MemoryBudget } from './memory/memory-budget.js';
 import type { RequestResult } from './requests/request-result.js';
 import type { RoutedRequest } from './requests/routed-request.js';
 import { runRequest } from './requests/run-request.js';
@@ -36,6 +37,8 @@
   retryExtra: number;
   coldMultiplier: number;
   coldSlack: number;
+  /** Memory that this process may hold for others. */
+  memory: MemoryBudget;
   /** Aborted when this process stops and must end the requests that still run. */
   stopSignal: AbortSignal;
   /** Writes a line to the log. */
@@ -45,7 +48,7 @@
 /** Creates a daemon's request router, including its records of loads, outcomes and crashes. */
 export function createRouter(options: RouterOptions) {
   const { clock, random, hash, self, dataCentre, wire, endpoints, listRouters, record } = options;
-  const { stopSignal } = options;
+  const { stopSignal, memory } = options;
   let table: RouteTable | undefined;
   let dataCentresOut: ReadonlySet<DataCentreId> = new Set();
   const loads = createLoadView();
@@ -53,7 +56,19 @@
   stopSignal.addEventListener('abort', () => running.forEach((abort) => abort()), { once: true });
   const loop = createLoopMonitor({ clock, scheduleTurn: setImmediate });
   const context = {
-    ...{ clock, random, hash, dataCentre, wire, endpoints, loads, record, stopSignal, running },
+    ...{
+      clock,
+      random,
+      hash,
+      dataCentre,
+      wire,
+      endpoints,
+      loads,
+      record,
+      stopSignal,
+      running,
+      memory,
+    },
     pool: createConnectionPool(),
     sendQueue: createSendQueue(loop),
     health: createHealthTracker(clock),
--- a/packages/router/src/daemon/router-settings.ts
+++ b/packages/router/src/daemon/router-settings.ts
@@ -6,6 +6,10 @@
 
 const address = z.string().check(z.regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'allowed: IP:port'));
 const port = z.number().check(z.int(), z.minimum(1), z.maximum(65_535));
+const megabytes = z.pipe(
+  z.string().check(z.regex(/^[\d.]*$/, 'allowed: a number of megabytes, or nothing')),
+  z.transform((text) => (text === '' ? undefined : Number(text))),
+);
 const positive = z.number().check(z.positive());
 
 /** Settings of a router daemon; unknown keys are ignored. */
@@ -28,6 +32,8 @@
     /** Additional address that serves the metrics, besides the first port for peers. */
     metrics: z.optional(address),
   }),
+  /** Memory that the process may use; unknown when absent or empty. */
+  memoryLimitMb: z.optional(megabytes),
   /** Empty on a VM without a disk. */
   dataFolder: z.string(),
   /** How often endpoints announce themselves, in milliseconds. */
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -18,8 +18,10 @@
 import { createFrontServer } from '../front/create-front-server.js';
 import { createLog } from '../log/create-log.js';
 import type { LogEvent } from '../log/log-event.js';
+import { createMemoryBudget } from '../memory/create-memory-budget.js';
 import { buildControlGauges } from '../metrics/build-control-gauges.js';
 import { countEndpoints } from '../metrics/count-endpoints.js';
+import { buildMemoryGauges } from '../metrics/build-memory-gauges.js';
 import { createMetricsServer } from '../metrics/create-metrics-server.js';
 import { createMetrics } from '../metrics/create-metrics.js';
 import { observeLoopDelay } from '../metrics/observe-loop-delay.js';
@@ -94,7 +96,9 @@
     metrics.recordLoopDelay(delayMs);
     if (delayMs >= lateLoopMs) log.write('loop.late', { ms: Math.round(delayMs) });
   });
+  const memory = createMemoryBudget((settings.memoryLimitMb ?? defaultMemoryMb) * bytesPerMb);
   const router = createRouter({
+    memory,
     ...{ clock, hash, wire, endpoints, random: readRandom },
     self: self.id,
     dataCentre: self.dataCentre,
@@ -109,6 +113,7 @@
   });
   const front = createFrontServer({
     clock,
+    memory,
     wire,
     readTable: router.readTable,
     isClosing: stop.isStopping,
@@ -171,7 +176,7 @@
     relay_limited_endpoints: router.countLimitedEndpoints(),
     relay_blocked_suspects: router.countBlockedSuspects(),
     relay_log_lines_lost: log.countLost(),
-    relay_memory_bytes: process.memoryUsage.rss(),
+    ...buildMemoryGauges(memory),
   }));
   const { metrics: metricsAddress } = listen;
   const servers: [Server, string][] = [
@@ -208,6 +213,9 @@
 }
 
 const msPerS = 1_000;
+const bytesPerMb = 1_024 * 1_024;
+/** Memory limit of a process whose settings name none. */
+const defaultMemoryMb = 256;
 
 /** Converts the seeds to addresses for calls between daemons; ports are the same on all VMs. */
 function toPeerAddresses({ seeds, peerPorts }: RouterSettings): string[] {
--- a/packages/router/src/front/create-front-server.ts
+++ b/packages/router/src/front/create-front-server.ts
@@ -1,20 +1,23 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { RelayError, ResultCode, toRefusal, type Clock } from '@vanillarelay/core';
-import { readBody } from '@vanillarelay/daemon';
 import type { RouteTable } from '@vanillarelay/routing';
 import type { Arrival } from '../loop/arrival.js';
 import type { LoopMonitor } from '../loop/loop-monitor.js';
+import type { MemoryBudget } from '../memory/memory-budget.js';
 import { computeDeadline } from '../requests/compute-deadline.js';
 import type { RequestResult } from '../requests/request-result.js';
 import type { RoutedRequest } from '../requests/routed-request.js';
 import type { RouterWire } from '../wire/router-wire.js';
 import { createCaller } from './create-caller.js';
+import { receiveBody } from './receive-body.js';
 import { sendRefusal } from './send-refusal.js';
 
 interface FrontServerOptions {
   clock: Clock;
   wire: RouterWire;
+  /** Memory that this process may hold for requests. */
+  memory: MemoryBudget;
   /** The configuration in force; undefined until there is one. */
   readTable: () => RouteTable | undefined;
   /** Whether this daemon is shutting down and closes connections after their current request. */
@@ -36,6 +39,7 @@
   version?: number;
   /** Monotonic time at which the router noticed that the caller had disconnected. */
   leftAt?: number;
+  releaseBody?: () => void;
 }
 
 const maxHeaderBytes = 64 * 1024;
@@ -55,7 +59,7 @@
 export function createFrontServer(options: FrontServerOptions): Server & {
   updateLimits(table: RouteTable): void;
 } {
-  const { clock, wire, readTable, isClosing } = options;
+  const { clock, wire, memory, readTable, isClosing } = options;
 
   /** Arrivals of connections until their first request. */
   const connections = new WeakMap<Socket, Arrival>();
@@ -95,8 +99,15 @@
     if (!account && !mayBeAnonymous) {
       throw new RelayError(ResultCode.unauthorized, 'unknown key', { notRun: true });
     }
-    const body = await readBody(message, table.config.bounds.maxBodyBytes);
-    if (!options.canComplete(computeDeadline({ facts, route, startedAt }))) {
+    const deadlineAt = computeDeadline({ facts, route, startedAt });
+    const { bytes: body, release } = await receiveBody({
+      ...{ clock, memory, message, signal: caller.signal },
+      limitBytes: table.config.bounds.maxBodyBytes,
+      waitMs: route.objectiveMs * bodyWaitShare,
+      timeoutMs: deadlineAt - clock.monotonic(),
+    });
+    reported.releaseBody = release;
+    if (!options.canComplete(deadlineAt)) {
       throw new RelayError(ResultCode.notReady, 'this daemon stops before the deadline', {
         ...{ notRun: true, retryAfterMs: stoppingRetryMs },
       });
@@ -123,11 +134,14 @@
       options.report(reported, { ...result, status });
     } catch (error) {
       const refusal = toRefusal(error);
+      if (refusal.code === ResultCode.slowCaller) response.shouldKeepAlive = false;
       const hasCallerLeft = caller.signal.aborted;
       if (caller.hasSentHead()) caller.abort();
       const status = hasCallerLeft || caller.hasSentHead() ? 0 : sendRefusal(caller, refusal);
       const outcome = hasCallerLeft ? 'callerLeft' : 'refused';
       options.report(reported, { outcome, status, refusal, sends: [] });
+    } finally {
+      reported.releaseBody?.();
     }
   };
 
@@ -158,5 +172,10 @@
  * once the control nodes are available.
  */
 const notReadyRetryMs = 500;
+/**
+ * Share of the route's target response time (`objectiveMs`) for which a body waits for memory before
+ * its request is refused.
+ */
+const bodyWaitShare = 0.5;
 /** Retry time for callers of a daemon that stops; the others can serve them at once. */
 const stoppingRetryMs = 10;
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -6,6 +6,7 @@
 export { createFrontServer } from './front/create-front-server.js';
 export { createLog } from './log/create-log.js';
 export { logEvents } from './log/log-events.js';
+export { createMemoryBudget } from './memory/create-memory-budget.js';
 export { createMetrics } from './metrics/create-metrics.js';
 export type { RequestResult } from './requests/request-result.js';
 export { createFleetServer } from './transport/create-fleet-server.js';
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -12,6 +12,7 @@
 } from '@vanillarelay/routing';
 import type { SendQueue } from '../dispatch/send-queue.js';
 import type { LogEvent } from '../log/log-event.js';
+import type { MemoryBudget } from '../memory/memory-budget.js';
 import type { RouterWire } from '../wire/router-wire.js';
 
 /** Dependencies and state that all requests of one router share. */
@@ -27,6 +28,8 @@
   health: HealthTracker;
   loads: LoadView;
   budget: RetryBudget;
+  /** Memory that this process may hold for others. */
+  memory: MemoryBudget;
   crashes: CrashRecord;
   rateLimiter: RateLimiter;
   notices: NoticeTracker;
