fix(router): end the relay to a caller that does not read at its deadline

A caller that reads nothing of a long answer or a stream held its request until it left: the relay waited for the connection to take more, and did not see the deadline. The request, its connection to the endpoint and what was buffered stayed, and the endpoint counted as loaded by it.

Ruled out: that the buffers grow meanwhile; the relay reads no further while it waits. Change: the wait ends with the attempt too. A caller that reads nothing of a complete answer for 10 s loses its connection. The 10 s have no test.

--- a/packages/router/src/front/create-caller.ts
+++ b/packages/router/src/front/create-caller.ts
@@ -4,6 +4,9 @@
 /** Events of a connection after which its caller reads no more answers. */
 const closingEvents = ['end', 'error', 'close'] as const;
 
+/** Time after which a connection is closed whose caller reads nothing of a complete answer. */
+const maxUnreadMs = 10_000;
+
 /** Creates a `Caller` on top of a server's request and response. */
 export function createCaller(
   message: IncomingMessage,
@@ -30,21 +33,25 @@
       if (isClosing()) response.shouldKeepAlive = false;
       response.writeHead(status, headers as string[]);
     },
-    sendChunk: async (bytes) => {
-      if (disconnected.signal.aborted || response.write(bytes)) return;
+    sendChunk: async (bytes, signal) => {
+      if (disconnected.signal.aborted || signal?.aborted || response.write(bytes)) return;
       await new Promise<void>((resolve) => {
         const release = () => {
           response.removeListener('drain', release);
           disconnected.signal.removeEventListener('abort', release);
+          signal?.removeEventListener('abort', release);
           resolve();
         };
         response.once('drain', release);
         disconnected.signal.addEventListener('abort', release, { once: true });
+        signal?.addEventListener('abort', release, { once: true });
       });
     },
     finish: (bytes) => {
       if (bytes && bytes.length > 0) response.end(bytes);
       else response.end();
+      // A pipelined request's answer has no socket yet, and an earlier one may still run.
+      if (!response.writableFinished) response.socket?.setTimeout(maxUnreadMs);
     },
     abort: () => socket.destroy(),
   };
--- a/packages/router/src/requests/caller.ts
+++ b/packages/router/src/requests/caller.ts
@@ -7,8 +7,8 @@
   /** Whether the status and headers of an answer were sent. */
   hasSentHead(): boolean;
   sendHead(status: number, headers: OutgoingHttpHeaders | string[]): void;
-  /** Resolves when the caller's connection accepts more data. */
-  sendChunk(bytes: Buffer): Promise<void>;
+  /** Resolves when the caller's connection accepts more data, or when `signal` is aborted. */
+  sendChunk(bytes: Buffer, signal?: AbortSignal): Promise<void>;
   finish(bytes?: Buffer): void;
   /** Destroys the connection, so that a partial answer cannot look complete. */
   abort(): void;
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -6,6 +6,7 @@
 import { releaseAnswer } from '../dispatch/release-answer.js';
 import type { AnswerFacts } from '../wire/answer-facts.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
+import type { Caller } from './caller.js';
 import { isOwnAnswer } from './is-own-answer.js';
 import { logSpoiltStream } from './log-spoilt-stream.js';
 import { relayAnswer } from './relay-answer.js';
@@ -105,9 +106,13 @@
       answer.destroy();
       return { type: 'failed', reason: fault, isSilent: false, status };
     }
+    // A caller that does not read its answer must not hold the request beyond its deadline.
+    const caller: Caller = {
+      ...request.caller,
+      sendChunk: (bytes) => request.caller.sendChunk(bytes, signal),
+    };
     if (route.isStream && isStream) {
       const pauseMs = isLast ? undefined : Math.max(minStreamSilentMs, route.maxPauseMs * 4);
-      const { caller } = request;
       return await relayEvents({
         ...{ answer, caller, progress, clock, pauseMs, notifyStart },
         ...{ firstEventMs: silentMs, parseEvent: wire.parseEvent },
@@ -119,7 +124,7 @@
       const reason = `endpoint answered ${status} to a resumed stream`;
       return { type: 'failed', reason, isSilent: false, status };
     }
-    return await relayAnswer({ answer, caller: request.caller, isFailureFinal: isLast });
+    return await relayAnswer({ answer, caller, isFailureFinal: isLast });
   } catch (error) {
     return toOutcome(context, error, signal);
   } finally {
