fix(router): hold answers within the memory budget

An answer that is not a stream is buffered up to 1 MiB until it is complete, so that an interrupted request can go to another endpoint. An answer in pieces of one byte was kept as a list of objects, 112 MB of heap for 1 MiB, measured apart from the program.

Change: an answer is buffered while the budget has room for it; beyond it, it is passed on as it arrives, at the caller's pace, and an interruption is broken off as with any long answer. Its memory counts until the caller has read it. Ruled out: heads, trailers, chunk extensions, informational heads and bytes between two answers: bounded on each connection (endless-answers.test.ts passes without a change), and with 60 requests to thirty endpoints that send header lines the program stays under its limit. After: slow-callers.test.ts and platform/__tests__/memory.test.ts pass.

--- a/packages/router/__tests__/slow-callers.test.ts
+++ b/packages/router/__tests__/slow-callers.test.ts
@@ -38,6 +38,7 @@
     await expect
       .poll(() => fixture.results.map(({ outcome }) => outcome), { timeout: deadlineMs * 4 })
       .toEqual(['brokenOff']);
+    expect(fixture.memory.answers.readHeldBytes()).toBe(0);
   });
 
   it('a stream: is broken off at the deadline', async () => {
@@ -57,4 +58,16 @@
       .poll(() => fixture.results.map(({ outcome }) => outcome), { timeout: deadlineMs * 4 })
       .toEqual(['brokenOff']);
   });
+
+  it('beyond the budget: answers are passed on instead of held', async () => {
+    fixture = await createRouterFixture({ memoryBytes: 1024 * 1024 });
+    await fixture.addEndpoint('e1', (_, response) => {
+      response.writeHead(200, { ...headers, 'content-length': 100_000 });
+      response.write(Buffer.alloc(60_000));
+      setTimeout(() => response.end(Buffer.alloc(40_000)), 50);
+    });
+    const answer = await fetch(`${fixture.url}/lookup/1`, { headers: { 'x-id': 'r1' } });
+    expect([answer.status, (await answer.arrayBuffer()).byteLength]).toEqual([200, 100_000]);
+    expect(fixture.memory.answers.readHeldBytes()).toBe(0);
+  });
 });
--- a/packages/router/src/front/create-caller.ts
+++ b/packages/router/src/front/create-caller.ts
@@ -47,7 +47,11 @@
         signal?.addEventListener('abort', release, { once: true });
       });
     },
-    finish: (bytes) => {
+    finish: (bytes, notifySent) => {
+      if (notifySent) {
+        if (response.closed) notifySent();
+        else response.once('close', notifySent);
+      }
       if (bytes && bytes.length > 0) response.end(bytes);
       else response.end();
       // A pipelined request's answer has no socket yet, and an earlier one may still run.
--- a/packages/router/src/requests/caller.ts
+++ b/packages/router/src/requests/caller.ts
@@ -9,7 +9,8 @@
   sendHead(status: number, headers: OutgoingHttpHeaders | string[]): void;
   /** Resolves when the caller's connection accepts more data, or when `signal` is aborted. */
   sendChunk(bytes: Buffer, signal?: AbortSignal): Promise<void>;
-  finish(bytes?: Buffer): void;
+  /** Ends the answer; calls `notifySent` when nothing of it is left in memory. */
+  finish(bytes?: Buffer, notifySent?: () => void): void;
   /** Destroys the connection, so that a partial answer cannot look complete. */
   abort(): void;
 }
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -124,7 +124,7 @@
       const reason = `endpoint answered ${status} to a resumed stream`;
       return { type: 'failed', reason, isSilent: false, status };
     }
-    return await relayAnswer({ answer, caller, isFailureFinal: isLast });
+    return await relayAnswer({ answer, caller, memory: context.memory, isFailureFinal: isLast });
   } catch (error) {
     return toOutcome(context, error, signal);
   } finally {
