fix(router): a change of protocol is no crash

Seen by callers: nothing yet; found by reading. After a few answers 101 to the same request, it was refused with 503 at every endpoint, as if it had crashed them.

Cause: Node closes such a connection without an error, and a connection that closes without an answer counts as lost. No request asks for a change of protocol, so such an answer is bytes that are no answer.

Change: it ends the call as `spoilt`.

Before: 2 of 2 cases failed; of six requests with the same content, four got 503 instead of 502, with request.lost and suspect.blocked in the log. After: 2 of 2 passed; 502 six times, neither event.

--- a/packages/router/src/dispatch/call-endpoint.ts
+++ b/packages/router/src/dispatch/call-endpoint.ts
@@ -99,7 +99,12 @@
       // reset. An answer that is complete stays so when other bytes follow it.
       if (!answered?.complete) answered?.destroy(failure);
     });
-    // Covers the ends that Node reports without an error, such as an unexpected change of protocol.
+    // No request asks for another protocol.
+    outgoing.once('upgrade', (_, socket) => {
+      failure ??= new CallFailure('spoilt', true, 'unexpected change of protocol');
+      socket.destroy();
+    });
+    // Covers the ends that Node reports without an error.
     outgoing.once('close', () => {
       if (!answered)
         reject(failure ?? new CallFailure('broken', isSent, 'closed without an answer'));
