--- a/packages/control/src/log/open-log-store.ts
+++ b/packages/control/src/log/open-log-store.ts
@@ -49,6 +49,7 @@
   entries.filter(({ index }) => index > base.index).forEach((entry) => memory.add(entry));
   const writer = createLogWriter({ disk, reportFailure });
   let snapshotWrite: Promise<void> = Promise.resolve();
+  let isClosed = false;
 
   const buildLogFile = (): Uint8Array =>
     Buffer.concat([
@@ -67,6 +68,7 @@
   };
 
   const writeSnapshot = async (next: Snapshot, parts: Iterable<string>): Promise<void> => {
+    if (isClosed) throw new Error('the log is closed');
     let bytes = 0;
     function* encodeChunks() {
       for (const chunk of encodeSnapshot(next, parts)) {
@@ -102,6 +104,7 @@
     sync: writer.sync,
     /** Resolves when nothing is being written any more, so that the log may be opened again. */
     close: async (): Promise<void> => {
+      isClosed = true;
       await Promise.all([writer.close(), snapshotWrite]);
     },
     readSnapshot: () => snapshot,
