fix(daemon): limit the size of an endpoint's health answer

Seen by callers: nothing yet; found by looking for answers without an end elsewhere. The agent kept a health answer of any size until its time limit.

Cause: the body was read as a whole, without a limit.

Change: more than 64 KiB ends the check with `endpointFailed`.

Not run: the whole suite.

--- a/packages/daemon/src/agent/open-endpoint.ts
+++ b/packages/daemon/src/agent/open-endpoint.ts
@@ -2,6 +2,7 @@
 import { Pool, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import { isNotConnected } from '../http/is-not-connected.js';
+import { readShortText } from '../http/read-short-text.js';
 import { toPlainHeaders } from '../http/to-plain-headers.js';
 import { wrapBody } from '../http/wrap-body.js';
 
@@ -12,6 +13,7 @@
   running: z.number().default(0),
 });
 
+const maxHealthBytes = 64 * 1024;
 const conflictStatus = 409;
 const notFoundStatus = 404;
 const minErrorStatus = 400;
@@ -53,7 +55,7 @@
     },
     readHealth: async (signal) => {
       const { body } = await request({ method: 'GET', path: '/health', signal });
-      const text = await body.text();
+      const text = await readShortText(body, maxHealthBytes);
       return healthSchema.parse(parseObject(text));
     },
     sendOrder: async (order) => {
