fix(router): acknowledge no unknown departure before all endpoints are known

Seen by callers: nothing yet; found by reading. A daemon that has just started acknowledged the departure of an endpoint that it did not know yet, and recorded it nowhere, so that all others went on sending to it.

Cause: an endpoint that is not in the table counted as gone long ago. That holds only once the table was read from a hub.

Ruled out: a departure of a known endpoint (waits for a majority's disks).

Change: an unknown departure is refused as `notReady` until the daemon is ready; the endpoint then calls another one.

Before: the new test failed, `acknowledged` where 3004 is due. After: passes. Remains: a daemon that was ready once and is cut off from the hubs still acknowledges the departure of an endpoint that started since.

--- /dev/null
+++ b/packages/router/__tests__/unknown-departures.test.ts
@@ -0,0 +1,27 @@
+import { ResultCode, toId, type EndpointId } from '@vanillarelay/core';
+import { createEndpointTable } from '@vanillarelay/routing';
+import { expect, it } from 'vitest';
+import { createControlCalls } from '../src/daemon/create-control-calls.js';
+
+const clock = { monotonic: () => 0 };
+
+const createCalls = (isReady: boolean) =>
+  createControlCalls({
+    ...{ clock, node: {} as never, log: { write: () => {} } as never },
+    endpoints: createEndpointTable({ clock, silenceMs: 1_000 }),
+    ...{ decodeConfig: () => ({}) as never, isReady: () => isReady, recordOrder: () => {} },
+  });
+
+const remove = (isReady: boolean) =>
+  createCalls(isReady)
+    .removeEndpoint(toId<EndpointId>('i-1'))
+    .then(
+      () => 'acknowledged',
+      ({ code }: { code: number }) => code,
+    );
+
+// Guards against a departure that is acknowledged and recorded nowhere, by a daemon that has just
+// started and knows none of the endpoints.
+it('acknowledges the departure of an unknown endpoint only once all are known', async () => {
+  expect([await remove(false), await remove(true)]).toEqual([ResultCode.notReady, 'acknowledged']);
+});
--- a/packages/router/src/daemon/create-control-calls.ts
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -97,7 +97,11 @@
     },
     removeEndpoint: async (id) => {
       const known = endpoints.find(id);
-      if (!known) return;
+      if (!known) {
+        if (isReady()) return;
+        const message = 'this daemon does not know all endpoints yet';
+        throw new RelayError(ResultCode.notReady, message, { notRun: true });
+      }
       endpoints.remove(id);
       log.write('endpoint.left', { endpoint: id });
       await node.announce({ ...known.record, state: 'gone', coldLeftMs: 0 });
