fix(router): do not take an endpoint for silent while the caller does not read

What callers saw: a stream whose caller pauses for longer than the time between events runs a second time, at another endpoint. The first endpoint counts as unreachable, and the caller's runs are used up.

Cause: the time between events was also measured while the router waited for the caller to take the last ones, when it reads nothing from the endpoint.

Change: the time starts when the caller has taken the events. The deadline still ends a stream whose caller does not read.

--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/relay-events.ts
@@ -68,8 +68,9 @@
         if (!hasStarted) notifyStart();
         hasStarted = true;
         if (!caller.hasSentHead()) caller.sendHead(200, selectAnswerHeaders(answer, undefined));
-        startTimer(pauseMs);
+        cancelTimer();
         await caller.sendChunk(mergeEvents(events));
+        startTimer(pauseMs);
       }
       if (fault) return endAtFault(fault);
       const pending = splitter.readPending();
