test(router): only memory limits the requests of the tests of bodies

Traced: the two requests that got 503 were refused with code 3001, "all are full or cold": 8 large and 10 small requests went to one endpoint, which takes 8 at a time. The budget, with code 2001, refused none.

Ruled out: the memory budget; the refusals name their code.

Change: three endpoints, which have room for all 18 requests. What the tests expect stays the same.

--- a/packages/router/__tests__/request-bodies.test.ts
+++ b/packages/router/__tests__/request-bodies.test.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events';
+import type { RequestListener } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 import { createRouterFixture } from './create-router-fixture.js';
@@ -22,7 +23,7 @@
   const start = async () => {
     fixture = await createRouterFixture({ memoryBytes, maxBodyBytes: largeBytes });
     const arrived: unknown[] = [];
-    await fixture.addEndpoint('e1', (message, response) => {
+    const answer: RequestListener = (message, response) => {
       let size = 0;
       message.on('data', (chunk: Buffer) => {
         size += chunk.length;
@@ -32,7 +33,9 @@
         const headers = { 'x-id': message.headers['x-id'], 'x-signed': '1' };
         setTimeout(() => response.writeHead(200, headers).end(String(size)), workMs);
       });
-    });
+    };
+    // Together they have room for all requests of a test, so that only memory limits them.
+    for (const id of ['e1', 'e2', 'e3']) await fixture.addEndpoint(id, answer);
     return arrived;
   };
   const send = async (id: string, bytes: number) => {
