--- a/packages/control/src/log/create-log-writer.ts
+++ b/packages/control/src/log/create-log-writer.ts
@@ -21,7 +21,7 @@
   let writing: Batch | undefined;
   let buildReplacement: (() => Uint8Array) | undefined;
   let failure: Error | undefined;
-  /** Settled unless something is being written. */
+  /** The loop that writes the batches; undefined while there is nothing to write. */
   let running: Promise<void> | undefined;
 
   const run = async (): Promise<void> => {
