fix(router): keep a silent endpoint's request while no other endpoint can take it

What callers saw: a stream whose endpoint paused for 1 s or more was cut in the middle, although the endpoint was sound and no other one was free; a lookup whose only endpoint was slow ended as 502.

Cause: `runAttempt` ended an attempt after a fixed silence whenever the route allowed another run, whether or not an endpoint existed that could take the request over. `runRequest` then found none and broke the answer off.

Change: silence is now a reason to look for another endpoint. The endpoint still counts as unreachable for other requests from the first expiry on.

--- a/packages/router/src/dispatch/call-endpoint.ts
+++ b/packages/router/src/dispatch/call-endpoint.ts
@@ -23,13 +23,14 @@
  * visible only through a write, so `checkEnd` writes an empty chunk when the connection ends.
  */
 export function callEndpoint(call: EndpointCall): Promise<EndpointAnswer> {
-  const { body, signal, headTimeoutMs, waitForTurn } = call;
+  const { body, signal, startHeadTimer, waitForTurn } = call;
   return new Promise((resolve, reject) => {
     let isSent = false;
     let failure: CallFailure | undefined;
     let answered: IncomingMessage | undefined;
     let headBytes = 0;
-    let timer: NodeJS.Timeout | undefined;
+    let connectTimer: NodeJS.Timeout | undefined;
+    let cancelHeadTimer = () => {};
     const outgoing = openRequest(call);
 
     const fail = (kind: CallFailure['kind'], message: string): void => {
@@ -37,18 +38,20 @@
       outgoing.destroy(failure);
     };
     const cancel = () => fail('cancelled', 'the call was cancelled');
-    const startTimer = (ms: number, kind: CallFailure['kind']): void => {
-      clearTimeout(timer);
-      timer = setTimeout(() => fail(kind, `${kind} after ${ms} ms`), ms);
+    const startConnectTimer = (): void => {
+      const message = `connectTimeout after ${connectTimeoutMs} ms`;
+      connectTimer = setTimeout(() => fail('connectTimeout', message), connectTimeoutMs);
     };
     const settle = (): void => {
-      clearTimeout(timer);
+      clearTimeout(connectTimer);
+      cancelHeadTimer();
       signal.removeEventListener('abort', cancel);
     };
     const send = (): void => {
       if (failure) return;
       isSent = true;
-      if (headTimeoutMs !== undefined) startTimer(headTimeoutMs, 'silent');
+      const abandon = () => fail('silent', 'no answer in time');
+      if (startHeadTimer) cancelHeadTimer = startHeadTimer(abandon);
       outgoing.end(body);
     };
 
@@ -75,9 +78,9 @@
         send();
         return;
       }
-      startTimer(connectTimeoutMs, 'connectTimeout');
+      startConnectTimer();
       socket.once('connect', () => {
-        clearTimeout(timer);
+        clearTimeout(connectTimer);
         void waitForTurn().then(send);
       });
     });
--- a/packages/router/src/dispatch/endpoint-call.ts
+++ b/packages/router/src/dispatch/endpoint-call.ts
@@ -10,8 +10,11 @@
   agent: Agent;
   /** Aborted when the caller has disconnected or the deadline has passed. */
   signal: AbortSignal;
-  /** Time to the head of the answer after which the call fails; undefined for no limit. */
-  headTimeoutMs?: number;
+  /**
+   * Starts the time limit for the head of the answer, which calls `abandon` when it is over; returns
+   * a function that cancels it. Undefined for no limit.
+   */
+  startHeadTimer?: (abandon: () => void) => () => void;
   /** Resolves when the request may be sent over a new connection, unless `signal` is aborted. */
   waitForTurn: () => Promise<void>;
 }
--- /dev/null
+++ b/packages/router/src/requests/has-alternative.ts
@@ -0,0 +1,21 @@
+import { listCandidates } from './list-candidates.js';
+import { maxSends } from './max-sends.js';
+import type { RoutedRequest } from './routed-request.js';
+import type { RouterContext } from './router-context.js';
+import type { RunState } from './run-state.js';
+
+/**
+ * Whether a request that an endpoint is running can be sent to another one now. An endpoint with a
+ * health issue may be no better than the one that has the request, so it does not count.
+ */
+export function hasAlternative(
+  context: RouterContext,
+  { table }: RoutedRequest,
+  { service, tried, result }: Pick<RunState, 'service' | 'tried' | 'result'>,
+): boolean {
+  // The running attempt is not among the sends yet.
+  if (result.sends.length + 1 >= maxSends) return false;
+  if (context.budget.readRemaining(service) < 1) return false;
+  const { open } = listCandidates(context, service, table.findService(service));
+  return open.some(({ id, healthIssue }) => healthIssue === undefined && !tried.has(id));
+}
--- a/packages/router/src/requests/is-retry-allowed.ts
+++ b/packages/router/src/requests/is-retry-allowed.ts
@@ -1,13 +1,11 @@
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { isLost } from './is-lost.js';
 import { isRepeatable } from './is-repeatable.js';
+import { maxSends } from './max-sends.js';
 import type { RoutedRequest } from './routed-request.js';
 import type { RouterContext } from './router-context.js';
 import type { RunState } from './run-state.js';
 
-/** Maximum number of sends, even when every endpoint proves that it did not run the request. */
-const maxSends = 4;
-
 /** Whether a request may be sent to another endpoint after an attempt with this outcome. */
 export function isRetryAllowed(
   { crashes }: Pick<RouterContext, 'crashes'>,
--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/relay-events.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage } from 'node:http';
-import type { Clock } from '@vanillarelay/core';
 import { createEventSplitter } from '../dispatch/create-event-splitter.js';
 import type { RouterWire } from '../wire/router-wire.js';
 import { selectAnswerHeaders } from '../wire/select-answer-headers.js';
@@ -14,11 +13,12 @@
   answer: IncomingMessage;
   caller: Caller;
   progress: StreamProgress;
-  clock: Clock;
-  /** Time to the first event after which the endpoint counts as silent; undefined for no limit. */
-  firstEventMs: number | undefined;
-  /** Time between events after which the endpoint counts as silent; undefined for no limit. */
-  pauseMs: number | undefined;
+  /** Time to the first event after which the endpoint counts as silent. */
+  firstEventMs: number;
+  /** Time between events after which the endpoint counts as silent. */
+  pauseMs: number;
+  /** Starts a time limit on the endpoint's silence; returns a function that cancels it. */
+  startSilenceTimer: (ms: number, abandon: () => void) => () => void;
   /** Called when the first event has arrived. */
   notifyStart: () => void;
   /** Called with bytes that are not the stream's next event. */
@@ -35,14 +35,13 @@
  * is sent together with the first event, so that an endpoint that fails before it can be replaced.
  */
 export async function relayEvents(relay: EventRelay): Promise<AttemptOutcome> {
-  const { answer, caller, progress, clock, firstEventMs, pauseMs, notifyStart } = relay;
+  const { answer, caller, progress, firstEventMs, pauseMs, notifyStart } = relay;
   const splitter = createEventSplitter();
   let isSilent = false;
   let cancelTimer = () => {};
-  const startTimer = (ms: number | undefined): void => {
+  const startTimer = (ms: number): void => {
     cancelTimer();
-    if (ms === undefined) return;
-    cancelTimer = clock.startTimer(ms, () => {
+    cancelTimer = relay.startSilenceTimer(ms, () => {
       isSilent = true;
       answer.destroy();
     });
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/run-attempt.ts
@@ -11,6 +11,7 @@
 import { logSpoiltStream } from './log-spoilt-stream.js';
 import { relayAnswer } from './relay-answer.js';
 import { relayEvents } from './relay-events.js';
+import { startSilenceTimer } from './start-silence-timer.js';
 import type { RoutedRequest } from './routed-request.js';
 import type { RouterContext } from './router-context.js';
 import type { StreamProgress } from './stream-progress.js';
@@ -28,19 +29,25 @@
    */
   cacheSource: string | undefined;
   /**
-   * Whether no other endpoint may run the request after this attempt. A slow endpoint is then given
-   * until the deadline, and its 5xx answer is relayed to the caller.
+   * Whether no other endpoint may run the request after this attempt. A silent endpoint is then
+   * given until the deadline, and its 5xx answer is relayed to the caller.
    */
   isLast: boolean;
+  /** Whether another endpoint can take the request over now. */
+  hasAlternative: () => boolean;
+  /** Called if the endpoint counts as silent but keeps the request. */
+  recordSilence: () => void;
   /** Called when the first event of the answer has arrived. */
   notifyStart: () => void;
 }
 
 /**
  * Multiple of the route's target response time (`objectiveMs`) after which an endpoint that has not
- * answered counts as silent and is abandoned for another one.
+ * answered counts as silent and is abandoned as soon as another one can take over.
  */
 const silentFactor = 2;
+/** Multiple of the longest acceptable pause after which an endpoint counts as silent. */
+const pauseFactor = 4;
 /** Lower limit of that time for streams, and of the time between two events. */
 const minStreamSilentMs = 600;
 /** Lower limit of that time for other requests. */
@@ -65,7 +72,13 @@
     attempt;
   const { route, account, facts, method, path, body } = request;
   const minMs = route.isStream ? minStreamSilentMs : minPlainSilentMs;
-  const silentMs = isLast ? undefined : Math.max(minMs, route.objectiveMs * silentFactor);
+  const silentMs = Math.max(minMs, route.objectiveMs * silentFactor);
+  const startTimer = (ms: number, abandon: () => void): (() => void) => {
+    const { hasAlternative, recordSilence } = attempt;
+    return isLast
+      ? () => {}
+      : startSilenceTimer({ clock, ms, hasAlternative, recordSilence }, abandon);
+  };
   const headers = wire.buildHeaders(facts, {
     endpoint: record.id,
     deadlineMs: Math.max(1, Math.floor(deadlineAt - clock.monotonic())),
@@ -82,7 +95,7 @@
       address: record.address,
       agent: pool,
       waitForTurn: sendQueue.waitForTurn,
-      ...(silentMs === undefined ? {} : { headTimeoutMs: silentMs }),
+      startHeadTimer: (abandon) => startTimer(silentMs, abandon),
     });
     const status = answer.statusCode ?? 0;
     const answerFacts = wire.parseAnswer(status, answer.headers);
@@ -112,9 +125,9 @@
       sendChunk: (bytes) => request.caller.sendChunk(bytes, signal),
     };
     if (route.isStream && isStream) {
-      const pauseMs = isLast ? undefined : Math.max(minStreamSilentMs, route.maxPauseMs * 4);
+      const pauseMs = Math.max(minStreamSilentMs, route.maxPauseMs * pauseFactor);
       return await relayEvents({
-        ...{ answer, caller, progress, clock, pauseMs, notifyStart },
+        ...{ answer, caller, progress, pauseMs, notifyStart, startSilenceTimer: startTimer },
         ...{ firstEventMs: silentMs, parseEvent: wire.parseEvent },
         reportFault: (found) => logSpoiltStream(context, request, record, progress, found),
       });
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -2,6 +2,7 @@
 import { chooseService } from '@vanillarelay/routing';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { buildAffinityKey } from './build-affinity-key.js';
+import { hasAlternative } from './has-alternative.js';
 import { computeDeadline } from './compute-deadline.js';
 import { endFailed } from './end-failed.js';
 import { endInterrupted } from './end-interrupted.js';
@@ -156,6 +157,8 @@
     ...{ request, deadlineAt, signal, progress, isLast },
     cacheSource: readCacheSource(context, request, state, id),
     record: endpoint.record,
+    hasAlternative: () => hasAlternative(context, request, state),
+    recordSilence: () => health.recordUnreachable(id),
     notifyStart: () => context.crashes.recordStart(state.partSuspects),
   });
   recordCrash(context, request, state, endpoint.record, outcome);
