fix(routing): count a crash against a content at any point of its answer

What callers saw: a request that crashes its endpoint just after the first event was never blocked. Sent again every 2 s it crashed an endpoint over 20 times in 50 s, and cut the streams beside it.

Cause: `recordCrash` counted a crash only while the answer had not begun, because an answer that begins clears the parts of its prompt. The content was let off with the parts. On the other side of the same rule, four requests of one content that were lost in one crash counted as four crashes.

Change: the content is suspected at any point, the parts as before. Runs of one content that a process of an endpoint had at the same time count once, over all routers. A run that goes more than twice as far as a lost one clears that loss: streams that others' crashes end are lost at points far apart. A silence that this router ended itself is no crash.

--- a/packages/fleet/src/messages/check-observations.ts
+++ b/packages/fleet/src/messages/check-observations.ts
@@ -21,7 +21,11 @@
   outcomes: hasOnly((value) => Array.isArray(value) && value.length === 2 && value.every(isCount)),
   crashes: hasOnly(
     hasOnly(
-      (value) => isObject(value) && isCount(value.ageMs) && isOptionalCount(value.clearedAgeMs),
+      (value) =>
+        isObject(value) &&
+        isCount(value.ageMs) &&
+        isOptionalCount(value.events) &&
+        isOptionalCount(value.clearedAgeMs),
     ),
   ),
   rates: hasOnly(
--- a/packages/fleet/src/sync/add-observation-age.ts
+++ b/packages/fleet/src/sync/add-observation-age.ts
@@ -6,9 +6,10 @@
   const crashes: Observations['crashes'] = {};
   Object.entries(observations.crashes).forEach(([suspect, reports]) => {
     const aged: Observations['crashes'][SuspectId] = {};
-    Object.entries(reports).forEach(([crash, { ageMs, clearedAgeMs }]) => {
+    Object.entries(reports).forEach(([crash, { ageMs, events, clearedAgeMs }]) => {
       aged[crash as CrashId] = {
         ageMs: ageMs + addedMs,
+        ...(events === undefined ? {} : { events }),
         ...(clearedAgeMs === undefined ? {} : { clearedAgeMs: clearedAgeMs + addedMs }),
       };
     });
--- a/packages/router/src/requests/attempt-outcome.ts
+++ b/packages/router/src/requests/attempt-outcome.ts
@@ -12,6 +12,6 @@
   /** The request may have run; no part of an answer was sent to the caller. */
   | { type: 'failed'; reason: string; isSilent: boolean; status?: number; isSpoilt?: boolean }
   /** The answer was interrupted after part of it was sent to the caller. */
-  | { type: 'broken'; reason: string; isSpoilt?: boolean }
+  | { type: 'broken'; reason: string; isSilent?: boolean; isSpoilt?: boolean }
   /** The caller disconnected, or the deadline passed. */
   | { type: 'cancelled' };
--- a/packages/router/src/requests/record-crash.ts
+++ b/packages/router/src/requests/record-crash.ts
@@ -9,25 +9,36 @@
 
 const idRadix = 36;
 
+interface SentRun {
+  /** Monotonic time at which it was sent. */
+  sentAt: number;
+  /** Events that earlier runs of the request had sent. */
+  eventsBefore: number;
+}
+
 /**
- * Records a possible crash when the connection to the endpoint was lost before the answer to the
- * request had begun. An answer that begins clears the parts of the prompt, a complete one the content
- * of the request. Each loss of the same content counts, but of a part, which many requests share, only
- * one loss per process of an endpoint: a process that resets connections has not crashed.
+ * Records a possible crash when the connection to the endpoint was lost. The content of the request is
+ * suspected at any point of its run, the parts of its prompt only before the answer had begun. An
+ * answer that begins clears the parts, a complete one the content. Of a part, which many requests
+ * share, only one loss per process of an endpoint counts: a process that resets connections has not
+ * crashed.
  */
 export function recordCrash(
-  { crashes, hash, clock }: RouterContext,
+  { crashes, hash }: RouterContext,
   request: RoutedRequest,
   state: RunState,
   { id, bornAt }: EndpointRecord,
   outcome: AttemptOutcome,
+  run: SentRun,
 ): void {
-  const buildId = (text: string) => toId<CrashId>(hash(text).toString(idRadix));
-  const hasStarted = state.progress.events > 0;
-  if (isLost(outcome) && !hasStarted) {
-    const content = readContentSuspect(request, state);
-    crashes.recordCrash([content], buildId(`${id} ${bornAt} ${clock.monotonic()}`));
-    crashes.recordCrash(state.partSuspects, buildId(`${id} ${bornAt}`));
+  if (isLost(outcome)) {
+    const endpointProcess = hash(`${id} ${bornAt}`).toString(idRadix);
+    crashes.recordLostRun(readContentSuspect(request, state), {
+      ...{ endpointProcess, sentAt: run.sentAt },
+      events: state.progress.events - run.eventsBefore,
+    });
+    const hasStarted = state.progress.events > 0;
+    if (!hasStarted) crashes.recordCrash(state.partSuspects, toId<CrashId>(endpointProcess));
   } else if (outcome.type === 'answered') {
     crashes.recordStart(state.partSuspects);
     if (!crashes.isEmpty()) crashes.clear(readContentSuspect(request, state));
--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/relay-events.ts
@@ -48,7 +48,7 @@
   };
   const fail = (reason: string, isSpoilt = false): AttemptOutcome => {
     if (caller.signal.aborted) return { type: 'cancelled' };
-    if (caller.hasSentHead()) return { type: 'broken', reason, isSpoilt };
+    if (caller.hasSentHead()) return { type: 'broken', reason, isSilent, isSpoilt };
     return { type: 'failed', reason, isSilent, isSpoilt };
   };
   const endAtFault = (fault: StreamFault): AttemptOutcome => {
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -153,6 +153,7 @@
   notices.recordSend(id);
   tried.add(id);
   const isLast = !isRepeatable(request) || possibleRuns + 1 >= request.route.maxEndpoints;
+  const sentRun = { sentAt: clock.monotonic(), eventsBefore: progress.events };
   const outcome = await runAttempt(context, {
     ...{ request, deadlineAt, signal, progress, isLast },
     cacheSource: readCacheSource(context, request, state, id),
@@ -161,12 +162,12 @@
     recordSilence: () => health.recordUnreachable(id),
     notifyStart: () => context.crashes.recordStart(state.partSuspects),
   });
-  recordCrash(context, request, state, endpoint.record, outcome);
+  recordCrash(context, request, state, endpoint.record, outcome, sentRun);
   if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   if (outcome.type === 'answered') health.recordSuccess(id);
   if (outcome.type === 'failed' || outcome.type === 'broken') {
     state.possibleRuns += 1;
-    if (outcome.type === 'failed' && outcome.isSilent) health.recordUnreachable(id);
+    if (outcome.isSilent) health.recordUnreachable(id);
     else health.recordFailure(id);
   }
   if (outcome.type === 'notRun' && outcome.cause === 'replaced') endpoints.remove(id);
--- a/packages/routing/__tests__/crash-record.test.ts
+++ b/packages/routing/__tests__/crash-record.test.ts
@@ -55,6 +55,37 @@
     ]);
   });
 
+  // Guards against a content that is blocked since its requests were lost in one crash, and against
+  // missing a crash of an endpoint whose restart is not announced yet.
+  it.each([
+    ['together count as one crash', [100, 100, 90], []],
+    ['one after the other count each', [100, 210, 320], [bad]],
+  ])('runs of a content that are lost %s', (_, sentAt, blocked) => {
+    const { time, records, exchange, listBlocked } = createRecords(3);
+    sentAt.forEach((at, index) => {
+      time.now = Math.max(at, 200 + index * (at > 100 ? 110 : 1));
+      records[index]?.recordLostRun(bad, { endpointProcess: 'e1', sentAt: at, events: 0 });
+      exchange();
+      exchange();
+    });
+    expect(listBlocked()).toEqual([blocked, blocked, blocked]);
+  });
+
+  // Guards against blocking a long stream that was lost in the crashes of others, and against
+  // missing a content that crashes its endpoints at about the same event.
+  it.each([
+    ['far apart', [3, 9, 25], []],
+    ['close together', [1, 2, 1], [bad]],
+  ])('is blocked or not when its runs are lost at points %s', (_, events, blocked) => {
+    const { records, exchange, listBlocked } = createRecords(3);
+    events.forEach((count, index) => {
+      const endpointProcess = `e${index}`;
+      records[index]?.recordLostRun(bad, { endpointProcess, sentAt: 0, events: count });
+    });
+    exchange();
+    expect(listBlocked()).toEqual([blocked, blocked, blocked]);
+  });
+
   // Guards against counting one crash several times, as each router with requests there reports it.
   it('is not blocked by one crash that several routers notice', () => {
     const { records, exchange, listBlocked } = createRecords(5);
--- a/packages/routing/src/crashes/create-crash-record.ts
+++ b/packages/routing/src/crashes/create-crash-record.ts
@@ -1,5 +1,6 @@
 import {
   sortByRendezvous,
+  toId,
   type Clock,
   type CrashId,
   type DaemonId,
@@ -8,10 +9,21 @@
 } from '@vanillarelay/core';
 import type { CrashReports } from './crash-reports.js';
 import { createStartMemory } from './create-start-memory.js';
+import { hasRunPast } from './has-run-past.js';
 import { isCrashExpired } from './is-crash-expired.js';
 import { isProbeDue } from './is-probe-due.js';
 import type { Suspect } from './suspect.js';
 
+/** One run of a content that was lost together with its endpoint. */
+interface LostRun {
+  /** The process of the endpoint. */
+  endpointProcess: string;
+  /** Monotonic time at which the run was sent. */
+  sentAt: number;
+  /** Events that the run had sent. */
+  events: number;
+}
+
 interface CrashRecordOptions {
   clock: Pick<Clock, 'monotonic'>;
   hash: Hash;
@@ -31,18 +43,23 @@
 
 /**
  * Creates the record of what may crash endpoints: the contents of requests, and the parts of
- * prompts. Everything in a request whose answer had not begun when its endpoint crashed is suspected
- * of that crash, until an answer to a request with it begins at any endpoint. What is suspected of
- * several crashes is blocked at every router. Each router keeps and passes on what it has learned,
- * so that the record outlives the router that noticed a crash.
+ * prompts. A part is suspected of a crash if the answer had not begun, until an answer to a request
+ * with it begins at any endpoint. A content is suspected at any point of its run, until one run of it
+ * is complete or goes well past that point. What is suspected of several crashes is blocked at every
+ * router. Each router keeps and passes on what it has learned, so that the record outlives the router
+ * that noticed a crash.
  */
 export function createCrashRecord(options: CrashRecordOptions) {
   const { clock, hash, self, listRouters, notify } = options;
   const suspects = new Map<SuspectId, Suspect>();
   const starts = createStartMemory(clock);
 
-  const countCrashes = ({ crashes }: Suspect): number =>
-    [...crashes.values()].filter(({ clearedAt }) => clearedAt === undefined).length;
+  const countCrashes = ({ crashes }: Suspect): number => {
+    const furthest = Math.max(0, ...[...crashes.values()].map(({ events }) => events));
+    return [...crashes.values()].filter(
+      ({ clearedAt, events }) => clearedAt === undefined && !hasRunPast(furthest, events),
+    ).length;
+  };
 
   const updateIsBlocked = (id: SuspectId, suspect: Suspect): void => {
     const count = countCrashes(suspect);
@@ -86,13 +103,14 @@
   const mergeCrash = (
     id: SuspectId,
     crashId: CrashId,
-    { ageMs, clearedAgeMs }: CrashReports[SuspectId][CrashId],
+    { ageMs, events = 0, clearedAgeMs }: CrashReports[SuspectId][CrashId],
   ): void => {
     const now = clock.monotonic();
     const suspect = findOrAdd(id);
     const known = suspect.crashes.get(crashId);
-    const crash = known ?? { at: now - ageMs };
+    const crash = known ?? { at: now - ageMs, events };
     crash.at = Math.min(crash.at, now - ageMs);
+    crash.events = Math.max(crash.events, events);
     const hasStartedSince = starts.hasSince(id, crash.at);
     if (clearedAgeMs !== undefined) crash.clearedAt ??= now - clearedAgeMs;
     else if (hasStartedSince) crash.clearedAt ??= now;
@@ -136,9 +154,21 @@
       ids.forEach(startProbe);
       return true;
     },
-    /** Records that an endpoint crashed before the answer to a request with these had begun. */
+    /** Records that an endpoint crashed before an answer with these parts had begun. */
     recordCrash: (ids: readonly SuspectId[], crash: CrashId): void =>
       ids.forEach((id) => mergeCrash(id, crash, { ageMs: 0 })),
+    /**
+     * Records that an endpoint crashed while it ran a request with this content. Runs that it had at
+     * the same time, at any router, count as one crash. A later run at a process that seems to be the
+     * same counts again: an endpoint may have restarted before its announcement says so.
+     */
+    recordLostRun: (id: SuspectId, { endpointProcess, sentAt, events }: LostRun): void => {
+      const crashes = suspects.get(id)?.crashes;
+      const buildId = (ordinal: number) => toId<CrashId>(`${endpointProcess}.${ordinal}`);
+      let ordinal = 1;
+      while ((crashes?.get(buildId(ordinal))?.at ?? Infinity) < sentAt) ordinal += 1;
+      mergeCrash(id, buildId(ordinal), { ageMs: 0, events });
+    },
     /** Records that the answer to a prompt with these parts has begun, which clears them. */
     recordStart: (ids: readonly SuspectId[]): void => {
       starts.record(ids);
@@ -173,9 +203,10 @@
 
 function buildReport(crashes: Suspect['crashes'], now: number): CrashReports[SuspectId] {
   const report: CrashReports[SuspectId] = {};
-  crashes.forEach(({ at, clearedAt }, id) => {
+  crashes.forEach(({ at, events, clearedAt }, id) => {
     report[id] = {
       ageMs: Math.round(now - at),
+      ...(events > 0 ? { events } : {}),
       ...(clearedAt === undefined ? {} : { clearedAgeMs: Math.round(now - clearedAt) }),
     };
   });
--- a/packages/routing/src/crashes/merge-crash-reports.ts
+++ b/packages/routing/src/crashes/merge-crash-reports.ts
@@ -11,10 +11,12 @@
       merged[suspect] = known;
       Object.entries(crashes).forEach(([crashKey, report]) => {
         const crash = crashKey as CrashId;
-        const { ageMs = 0, clearedAgeMs } = known[crash] ?? {};
+        const { ageMs = 0, events = 0, clearedAgeMs } = known[crash] ?? {};
+        const mostEvents = Math.max(events, report.events ?? 0);
         const cleared = clearedAgeMs ?? report.clearedAgeMs;
         known[crash] = {
           ageMs: Math.max(ageMs, report.ageMs),
+          ...(mostEvents > 0 ? { events: mostEvents } : {}),
           ...(cleared === undefined ? {} : { clearedAgeMs: cleared }),
         };
       });
--- a/packages/routing/src/crashes/suspect.ts
+++ b/packages/routing/src/crashes/suspect.ts
@@ -3,6 +3,8 @@
 interface Crash {
   /** Monotonic time at which it was noticed. */
   at: number;
+  /** Events that the lost run of a content had sent; 0 for a part, whose answer had not begun. */
+  events: number;
   /** Monotonic time at which the suspect proved harmless since; absent while it is suspected. */
   clearedAt?: number;
 }
