refactor(router): a request goes through the stages waiting, placing, attempt and ending

The forty files of `requests` lay side by side, and seven functions ended a request in seven ways. Now `chooseEnding` decides how a request ends, as a value, and `endRequest` carries it out; the wait for an endpoint and the send have a file each.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -130,6 +130,7 @@
   memoryBytes = 272 * 1024 * 1024,
   maxBodyBytes = config.bounds.maxBodyBytes,
   stopSignal = new AbortController().signal,
+  features = { scheduling: false },
 } = {}) {
   const clock = createSystemClock();
   const endpoints = createEndpointTable({ clock, silenceMs });
@@ -138,7 +139,7 @@
   const closers: (() => void)[] = [];
   const memory = createMemoryBudget(memoryBytes);
   const router = createRouter({
-    ...{ clock, wire, endpoints, memory },
+    ...{ clock, wire, endpoints, memory, features },
     random: () => 0,
     hash: await createHash(),
     self: 'router-1' as never,
--- a/packages/router/__tests__/list-candidates.test.ts
+++ b/packages/router/__tests__/list-candidates.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, expect, it } from 'vitest';
-import { listCandidates } from '../src/requests/list-candidates.js';
+import { listCandidates } from '../src/requests/placing/list-candidates.js';
 import type { RouterContext } from '../src/requests/router-context.js';
 import { createRouterFixture } from './create-router-fixture.js';
 
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -15,6 +15,7 @@
 } from '@vanillarelay/routing';
 import { createConnectionPool } from './dispatch/create-connection-pool.js';
 import { createSendQueue } from './dispatch/create-send-queue.js';
+import type { RouterFeatures } from './daemon/router-features.js';
 import type { LogEvent } from './log/log-event.js';
 import { createLoopMonitor } from './loop/create-loop-monitor.js';
 import type { MemoryBudget } from './memory/memory-budget.js';
@@ -37,6 +38,7 @@
   retryExtra: number;
   coldMultiplier: number;
   coldSlack: number;
+  features: RouterFeatures;
   /** Memory that this process may hold for others. */
   memory: MemoryBudget;
   /** Aborted when this process stops and must end the requests that still run. */
@@ -48,7 +50,7 @@
 /** Creates a daemon's request router, including its records of loads, outcomes and crashes. */
 export function createRouter(options: RouterOptions) {
   const { clock, random, hash, self, dataCentre, wire, endpoints, listRouters, record } = options;
-  const { stopSignal, memory } = options;
+  const { stopSignal, memory, features } = options;
   let table: RouteTable | undefined;
   let dataCentresOut: ReadonlySet<DataCentreId> = new Set();
   const loads = createLoadView();
@@ -68,6 +70,7 @@
       stopSignal,
       running,
       memory,
+      features,
     },
     pool: createConnectionPool(),
     sendQueue: createSendQueue(loop),
--- a/packages/router/src/daemon/router-settings.ts
+++ b/packages/router/src/daemon/router-settings.ts
@@ -47,6 +47,19 @@
     /** Additional retries allowed per window, for all routers together. */
     extra: z.number().check(z.nonnegative()),
   }),
+  /** Names of the terms that the deployment asks for; they switch optional parts on. */
+  terms: z.optional(z.array(z.string())),
+  /** Bounds on roll-outs of a version; without them there are no roll-outs. */
+  rollouts: z.optional(
+    z.object({
+      /** Share of a service's requests that a bad version may get before its deadline. */
+      exposeShare: z.number().check(z.positive(), z.maximum(1)),
+      /** Requests that it may get besides. */
+      exposeSlack: z.number().check(z.nonnegative()),
+      /** Time after its 50th bad answer from which it gets no requests, in milliseconds. */
+      rollbackMs: positive,
+    }),
+  ),
   /** A cold endpoint can handle its rate times the multiplier, plus the slack, in any second. */
   coldEndpoints: z.object({
     multiplier: z.number().check(z.minimum(1)),
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -32,6 +32,7 @@
 import { createControlCalls } from './create-control-calls.js';
 import { createStopPlan } from './create-stop-plan.js';
 import { loadSettings } from './load-settings.js';
+import type { RouterFeatures } from './router-features.js';
 import type { RouterSettings } from './router-settings.js';
 import { runShutdown } from './run-shutdown.js';
 import { observeSettings } from './observe-settings.js';
@@ -43,6 +44,8 @@
   openDisk: (folder: string) => Promise<Disk>;
   wire: RouterWire;
   decodeConfig: (source: string) => RoutingConfig;
+  /** Decodes which optional parts the deployment's terms switch on. */
+  decodeFeatures: (terms: readonly string[]) => RouterFeatures;
   /** Creates the server for operators and endpoints. */
   createControlServer: (calls: ControlCalls, settings: RouterSettings, clock: Clock) => Server;
   /** Creates the server for readiness checks. */
@@ -99,6 +102,7 @@
   const memory = createMemoryBudget((settings.memoryLimitMb ?? defaultMemoryMb) * bytesPerMb);
   const router = createRouter({
     memory,
+    features: options.decodeFeatures(settings.terms ?? []),
     ...{ clock, hash, wire, endpoints, random: readRandom },
     self: self.id,
     dataCentre: self.dataCentre,
--- a/packages/router/src/requests/is-repeatable.ts
+++ b/packages/router/src/requests/attempt/is-repeatable.ts
@@ -1,4 +1,4 @@
-import type { RoutedRequest } from './routed-request.js';
+import type { RoutedRequest } from '../routed-request.js';
 
 /** Whether running a request more than once does no harm. */
 export function isRepeatable({ route }: RoutedRequest): boolean {
--- a/packages/router/src/requests/is-retry-allowed.ts
+++ b/packages/router/src/requests/attempt/is-retry-allowed.ts
@@ -2,9 +2,9 @@
 import { isLost } from './is-lost.js';
 import { isRepeatable } from './is-repeatable.js';
 import { maxSends } from './max-sends.js';
-import type { RoutedRequest } from './routed-request.js';
-import type { RouterContext } from './router-context.js';
-import type { RunState } from './run-state.js';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
+import type { RunState } from '../run-state.js';
 
 /** Whether a request may be sent to another endpoint after an attempt with this outcome. */
 export function isRetryAllowed(
--- a/packages/router/src/requests/is-spoilt-error.ts
+++ b/packages/router/src/requests/attempt/is-spoilt-error.ts
@@ -1,4 +1,4 @@
-import { CallFailure } from '../dispatch/call-failure.js';
+import { CallFailure } from '../../dispatch/call-failure.js';
 
 /** Whether an answer ended with bytes of its endpoint that are no HTTP. */
 export function isSpoiltError(error: unknown): boolean {
--- a/packages/router/src/requests/log-lost-request.ts
+++ b/packages/router/src/requests/attempt/log-lost-request.ts
@@ -1,8 +1,8 @@
 import type { EndpointRecord } from '@vanillarelay/routing';
-import { readContentSuspect } from './read-content-suspect.js';
-import type { RoutedRequest } from './routed-request.js';
-import type { RouterContext } from './router-context.js';
-import type { RunState } from './run-state.js';
+import { readContentSuspect } from '../crashes/read-content-suspect.js';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
+import type { RunState } from '../run-state.js';
 
 /** Logs what a request that was lost together with its endpoint consisted of. */
 export function logLostRequest(
--- a/packages/router/src/requests/log-spoilt-stream.ts
+++ b/packages/router/src/requests/attempt/log-spoilt-stream.ts
@@ -1,6 +1,6 @@
 import type { EndpointRecord } from '@vanillarelay/routing';
-import type { RoutedRequest } from './routed-request.js';
-import type { RouterContext } from './router-context.js';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
 import type { StreamFault } from './stream-fault.js';
 import type { StreamProgress } from './stream-progress.js';
 
--- a/packages/router/src/requests/relay-answer.ts
+++ b/packages/router/src/requests/attempt/relay-answer.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage } from 'node:http';
 import { createByteCollector } from '@vanillarelay/daemon';
-import { createMemoryLease } from '../memory/create-memory-lease.js';
-import type { MemoryBudget } from '../memory/memory-budget.js';
-import { selectAnswerHeaders } from '../wire/select-answer-headers.js';
+import { createMemoryLease } from '../../memory/create-memory-lease.js';
+import type { MemoryBudget } from '../../memory/memory-budget.js';
+import { selectAnswerHeaders } from '../../wire/select-answer-headers.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
-import type { Caller } from './caller.js';
+import type { Caller } from '../caller.js';
 import { isSpoiltError } from './is-spoilt-error.js';
 
 interface AnswerRelay {
--- a/packages/router/src/requests/relay-events.ts
+++ b/packages/router/src/requests/attempt/relay-events.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage } from 'node:http';
-import { createEventSplitter } from '../dispatch/create-event-splitter.js';
-import type { RouterWire } from '../wire/router-wire.js';
-import { selectAnswerHeaders } from '../wire/select-answer-headers.js';
+import { createEventSplitter } from '../../dispatch/create-event-splitter.js';
+import type { RouterWire } from '../../wire/router-wire.js';
+import { selectAnswerHeaders } from '../../wire/select-answer-headers.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { StreamProgress } from './stream-progress.js';
-import type { Caller } from './caller.js';
+import type { Caller } from '../caller.js';
 import type { StreamFault } from './stream-fault.js';
 import { isSpoiltError } from './is-spoilt-error.js';
 import { takeNextEvents } from './take-next-events.js';
--- a/packages/router/src/requests/run-attempt.ts
+++ b/packages/router/src/requests/attempt/run-attempt.ts
@@ -1,19 +1,19 @@
 import type { IncomingMessage } from 'node:http';
 import type { EndpointId } from '@vanillarelay/core';
 import type { EndpointRecord } from '@vanillarelay/routing';
-import { CallFailure } from '../dispatch/call-failure.js';
-import { callEndpoint } from '../dispatch/call-endpoint.js';
-import { releaseAnswer } from '../dispatch/release-answer.js';
-import type { AnswerFacts } from '../wire/answer-facts.js';
+import { CallFailure } from '../../dispatch/call-failure.js';
+import { callEndpoint } from '../../dispatch/call-endpoint.js';
+import { releaseAnswer } from '../../dispatch/release-answer.js';
+import type { AnswerFacts } from '../../wire/answer-facts.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
-import type { Caller } from './caller.js';
+import type { Caller } from '../caller.js';
 import { isOwnAnswer } from './is-own-answer.js';
 import { logSpoiltStream } from './log-spoilt-stream.js';
 import { relayAnswer } from './relay-answer.js';
 import { relayEvents } from './relay-events.js';
 import { startSilenceTimer } from './start-silence-timer.js';
-import type { RoutedRequest } from './routed-request.js';
-import type { RouterContext } from './router-context.js';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
 import type { StreamProgress } from './stream-progress.js';
 
 interface Attempt {
--- a/packages/router/src/requests/take-next-events.ts
+++ b/packages/router/src/requests/attempt/take-next-events.ts
@@ -1,6 +1,6 @@
-import type { EventField } from '../wire/event-field.js';
-import { parseEventFields } from '../wire/parse-event-fields.js';
-import type { RouterWire } from '../wire/router-wire.js';
+import type { EventField } from '../../wire/event-field.js';
+import { parseEventFields } from '../../wire/parse-event-fields.js';
+import type { RouterWire } from '../../wire/router-wire.js';
 import type { StreamFault } from './stream-fault.js';
 import type { StreamProgress } from './stream-progress.js';
 
--- a/packages/router/src/requests/build-content-suspect.ts
+++ b/packages/router/src/requests/crashes/build-content-suspect.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { toId, type SuspectId } from '@vanillarelay/core';
-import type { RoutedRequest } from './routed-request.js';
+import type { RoutedRequest } from '../routed-request.js';
 
 const hashLength = 16;
 
--- a/packages/router/src/requests/is-blocked.ts
+++ b/packages/router/src/requests/crashes/is-blocked.ts
@@ -1,7 +1,7 @@
 import { readContentSuspect } from './read-content-suspect.js';
-import type { RoutedRequest } from './routed-request.js';
-import type { RouterContext } from './router-context.js';
-import type { RunState } from './run-state.js';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
+import type { RunState } from '../run-state.js';
 
 /**
  * Whether a request must not be sent, because its content or a part of its prompt crashes endpoints.
--- a/packages/router/src/requests/list-part-suspects.ts
+++ b/packages/router/src/requests/crashes/list-part-suspects.ts
@@ -1,5 +1,5 @@
 import { toId, type SuspectId } from '@vanillarelay/core';
-import type { RequestFacts } from '../wire/request-facts.js';
+import type { RequestFacts } from '../../wire/request-facts.js';
 
 /**
  * Lists the parts of a prompt that may crash endpoints: all but the last one, which no other request
--- a/packages/router/src/requests/record-crash.ts
+++ b/packages/router/src/requests/crashes/record-crash.ts
@@ -1,11 +1,11 @@
 import { toId, type CrashId } from '@vanillarelay/core';
 import type { EndpointRecord } from '@vanillarelay/routing';
-import type { AttemptOutcome } from './attempt-outcome.js';
-import { isLost } from './is-lost.js';
+import type { AttemptOutcome } from '../attempt/attempt-outcome.js';
+import { isLost } from '../attempt/is-lost.js';
 import { readContentSuspect } from './read-content-suspect.js';
-import type { RoutedRequest } from './routed-request.js';
-import type { RouterContext } from './router-context.js';
-import type { RunState } from './run-state.js';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
+import type { RunState } from '../run-state.js';
 
 const idRadix = 36;
 
--- a/packages/router/src/requests/build-affinity-key.ts
+++ b/packages/router/src/requests/placing/build-affinity-key.ts
@@ -1,4 +1,4 @@
-import type { RequestFacts } from '../wire/request-facts.js';
+import type { RequestFacts } from '../../wire/request-facts.js';
 
 /**
  * Builds a key for the prefix of a prompt that later requests share: all but the last part, which
--- a/packages/router/src/requests/find-cache-source.ts
+++ b/packages/router/src/requests/placing/find-cache-source.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, ServiceId } from '@vanillarelay/core';
 import { chooseCacheSource } from '@vanillarelay/routing';
-import type { RouterContext } from './router-context.js';
+import type { RouterContext } from '../router-context.js';
 
 /** Address of an endpoint that probably has the prompt cached, if the chosen endpoint does not. */
 export function findCacheSource(
--- a/packages/router/src/requests/has-alternative.ts
+++ b/packages/router/src/requests/placing/has-alternative.ts
@@ -1,8 +1,8 @@
 import { listCandidates } from './list-candidates.js';
-import { maxSends } from './max-sends.js';
-import type { RoutedRequest } from './routed-request.js';
-import type { RouterContext } from './router-context.js';
-import type { RunState } from './run-state.js';
+import { maxSends } from '../attempt/max-sends.js';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
+import type { RunState } from '../run-state.js';
 
 /**
  * Whether a request that an endpoint is running can be sent to another one now. An endpoint with a
--- a/packages/router/src/requests/list-candidates.ts
+++ b/packages/router/src/requests/placing/list-candidates.ts
@@ -1,6 +1,6 @@
 import type { ServiceId } from '@vanillarelay/core';
 import type { Candidate, EndpointTableRow, RoutedService } from '@vanillarelay/routing';
-import type { RouterContext } from './router-context.js';
+import type { RouterContext } from '../router-context.js';
 
 /** Number of endpoints of a service that were excluded or have a health issue, by reason. */
 type PassedOver = Partial<
--- a/packages/router/src/requests/select-endpoint.ts
+++ b/packages/router/src/requests/placing/select-endpoint.ts
@@ -1,15 +1,10 @@
-import { ResultCode, type EndpointId } from '@vanillarelay/core';
+import { ResultCode } from '@vanillarelay/core';
 import { chooseEndpoint } from '@vanillarelay/routing';
+import type { Choice } from './choice.js';
 import { listCandidates } from './list-candidates.js';
-import type { RoutedRequest } from './routed-request.js';
-import type { RouterContext } from './router-context.js';
-import type { RunState } from './run-state.js';
-
-type Choice = (
-  { id: EndpointId; reason: string } | { code: ResultCode; reason: string; retryAfterMs?: number }
-) & {
-  passedOver: object;
-};
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
+import type { RunState } from '../run-state.js';
 
 /**
  * Selects the endpoint for a request. Returns undefined when the request should wait, because all
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -10,6 +10,7 @@
   RateLimiter,
   RetryBudget,
 } from '@vanillarelay/routing';
+import type { RouterFeatures } from '../daemon/router-features.js';
 import type { SendQueue } from '../dispatch/send-queue.js';
 import type { LogEvent } from '../log/log-event.js';
 import type { MemoryBudget } from '../memory/memory-budget.js';
@@ -21,6 +22,7 @@
   random: Random;
   hash: Hash;
   dataCentre: DataCentreId;
+  features: RouterFeatures;
   wire: RouterWire;
   pool: Agent;
   sendQueue: SendQueue;
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -1,37 +1,26 @@
-import { ResultCode, type EndpointId } from '@vanillarelay/core';
+import { ResultCode } from '@vanillarelay/core';
 import { chooseService } from '@vanillarelay/routing';
-import type { AttemptOutcome } from './attempt-outcome.js';
-import { buildAffinityKey } from './build-affinity-key.js';
-import { hasAlternative } from './has-alternative.js';
+import { hasArrived } from './attempt/has-arrived.js';
+import { isRetryAllowed } from './attempt/is-retry-allowed.js';
+import { sendRequest } from './attempt/send-request.js';
 import { computeDeadline } from './compute-deadline.js';
-import { endFailed } from './end-failed.js';
-import { endInterrupted } from './end-interrupted.js';
-import { endWithoutSend } from './end-without-send.js';
-import { findCacheSource } from './find-cache-source.js';
-import { hasArrived } from './has-arrived.js';
-import { isBlocked } from './is-blocked.js';
-import { isLost } from './is-lost.js';
-import { isRepeatable } from './is-repeatable.js';
-import { isRetryAllowed } from './is-retry-allowed.js';
-import { listPartSuspects } from './list-part-suspects.js';
-import { logLostRequest } from './log-lost-request.js';
-import { recordCrash } from './record-crash.js';
-import { refuseRequest } from './refuse-request.js';
+import { isBlocked } from './crashes/is-blocked.js';
+import { listPartSuspects } from './crashes/list-part-suspects.js';
+import { chooseEnding } from './ending/choose-ending.js';
+import type { EndCause } from './ending/end-cause.js';
+import { endRequest } from './ending/end-request.js';
+import { buildAffinityKey } from './placing/build-affinity-key.js';
+import type { Choice } from './placing/choice.js';
 import type { RequestResult } from './request-result.js';
 import type { RoutedRequest } from './routed-request.js';
 import type { RouterContext } from './router-context.js';
-import { runAttempt } from './run-attempt.js';
 import type { RunState } from './run-state.js';
-import { selectEndpoint } from './select-endpoint.js';
+import { waitForEndpoint } from './waiting/wait-for-endpoint.js';
 
 /**
- * Share of the route's target response time (`objectiveMs`) for which a request waits for capacity
- * before it is refused.
+ * Runs a request to completion in stages: it waits for an endpoint, is sent there, is retried where
+ * that is allowed, and ends.
  */
-const waitShare = 0.5;
-const capacityPollIntervalMs = 15;
-
-/** Runs a request to completion: chooses endpoints, sends it and retries where that is allowed. */
 export async function runRequest(
   context: RouterContext,
   request: RoutedRequest,
@@ -40,13 +29,12 @@
   const { route, facts, caller } = request;
   const result: RequestResult = { outcome: 'failed', status: 0, sends: [] };
   const service = chooseService(route, random);
-  if (service === undefined)
-    return refuseRequest(
-      request,
-      result,
-      ResultCode.unknownService,
-      'the route has no service with a positive weight',
-    );
+  if (service === undefined) {
+    const message = 'the route has no service with a positive weight';
+    return endRequest(request, result, {
+      ...{ type: 'refuse', code: ResultCode.unknownService, message },
+    });
+  }
   budget.recordRequest(service);
   context.rateLimiter.recordDemand(service);
   const deadlineAt = computeDeadline(request);
@@ -69,7 +57,8 @@
     partSuspects: listPartSuspects(facts),
   };
   try {
-    return await runAttempts(context, request, state);
+    const cause = await runAttempts(context, request, state);
+    return endRequest(request, result, chooseEnding(cause, state));
   } finally {
     cancelTimer();
     caller.signal.removeEventListener('abort', abort);
@@ -81,107 +70,79 @@
   context: RouterContext,
   request: RoutedRequest,
   state: RunState,
-): Promise<RequestResult> {
-  const { clock } = context;
-  const { result, signal } = state;
+): Promise<EndCause> {
   for (;;) {
     if (isBlocked(context, request, state)) {
       const reason = 'the request crashes its endpoints';
-      return endWithoutSend(request, state, ResultCode.crashConvicted, reason);
-    }
-    const waitUntil = clock.monotonic() + request.route.objectiveMs * waitShare;
-    let chosen: ReturnType<typeof selectEndpoint>;
-    for (;;) {
-      await context.sendQueue.waitForTurn();
-      chosen = selectEndpoint(context, request, state, waitUntil);
-      if (chosen) break;
-      await clock.wait(capacityPollIntervalMs, signal);
-      result.waitedMs = (result.waitedMs ?? 0) + capacityPollIntervalMs;
-    }
-    // Nothing is awaited from here to the send: the next request must see the load of this one.
-    if (request.caller.signal.aborted) return { ...result, outcome: 'callerLeft' };
-    // The timer of the deadline may be as late as the rest.
-    if (signal.aborted || clock.monotonic() >= state.deadlineAt)
-      return endInterrupted(context, request, state);
-    if ('code' in chosen) {
-      const reason = `${chosen.reason} ${JSON.stringify(chosen.passedOver)}`;
-      return endWithoutSend(request, state, chosen.code, reason, chosen.retryAfterMs);
-    }
-    if (!spendRetry(context, state)) {
-      return endWithoutSend(request, state, ResultCode.retryBudgetSpent, 'retry budget spent');
+      return { type: 'notSent', code: ResultCode.crashConvicted, reason };
     }
-    const sentAt = clock.monotonic();
-    const outcome = await send(context, request, state, chosen.id);
-    if (hasArrived(outcome)) Object.assign(state, { hasArrived: true, isRetryPaid: false });
-    state.lastReason = 'reason' in outcome ? outcome.reason : outcome.type;
-    result.sends.push({
-      endpoint: chosen.id,
-      reason: chosen.reason,
-      passedOver: chosen.passedOver,
-      outcome: state.lastReason,
-      afterMs: Math.round(sentAt - request.startedAt),
-      ms: Math.round(clock.monotonic() - sentAt),
-    });
-    if (outcome.type === 'answered') {
-      return { ...result, outcome: 'answered', status: outcome.status };
-    }
-    if (request.caller.signal.aborted) return { ...result, outcome: 'callerLeft' };
-    if (signal.aborted) return endInterrupted(context, request, state);
-    if (!isRetryAllowed(context, request, state, outcome)) return endFailed(request, state);
+    const cause = await waitForEndpoint(context, request, state, (choice) =>
+      runChoice(context, request, state, choice),
+    );
+    if (cause) return cause;
   }
 }
 
-/** Spends the budget for a retry; an attempt that reached no endpoint leaves it unused. */
-function spendRetry({ budget }: RouterContext, state: RunState): boolean {
-  const isFirst = !state.hasArrived;
-  if (!isFirst && !state.isRetryPaid) state.isRetryPaid = budget.spend(state.service);
-  return isFirst || state.isRetryPaid;
-}
-
-async function send(
+/**
+ * Sends a request to the chosen endpoint; resolves with why the work on it is over, or with undefined
+ * when it may be sent to another one. Nothing is awaited up to the send.
+ */
+async function runChoice(
   context: RouterContext,
   request: RoutedRequest,
   state: RunState,
-  id: EndpointId,
-): Promise<AttemptOutcome> {
-  const { clock, endpoints, health, coldRateLimiter, rateLimiter, notices } = context;
-  const endpoint = endpoints.find(id);
-  if (!endpoint) return { type: 'notRun', reason: 'endpoint has left', cause: 'departed' };
-  const { tried, deadlineAt, signal, progress, possibleRuns } = state;
-  if (endpoint.coldUntil > clock.monotonic()) coldRateLimiter.record(id);
-  rateLimiter.record(id);
-  notices.recordSend(id);
-  tried.add(id);
-  const isLast = !isRepeatable(request) || possibleRuns + 1 >= request.route.maxEndpoints;
-  const sentRun = { sentAt: clock.monotonic(), eventsBefore: progress.events };
-  const outcome = await runAttempt(context, {
-    ...{ request, deadlineAt, signal, progress, isLast },
-    cacheSource: readCacheSource(context, request, state, id),
-    record: endpoint.record,
-    hasAlternative: () => hasAlternative(context, request, state),
-    recordSilence: () => health.recordUnreachable(id),
-    notifyStart: () => context.crashes.recordStart(state.partSuspects),
-  });
-  recordCrash(context, request, state, endpoint.record, outcome, sentRun);
-  if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
-  if (outcome.type === 'answered') health.recordSuccess(id);
-  if (outcome.type === 'failed' || outcome.type === 'broken') {
-    state.possibleRuns += 1;
-    if (outcome.isSilent) health.recordUnreachable(id);
-    else health.recordFailure(id);
+  choice: Choice,
+): Promise<EndCause | undefined> {
+  const interruption = findInterruption(context, request, state);
+  if (interruption) return interruption;
+  if ('code' in choice) {
+    const { code, retryAfterMs, passedOver } = choice;
+    const reason = `${choice.reason} ${JSON.stringify(passedOver)}`;
+    const cause: EndCause = { type: 'notSent', code, reason };
+    return retryAfterMs === undefined ? cause : { ...cause, retryAfterMs };
+  }
+  if (!spendRetry(context, state)) {
+    const reason = 'retry budget spent';
+    return { type: 'notSent', code: ResultCode.retryBudgetSpent, reason };
   }
-  if (outcome.type === 'notRun' && outcome.cause === 'replaced') endpoints.remove(id);
-  if (outcome.type === 'notRun' && outcome.cause === 'unreachable') health.recordUnreachable(id);
-  if (outcome.type === 'notRun' && outcome.cause === 'refused') health.recordRefusal(id);
-  return outcome;
+  const { clock } = context;
+  const sentAt = clock.monotonic();
+  const outcome = await sendRequest(context, request, state, choice.id);
+  if (hasArrived(outcome)) Object.assign(state, { hasArrived: true, isRetryPaid: false });
+  state.lastReason = 'reason' in outcome ? outcome.reason : outcome.type;
+  state.result.sends.push({
+    endpoint: choice.id,
+    reason: choice.reason,
+    passedOver: choice.passedOver,
+    outcome: state.lastReason,
+    afterMs: Math.round(sentAt - request.startedAt),
+    ms: Math.round(clock.monotonic() - sentAt),
+  });
+  if (outcome.type === 'answered') return outcome;
+  if (request.caller.signal.aborted) return { type: 'callerLeft' };
+  if (state.signal.aborted) return findEndOfTime(context);
+  return isRetryAllowed(context, request, state, outcome) ? undefined : { type: 'attemptFailed' };
 }
 
-function readCacheSource(
+/** Why a request must not be sent now, although an endpoint was chosen for it. */
+function findInterruption(
   context: RouterContext,
-  { table }: RoutedRequest,
-  { service, affinityKey: key }: RunState,
-  id: EndpointId,
-): string | undefined {
-  if (key === undefined || !table.findService(service)?.canCopyCache) return undefined;
-  return findCacheSource(context, service, key, id);
+  request: RoutedRequest,
+  { signal, deadlineAt }: RunState,
+): EndCause | undefined {
+  if (request.caller.signal.aborted) return { type: 'callerLeft' };
+  // The timer of the deadline may be as late as the rest.
+  const isOver = signal.aborted || context.clock.monotonic() >= deadlineAt;
+  return isOver ? findEndOfTime(context) : undefined;
+}
+
+function findEndOfTime({ stopSignal }: RouterContext): EndCause {
+  return { type: stopSignal.aborted ? 'stopping' : 'deadline' };
+}
+
+/** Spends the budget for a retry; an attempt that reached no endpoint leaves it unused. */
+function spendRetry({ budget }: RouterContext, state: RunState): boolean {
+  const isFirst = !state.hasArrived;
+  if (!isFirst && !state.isRetryPaid) state.isRetryPaid = budget.spend(state.service);
+  return isFirst || state.isRetryPaid;
 }
--- a/packages/router/src/requests/run-state.ts
+++ b/packages/router/src/requests/run-state.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, ServiceId, SuspectId } from '@vanillarelay/core';
 import type { RequestResult } from './request-result.js';
-import type { StreamProgress } from './stream-progress.js';
+import type { StreamProgress } from './attempt/stream-progress.js';
 
 /** State of a request over its attempts. */
 export interface RunState {
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,1 @@
+export type { WorkReports } from './backlog/work-reports.js';
