fix(router): an empty list of accounts lets nobody in

Cause: a configuration without accounts and one with an empty list were the same to the router, and both meant that no key is needed.

--- a/packages/router/src/front/create-front-server.ts
+++ b/packages/router/src/front/create-front-server.ts
@@ -95,7 +95,7 @@
       });
     reported.route = route.name;
     const account = facts.key === undefined ? undefined : table.findAccount(facts.key);
-    const mayBeAnonymous = route.isPublic || table.config.accounts.length === 0;
+    const mayBeAnonymous = route.isPublic || !table.config.requiresKey;
     if (!account && !mayBeAnonymous) {
       throw new RelayError(ResultCode.unauthorized, 'unknown key', { notRun: true });
     }
--- a/packages/routing/src/config/routing-config.ts
+++ b/packages/routing/src/config/routing-config.ts
@@ -9,5 +9,10 @@
   routes: Route[];
   services: RoutedService[];
   accounts: RoutedAccount[];
+  /**
+   * Whether callers need a key of one of the accounts, except on public routes. It also holds for a
+   * configuration that lists accounts and has none left: dropped keys let nobody in.
+   */
+  requiresKey: boolean;
   bounds: CallerLimits;
 }
