feat(router): hold requests that come before the state is in force

What callers saw: after a loss of power a router that had opened its port but had no state yet refused each request with 503 and a Retry-After of 0.5 s. Callers have one retry, so these requests were late or lost.

Change: such a request is held with its body unread, for at most 0.3 of its caller's time and at most 1 s (the caller needs the rest for another try), at most 256 requests and 8 MiB at a time. Once the configuration is in force they go on, the one with the least time left first. Beyond the bounds they are refused at once, with a Retry-After that matches the rest of a usual start. A caller that leaves and a stop of the process end the hold. When the state counts as in force is unchanged. Log lines of held requests carry heldMs.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -131,6 +131,7 @@
   maxBodyBytes = config.bounds.maxBodyBytes,
   stopSignal = new AbortController().signal,
   features = { scheduling: false },
+  isConfigured = true,
 } = {}) {
   const clock = createSystemClock();
   const endpoints = createEndpointTable({ clock, silenceMs });
@@ -154,14 +155,21 @@
       coldSlack: 5,
     },
   });
-  router.updateConfig({ ...config, bounds: { ...config.bounds, maxBodyBytes } });
   const front = createFrontServer({
     ...{ clock, wire, memory, readTable: router.readTable, run: router.run },
     estimateArrival: router.estimateArrival,
     isClosing: () => false,
+    stopSignal,
     canComplete: () => true,
     report: (_, result) => results.push(result),
   });
+  /** Brings the configuration into force, as the first state from a hub does. */
+  const configure = (): void => {
+    router.updateConfig({ ...config, bounds: { ...config.bounds, maxBodyBytes } });
+    const table = router.readTable();
+    if (table) front.updateTable(table);
+  };
+  if (isConfigured) configure();
   front.listen(0, '127.0.0.1');
   await once(front, 'listening');
   closers.push(() => {
@@ -178,7 +186,7 @@
   };
 
   return {
-    ...{ clock, router, memory, front, endpoints, results, events, announce },
+    ...{ clock, router, memory, front, endpoints, results, events, announce, configure },
     url: `http://127.0.0.1:${(front.address() as AddressInfo).port}`,
     /** Adds an endpoint that answers through an HTTP listener. */
     addEndpoint: async (id: string, listener: RequestListener): Promise<void> => {
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -121,6 +121,7 @@
     wire,
     readTable: router.readTable,
     isClosing: stop.isStopping,
+    stopSignal: stop.startSignal,
     canComplete: stop.canComplete,
     estimateArrival: router.estimateArrival,
     run: router.run,
@@ -134,6 +135,7 @@
         ...(request.leftAt === undefined
           ? {}
           : { leftAfterMs: Math.round(request.leftAt - request.startedAt) }),
+        ...(request.heldMs === undefined ? {} : { heldMs: request.heldMs }),
         ...(result.waitedMs === undefined ? {} : { waitedMs: result.waitedMs }),
       });
     },
@@ -158,7 +160,7 @@
         configVersion = state.version;
         router.updateConfig(decodeConfig(state.source));
         const table = router.readTable();
-        if (table) front.updateLimits(table);
+        if (table) front.updateTable(table);
       }
       const { index, version, dataCentresOut } = state;
       log.write('state.inForce', { index, version, dataCentresOut });
--- a/packages/router/src/front/create-front-server.ts
+++ b/packages/router/src/front/create-front-server.ts
@@ -9,7 +9,10 @@
 import type { RequestResult } from '../requests/request-result.js';
 import type { RoutedRequest } from '../requests/routed-request.js';
 import type { RouterWire } from '../wire/router-wire.js';
+import { computeStateRetry } from './compute-state-retry.js';
 import { createCaller } from './create-caller.js';
+import { createHeldRequests } from './create-held-requests.js';
+import { estimateUnreadBytes } from './estimate-unread-bytes.js';
 import { receiveBody } from './receive-body.js';
 import { sendRefusal } from './send-refusal.js';
 
@@ -20,8 +23,10 @@
   memory: MemoryBudget;
   /** The configuration in force; undefined until there is one. */
   readTable: () => RouteTable | undefined;
-  /** Whether this daemon is shutting down and closes connections after their current request. */
+  /** Whether this daemon closes connections after their current request. */
   isClosing: () => boolean;
+  /** Aborted when this daemon begins to stop. */
+  stopSignal: AbortSignal;
   /** Whether a request with this deadline ends before this daemon does. */
   canComplete: (deadlineAt: number) => boolean;
   /** Estimates when a request that is read now, or its connection, reached the VM. */
@@ -37,6 +42,8 @@
   /** Monotonic time at which it reached the VM, as estimated. */
   startedAt: number;
   version?: number;
+  /** How long it was held until the state was in force. */
+  heldMs?: number;
   /** Monotonic time at which the router noticed that the caller had disconnected. */
   leftAt?: number;
   releaseBody?: () => void;
@@ -57,9 +64,11 @@
 
 /** Creates the server for requests from callers. */
 export function createFrontServer(options: FrontServerOptions): Server & {
-  updateLimits(table: RouteTable): void;
+  updateTable(table: RouteTable): void;
 } {
-  const { clock, wire, memory, readTable, isClosing } = options;
+  const { clock, wire, memory, readTable, isClosing, stopSignal } = options;
+  const createdAt = clock.monotonic();
+  const held = createHeldRequests({ clock, stopSignal });
 
   /** Arrivals of connections until their first request. */
   const connections = new WeakMap<Socket, Arrival>();
@@ -69,6 +78,26 @@
     return at;
   };
 
+  /** Resolves with the configuration in force; holds a request that comes before there is one. */
+  const waitForTable = async (
+    message: IncomingMessage,
+    signal: AbortSignal,
+    reported: ReportedRequest,
+    deadlineMs: number | undefined,
+  ): Promise<RouteTable> => {
+    const { startedAt } = reported;
+    const bytes = estimateUnreadBytes(message);
+    const end = await held.hold({ startedAt, deadlineMs, bytes, signal });
+    reported.heldMs = Math.round(clock.monotonic() - startedAt);
+    const table = readTable();
+    if (table) return table;
+    const retryAfterMs =
+      end === 'stopping' ? stoppingRetryMs : computeStateRetry(clock.monotonic() - createdAt);
+    throw new RelayError(ResultCode.notReady, `no configuration received yet (${end})`, {
+      ...{ notRun: true, retryAfterMs },
+    });
+  };
+
   const admit = async (
     message: IncomingMessage,
     caller: RoutedRequest['caller'],
@@ -80,13 +109,8 @@
     const host = message.headers.host ?? '';
     const facts = wire.parseRequest({ method, path, host, rawHeaders });
     reported.id = facts.id;
-    const table = readTable();
-    if (!table) {
-      throw new RelayError(ResultCode.notReady, 'no configuration received yet', {
-        notRun: true,
-        retryAfterMs: notReadyRetryMs,
-      });
-    }
+    const table =
+      readTable() ?? (await waitForTable(message, caller.signal, reported, facts.deadlineMs));
     reported.version = table.config.version;
     const route = table.findRoute(host, path.split('?', 1)[0] ?? path);
     if (!route)
@@ -159,19 +183,16 @@
     if (!socket.writable) return;
     socket.end(error.code === 'HPE_HEADER_OVERFLOW' ? headersTooLargeResponse : malformedResponse);
   });
-  const updateLimits = ({ config }: RouteTable): void => {
+  /** Applies the limits of the configuration in force and serves the requests that waited for it. */
+  const updateTable = ({ config }: RouteTable): void => {
     const { idleTimeoutMs, headerTimeoutMs } = config.bounds;
     server.keepAliveTimeout = Math.ceil(idleTimeoutMs * idleTimeoutFactor);
     server.headersTimeout = headerTimeoutMs;
+    held.release();
   };
-  return Object.assign(server, { updateLimits });
+  return Object.assign(server, { updateTable });
 }
 
-/**
- * Retry time for callers while there is no configuration. A daemon receives it within this time
- * once the control nodes are available.
- */
-const notReadyRetryMs = 500;
 /**
  * Share of the route's target response time (`objectiveMs`) for which a body waits for memory before
  * its request is refused.
