fix(fleet): list a daemon at the hub to which it moved

What was wrong: after a hub was lost for some seconds, daemons listed 10 of 15 daemons for good. The limits that all routers share are divided by that number, so together they exceeded them; and a daemon whose preferred hub was missing from the list never returned to it.

Cause: hubs exchange the lists of their direct daemons, but sent them anew only when the list of all had changed. A daemon that moves from one hub to another changes only the direct ones.

Change: the two lists have versions of their own.

--- a/packages/fleet/__tests__/daemon-table.test.ts
+++ b/packages/fleet/__tests__/daemon-table.test.ts
@@ -44,3 +44,14 @@
     ...{ loads: { e1: 2 }, outcomes: {}, crashes: {}, rates: {}, notices: {} },
   });
 });
+
+// Guards against hubs that keep listing a daemon where it was before it moved to another hub.
+it('gives the list of direct daemons a new version when a daemon arrives that was known', () => {
+  const table = createDaemonTable({ monotonic: () => 0 });
+  const info = { id: 'a' as DaemonId, incarnation: '1', address: 'x', dataCentre: 'd' as never };
+  table.updateRemote('hub', [info], {});
+  const before = [table.readVersion('all'), table.readVersion('direct')] as const;
+  table.receive(info, {});
+  expect(table.readVersion('all')).toBe(before[0]);
+  expect(table.readVersion('direct')).toBeGreaterThan(before[1]);
+});
--- a/packages/fleet/__tests__/fleet.test.ts
+++ b/packages/fleet/__tests__/fleet.test.ts
@@ -217,6 +217,19 @@
     expect(others.map(readHub)).toEqual(before);
   });
 
+  // Guards against daemons that are missing from the list of all, by which limits are divided, after
+  // they moved from one hub to another.
+  it('lists all daemons everywhere after a hub was lost for a while', async () => {
+    const fleet = await startSettled(seed, { disks: 3, others: 12 });
+    const leader = findLeader(fleet);
+    fleet.kill(leader);
+    await fleet.virtual.run(4_000);
+    fleet.restart(leader);
+    await fleet.virtual.run(recoverMs);
+    const known = fleet.all.map((id) => fleet.find(id).node.view.daemons.map((info) => info.id));
+    known.forEach((ids) => expect([...ids].sort()).toEqual([...fleet.all].sort()));
+  });
+
   // Guards against a fleet that has no endpoints until each has announced itself again.
   it('restores its endpoint records after all daemons were killed', async () => {
     const fleet = await startSettled(seed);
--- a/packages/fleet/src/sync/create-daemon-table.ts
+++ b/packages/fleet/src/sync/create-daemon-table.ts
@@ -27,8 +27,11 @@
 export function createDaemonTable(clock: Pick<Clock, 'monotonic'>) {
   const direct = new Map<DaemonId, DirectRow>();
   const remote = new Map<string, RemoteRow>();
-  let lastKey = '';
-  let version = 1;
+  /** Versions of the two lists that replies carry, each with the list that it stands for. */
+  const versions = {
+    direct: { key: '', version: 1 },
+    all: { key: '', version: 1 },
+  };
 
   const isFresh = ({ at }: { at: number }) => clock.monotonic() - at <= rowTtlMs;
 
@@ -71,16 +74,21 @@
     },
     listDirect: (): DaemonInfo[] => listDirect().map(({ info }) => info),
     listAll,
-    /** Returns a version that increases whenever the list of all daemons has changed. */
-    readVersion: (): number => {
-      const key = listAll()
+    /**
+     * Returns a version that increases whenever a list has changed. A daemon that moves to another
+     * hub changes the direct ones of both, but not the list of all.
+     */
+    readVersion: (list: keyof typeof versions): number => {
+      const known = versions[list];
+      const daemons = list === 'all' ? listAll() : listDirect().map(({ info }) => info);
+      const key = daemons
         .map(({ id, incarnation, diskId }) => `${id} ${incarnation} ${diskId ?? ''}`)
         .join('\n');
-      if (key !== lastKey) {
-        lastKey = key;
-        version += 1;
+      if (key !== known.key) {
+        known.key = key;
+        known.version += 1;
       }
-      return version;
+      return known.version;
     },
     sumDirect: (): Observations => mergeObservations(listDirect().map(readObservations)),
     /** Sums the observations of all daemons except one. */
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -81,7 +81,7 @@
     const { from, isHub, daemonsVersion } = request;
     const isSameIncarnation = request.hubIncarnation === incarnation;
     const leader = voter?.findLeader();
-    const version = daemons.readVersion();
+    const version = daemons.readVersion(isHub ? 'direct' : 'all');
     const list = isHub ? daemons.listDirect() : daemons.listAll();
     const known = isSameIncarnation ? request.cursor : 0;
     const { records, cursor } = table.listChanges(known, maxRecords);
