feat(fleet): find a hub and its state in one exchange at the start

What was seen: after a loss of power routers that started before the hubs were ready had the state 0.6 to 0.75 s after their start, those that started after them 0.25 s.

Cause: the search waited for the answers of all seeds (up to 400 ms for one without power) and then 100 ms more; a hub announced itself to the seeds first 250 ms after its start and again after 500 ms; a hub without contact to a quorum answered at once with nothing usable, and the daemon came back after 60 ms; a hub that had refused one connection was left alone for 1.5 s.

Change: the search asks each seed on its own, one question at a time, with times that double from 20 ms on and are spread; its answer is held up to 200 ms until the seed knows the hubs (HelloRequest waitMs). A hub holds an exchange of a daemon without a state until a quorum confirms its own (SyncRequest quorumWaitMs); held replies leave a few in each turn, as those of other polls do. Before the first state, a failed hub is tried again after 50 ms, doubling, and the time limit of an exchange starts at 140 ms and doubles when it runs out. Older daemons ignore both fields and answer at once, which the growing pauses allow for. When a state counts as in force is unchanged.

--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -19,6 +19,7 @@
 import { createOperatorCalls } from './proposals/create-operator-calls.js';
 import type { SharedState } from './state/shared-state.js';
 import { createEndpointPersistence } from './sync/create-endpoint-persistence.js';
+import { createHeldCalls } from './sync/create-held-calls.js';
 import { createHub } from './sync/create-hub.js';
 import { createSyncClient } from './sync/create-sync-client.js';
 import { runHubAnnouncements } from './sync/run-hub-announcements.js';
@@ -115,6 +116,11 @@
   };
   const isMember = (): boolean =>
     voter?.readMembers().some(({ address }) => address === self.address) ?? false;
+  const listKnownHubs = (): string[] => {
+    const hubs = voter?.readMembers().map(({ address }) => address) ?? [];
+    return hubs.length > 0 ? hubs : [...client.view.hubs];
+  };
+  const helloWaits = createHeldCalls({ clock, canAnswer: () => listKnownHubs().length > 0 });
   const findVoter = (): Voter => {
     if (voter) return voter;
     throw new RelayError(ResultCode.notLeader, 'daemon has no disk', { notRun: true });
@@ -125,12 +131,10 @@
       checkAddresses(request.hubs);
       founderSelection.receive(request);
       client.addHubs(request.hubs);
-      const hubs = voter?.readMembers().map(({ address }) => address) ?? [];
+      // A founder waits for the selection, which needs the questions of the others.
+      if (!request.mayFound) await helloWaits.wait(request.waitMs);
       const founders = founderSelection.readFounders();
-      return {
-        hubs: hubs.length > 0 ? hubs : [...client.view.hubs],
-        ...(founders ? { founders } : {}),
-      };
+      return { hubs: listKnownHubs(), ...(founders ? { founders } : {}) };
     },
     sync: hub.sync,
     announce: hub.announce,
@@ -212,7 +216,8 @@
           ...{ clock, readSelf, openPeer, table, hub, record, listHubs, signal },
         });
         void runHubAnnouncements({
-          ...{ clock, readSelf, openPeer, record, listSeeds, listHubs, signal },
+          ...{ clock, random: options.random, readSelf, openPeer, record },
+          ...{ listSeeds, listHubs, signal },
         });
       }
     },
--- a/packages/fleet/src/messages/hello-request.ts
+++ b/packages/fleet/src/messages/hello-request.ts
@@ -10,4 +10,9 @@
   mayFound: boolean;
   /** Addresses of the control group's members that the sender knows. */
   hubs: string[];
+  /**
+   * How long the receiver may wait until it knows the hubs, in milliseconds; absent in messages of
+   * earlier versions.
+   */
+  waitMs?: number;
 }
--- a/packages/fleet/src/messages/sync-request.ts
+++ b/packages/fleet/src/messages/sync-request.ts
@@ -29,4 +29,9 @@
   heard: EndpointId[];
   /** How long the hub may wait for a change, in milliseconds. */
   waitMs: number;
+  /**
+   * How long the hub may wait until its state is confirmed by a quorum, in milliseconds. Absent once
+   * the sender has such a state, and in messages of earlier versions.
+   */
+  quorumWaitMs?: number;
 }
--- a/packages/fleet/src/sync/create-exchange.ts
+++ b/packages/fleet/src/sync/create-exchange.ts
@@ -19,11 +19,11 @@
 /** Request fields that the caller supplies; the exchange adds the sender and its position. */
 type ExchangeInput = Pick<
   SyncRequest,
-  'isHub' | 'stateIndex' | 'content' | 'observations' | 'heard' | 'waitMs'
+  'isHub' | 'stateIndex' | 'content' | 'observations' | 'heard' | 'waitMs' | 'quorumWaitMs'
 >;
 type Position = Pick<SyncRequest, 'hubIncarnation' | 'cursor' | 'daemonsVersion' | 'heardCursor'>;
 
-/** Time allowed for the reply beyond the wait that the request grants to the hub. */
+/** Time allowed for the reply beyond the waits that the request grants to the hub. */
 const replyMarginMs = 600;
 const initialPosition: Position = {
   hubIncarnation: '',
@@ -38,11 +38,16 @@
   let hub = '';
   let position = initialPosition;
 
-  return async (address: string, input: ExchangeInput): Promise<SyncReply> => {
+  return async (
+    address: string,
+    input: ExchangeInput,
+    marginMs = replyMarginMs,
+  ): Promise<SyncReply> => {
     if (address !== hub) position = initialPosition;
     hub = address;
     const request = { from: readSelf(), ...position, ...input };
-    const reply = await withTimeout(clock, input.waitMs + replyMarginMs, (signal) =>
+    const timeoutMs = input.waitMs + (input.quorumWaitMs ?? 0) + marginMs;
+    const reply = await withTimeout(clock, timeoutMs, (signal) =>
       openPeer(address).sync(request, signal),
     );
     checkObservations(reply.observations);
--- a/packages/fleet/src/sync/create-hub-choice.ts
+++ b/packages/fleet/src/sync/create-hub-choice.ts
@@ -1,5 +1,6 @@
 import type { Clock, Random } from '@vanillarelay/core';
 import type { DaemonInfo } from '../messages/daemon-info.js';
+import { createGrowingTime } from './create-growing-time.js';
 import type { FleetView } from './fleet-view.js';
 import { sortHubs } from './sort-hubs.js';
 
@@ -13,6 +14,8 @@
 
 /** How long other hubs are preferred after one failed or lost contact with the quorum. */
 const backoffMs = 1_500;
+/** The same for a failed hub while this daemon has no state: the hub may only be starting. */
+const minStartBackoffMs = 50;
 /**
  * Shortest time after which a daemon returns to the hub that it prefers; the longest is twice that,
  * so that not all return at once.
@@ -28,6 +31,8 @@
   let hub: string | undefined;
   /** When this daemon returns to the hub that it prefers; undefined while it uses that one. */
   let returnAt: number | undefined;
+  /** Times for which failed hubs are not tried again at the start. */
+  const startTimes = new Map<string, ReturnType<typeof createGrowingTime>>();
   /** Hubs that failed or lost contact with the quorum, and until when other hubs are preferred. */
   const backoffs = new Map<string, { until: number; isReachable: boolean }>();
 
@@ -50,6 +55,14 @@
       returnAt = clock.monotonic() + minReturnMs * (1 + random());
   };
 
+  const takeStartTime = (address: string): number => {
+    const time =
+      startTimes.get(address) ??
+      createGrowingTime({ minMs: minStartBackoffMs, maxMs: backoffMs, random });
+    startTimes.set(address, time);
+    return time.take();
+  };
+
   return {
     /** Returns the hub that was chosen last. */
     readCurrent: (): string | undefined => hub,
@@ -67,11 +80,16 @@
       return chosen;
     },
     /** Prefers other hubs for a while. */
-    startBackoff: (address: string, isReachable: boolean): void => {
-      backoffs.set(address, { until: clock.monotonic() + backoffMs, isReachable });
+    startBackoff: (
+      address: string,
+      { isReachable, isStarting }: { isReachable: boolean; isStarting: boolean },
+    ): void => {
+      const ms = isStarting && !isReachable ? takeStartTime(address) : backoffMs;
+      backoffs.set(address, { until: clock.monotonic() + ms, isReachable });
     },
     endBackoff: (address: string): void => {
       backoffs.delete(address);
+      startTimes.delete(address);
     },
   };
 }
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -18,6 +18,7 @@
 import type { SyncRequest } from '../messages/sync-request.js';
 import type { Voter } from '../voter/voter.js';
 import { createDaemonTable } from './create-daemon-table.js';
+import { createHeldCalls } from './create-held-calls.js';
 import { createWaitingPolls } from './create-waiting-polls.js';
 
 interface HubOptions {
@@ -36,6 +37,8 @@
 /** Longest wait of a sync request before it checks for changes again. */
 const pollIntervalMs = 100;
 const relayTimeoutMs = 400;
+/** State age above which a daemon that starts cannot use the state; see the sync client. */
+const usableStateAgeMs = 2_000;
 /** Endpoint records in one reply, which bounds how long it occupies a slow link. */
 const maxRecords = 64;
 
@@ -45,6 +48,11 @@
   const daemons = createDaemonTable(clock);
   const polls = createWaitingPolls(clock);
   table.observe(polls.wake);
+  const readStateAgeMs = (): number => voter?.readStateAgeMs() ?? Infinity;
+  const quorumWaits = createHeldCalls({
+    clock,
+    canAnswer: () => !voter || readStateAgeMs() <= usableStateAgeMs,
+  });
 
   const listHubs = (): string[] => voter?.readMembers().map((member) => member.address) ?? [];
 
@@ -92,7 +100,7 @@
       heard: isHub ? table.listHeard(isSameIncarnation ? request.heardCursor : 0) : [],
       heardCursor: table.readLastHeardCursor(),
       ...buildStateReply(request),
-      stateAgeMs: Math.round(Math.min(voter?.readStateAgeMs() ?? Infinity, maxAgeMs)),
+      stateAgeMs: Math.round(Math.min(readStateAgeMs(), maxAgeMs)),
       ...(leader === undefined ? {} : { leader }),
       hubs: listHubs(),
       daemonsVersion: version,
@@ -154,7 +162,10 @@
       const observations = checkObservations(request.observations);
       if (!request.isHub) daemons.receive(request.from, observations);
       table.recordHeardDirectly(request.heard);
+      await quorumWaits.wait(request.quorumWaitMs);
       await waitForChanges(request, signal);
+      // Late replies of a busy hub would only delay those that are still awaited.
+      if (signal.aborted) throw new RelayError(ResultCode.cancelled, 'the daemon has left');
       return buildReply(request);
     },
     announce: async (
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -13,7 +13,9 @@
 import type { SharedState } from '../state/shared-state.js';
 import type { StateSummary } from '../state/state-summary.js';
 import { createExchange } from './create-exchange.js';
+import { createGrowingTime } from './create-growing-time.js';
 import { createHubChoice } from './create-hub-choice.js';
+import { createHubSearch } from './create-hub-search.js';
 import { createStateReceiver } from './create-state-receiver.js';
 import type { FleetView } from './fleet-view.js';
 
@@ -44,8 +46,25 @@
 /** How long a hub may delay its reply while there are no changes. */
 const pollWaitMs = 200;
 const minPauseMs = 60;
-const helloTimeoutMs = 400;
 const retryDelayMs = 100;
+/** Pause after an exchange that brought no usable state while this daemon has none. */
+const minStartPauseMs = 20;
+const maxStartPauseMs = 100;
+/**
+ * How long a hub may delay its reply to a daemon without a state until it has a usable one, and the
+ * time allowed for that reply beyond. Both are short at first, because the hub may be without power
+ * or cut off from the others; they grow, because many daemons may ask at once.
+ */
+const minQuorumWaitMs = 40;
+const maxQuorumWaitMs = 200;
+const minStartMarginMs = 100;
+const maxStartMarginMs = 2_400;
+/** How often a daemon in search of the hubs looks for a hub to use. */
+const searchIntervalMs = 20;
+/** How long a peer may delay its answer to a search until it knows the hubs. */
+const maxHelloWaitMs = 200;
+/** Share of the time for an answer that a peer may wait. */
+const helloWaitShare = 0.4;
 /** Age of a hub's state above which other hubs are preferred. */
 const stateAgeLimitMs = 1_000;
 /** A daemon applies its first state only from a hub whose state is at most this old. */
@@ -66,6 +85,11 @@
     quorumContactAt: Number.NEGATIVE_INFINITY,
   };
   const choice = createHubChoice(options);
+  const startPause = createGrowingTime({
+    ...{ minMs: minStartPauseMs, maxMs: maxStartPauseMs, random: options.random },
+  });
+  const quorumWait = createGrowingTime({ minMs: minQuorumWaitMs, maxMs: maxQuorumWaitMs });
+  const startMargin = createGrowingTime({ minMs: minStartMarginMs, maxMs: maxStartMarginMs });
   const callHub = createExchange({ clock, readSelf, openPeer, table, record });
   /** Position up to which this daemon has reported announcements to a hub. */
   let reportedCursor = 0;
@@ -110,7 +134,7 @@
 
   const exchange = async (address: string): Promise<SyncReply> => {
     const cursor = table.readLastHeardCursor();
-    const reply = await callHub(address, {
+    const input = {
       isHub: false,
       stateIndex: view.isCurrent ? view.state.index : -1,
       content: receiver.readPosition(),
@@ -118,42 +142,49 @@
       // This daemon's own hub uses the same table.
       heard: address === readSelf().address ? [] : table.listHeard(reportedCursor),
       waitMs: view.isCurrent ? pollWaitMs : 0,
-    });
+      ...(view.isCurrent ? {} : { quorumWaitMs: quorumWait.take() }),
+    };
+    const reply = await callHub(address, input, ...(view.isCurrent ? [] : [startMargin.take()]));
+    startMargin.reset();
     reportedCursor = cursor;
     applyReply(reply);
-    if (reply.stateAgeMs > stateAgeLimitMs) choice.startBackoff(address, true);
-    else choice.endBackoff(address);
+    if (reply.stateAgeMs <= stateAgeLimitMs) choice.endBackoff(address);
+    else choice.startBackoff(address, { isReachable: true, isStarting: !view.isCurrent });
     return reply;
   };
 
+  /** Aborted when addresses of hubs have arrived. */
+  let news = new AbortController();
+
   /** Adds addresses of hubs; this daemon's own only while its hub is usable. */
   const addHubs = (hubs: readonly string[]): void => {
     const { address } = readSelf();
     const usable = hubs.filter((candidate) => candidate !== address || options.isOwnHub());
     view.hubs = [...new Set([...usable, ...view.hubs])];
+    if (usable.length > 0) news.abort();
   };
 
-  /** Requests the addresses of the hubs from the seeds and every known hub. */
-  const findHubs = async (): Promise<void> => {
-    const addresses = [...new Set([...options.listSeeds(), ...view.hubs])];
-    const request = { from: readSelf(), mayFound: options.mayFound(), hubs: view.hubs };
-    await Promise.all(
-      addresses.map(async (peer) => {
-        try {
-          const reply = await withTimeout(clock, helloTimeoutMs, (signal) =>
-            openPeer(peer).hello(request, signal),
-          );
-          addHubs(reply.hubs);
-          if (reply.founders) options.receiveFounders(reply.founders);
-        } catch (error) {
-          if (view.isCurrent) {
-            record('fleet.seedFailed', { peer, reason: (error as Error).message });
-          }
-        }
-      }),
-    );
+  /** Requests the addresses of the hubs from a seed or a known hub. */
+  const requestHubs = async (peer: string, timeoutMs: number): Promise<void> => {
+    const mayFound = options.mayFound();
+    const waitMs = Math.min(maxHelloWaitMs, timeoutMs * helloWaitShare);
+    const request = { from: readSelf(), mayFound, hubs: view.hubs, waitMs };
+    try {
+      const reply = await withTimeout(clock, timeoutMs, (signal) =>
+        openPeer(peer).hello(request, signal),
+      );
+      addHubs(reply.hubs);
+      if (reply.founders) options.receiveFounders(reply.founders);
+    } catch (error) {
+      if (view.isCurrent) record('fleet.seedFailed', { peer, reason: (error as Error).message });
+    }
   };
 
+  const search = createHubSearch({
+    ...{ clock, random: options.random, ask: requestHubs },
+    listPeers: () => [...new Set([...options.listSeeds(), ...view.hubs])],
+  });
+
   const syncWith = async (address: string): Promise<void> => {
     const startedAt = clock.monotonic();
     try {
@@ -162,9 +193,10 @@
       const { incoming } = receiver.readPosition();
       const hasReceivedPart = incoming !== undefined && incoming.offset !== before?.offset;
       const hasMore = hasMoreRecords || hasReceivedPart;
-      if (!hasMore) await clock.wait(minPauseMs, abort.signal);
+      if (hasMore) return;
+      await clock.wait(view.isCurrent ? minPauseMs : startPause.take(), abort.signal);
     } catch (error) {
-      choice.startBackoff(address, false);
+      choice.startBackoff(address, { isReachable: false, isStarting: !view.isCurrent });
       const ms = Math.round(clock.monotonic() - startedAt);
       record('fleet.hubFailed', { hub: address, ms, reason: (error as Error).message });
     }
@@ -175,11 +207,13 @@
     const address = choice.choose(view);
     if (address !== undefined) {
       if (address !== before) record('fleet.hubChosen', { hub: address, before: before ?? '' });
+      search.stop();
       await syncWith(address);
       return;
     }
-    await findHubs();
-    await clock.wait(retryDelayMs, abort.signal);
+    search.start();
+    news = new AbortController();
+    await clock.wait(searchIntervalMs, news.signal);
   };
 
   const run = async (): Promise<void> => {
@@ -199,7 +233,10 @@
     start: (): void => {
       void run();
     },
-    stop: (): void => abort.abort(),
+    stop: (): void => {
+      abort.abort();
+      search.stop();
+    },
     addHubs,
     /** Lists the hub in use first, then the other known ones. */
     listHubs: (): string[] => {
