perf(deploy): start the router from a code cache, without unused modules

What was seen: on a VM with 0.17 of a core the first log line comes 0.35 to 0.7 s after the start.

Change: the bundle is CommonJS now (the loader of ES modules costs processor time by itself) and is compiled with a V8 code cache that the build makes with the flags of the run line, after it ran the program as a fleet of one daemon for a moment. The cache is ignored when it is missing, damaged, of another bundle, Node or machine, or rejected by V8; this only costs the time to compile.

--- /dev/null
+++ b/deploy/start/router.cjs
@@ -0,0 +1,7 @@
+// Starts the bundled program. A code cache that does not fit only costs the time to compile.
+const { dirname, join } = require('node:path');
+const { loadScript } = require('./load-script.cjs');
+
+const path = join(__dirname, 'router-bundle.cjs');
+const { script } = loadScript(path, join(__dirname, 'router-bundle.cache'));
+script.runInThisContext()(module.exports, require, module, path, dirname(path));
