fix(control): tell a member that has just started at once that a quorum is alive

What was seen: a hub that started beside a leader had no usable state for 265 ms, and held the routers that asked it or sent them to other hubs.

Cause: a member knows from the echo of its last reply that a quorum was alive after that. The first message of the leader has no echo of the new process, and the next came with the heartbeat 250 ms later.

Change: the leader sends once more when the incarnation in the reply is not that of the echo it sent.

--- a/packages/control/__tests__/state-age.test.ts
+++ b/packages/control/__tests__/state-age.test.ts
@@ -72,3 +72,24 @@
     }
   },
 );
+
+// Guards against a node that starts beside a leader and has no usable state until the next heartbeat.
+it.each([1, 2, 3, 4, 5])('reports an age soon after it has started (seed %i)', async (seed) => {
+  const group = createControlGroup({ seed });
+  const leader = await group.waitForLeader();
+  await applyChanges(group, 0, changesPerRound);
+  const [restarted = ''] = findFollowers(leader);
+  group.kill(restarted);
+  await group.virtual.run(1_000);
+  group.start(restarted);
+  const isUsable = () => {
+    try {
+      return group.readStore(restarted).readStateAgeMs() <= usableAgeMs;
+    } catch {
+      return false;
+    }
+  };
+  const startedAt = group.virtual.clock.monotonic();
+  while (!isUsable()) await group.virtual.run(pollMs);
+  expect(group.virtual.clock.monotonic() - startedAt).toBeLessThan(150);
+});
--- a/packages/control/src/raft/run-replication.ts
+++ b/packages/control/src/raft/run-replication.ts
@@ -44,6 +44,7 @@
   peer.isSendRequested = false;
   const sentAt = context.clock.monotonic();
   const { commitIndex } = context;
+  const { echo } = peer;
   const isInMemory = context.log.memory.findTerm(peer.nextIndex - 1) !== undefined;
   const send = isInMemory ? sendEntries : sendSnapshot;
   const reply = await send(context, peer, client);
@@ -51,6 +52,8 @@
   if (handleReply(context, peer, reply)) {
     peer.answeredAt = sentAt;
     peer.acknowledgedCommitIndex = commitIndex;
+    // A member that has started since learns only from the next message that a quorum is alive.
+    if (peer.echo?.incarnation !== echo?.incarnation) peer.isSendRequested = true;
     updateCommitIndex(context);
   }
 }
