perf(router): open the disk and look for the hubs while the ports are opened

The fleet node started only when all ports were open, and hubs looked for each other first 0.5 s after their start. Both begin at once now; the interval of the latter doubles from 20 ms to the old 500 ms. Calls of other daemons that come before the port is open are refused and repeated as before.

Evidence: 211 tests of packages/fleet pass.

--- a/packages/fleet/src/sync/run-hub-links.ts
+++ b/packages/fleet/src/sync/run-hub-links.ts
@@ -5,6 +5,7 @@
 import type { DaemonInfo } from '../messages/daemon-info.js';
 import type { FleetPeer } from '../messages/fleet-peer.js';
 import { createExchange } from './create-exchange.js';
+import { createGrowingTime } from './create-growing-time.js';
 import type { Hub } from './hub.js';
 
 interface HubLinkOptions {
@@ -22,12 +23,15 @@
 const pollWaitMs = 200;
 const minPauseMs = 60;
 const retryDelayMs = 300;
-const scanIntervalMs = 500;
+/** Interval at which this daemon looks for new hubs; short at first, until its disk is open. */
+const minScanIntervalMs = 20;
+const maxScanIntervalMs = 500;
 
 /** Runs one task per other hub, which reads what that hub received from the daemons it serves. */
 export async function runHubLinks(options: HubLinkOptions): Promise<void> {
   const { clock, readSelf, listHubs, signal } = options;
   const links = new Map<string, AbortController>();
+  const scanInterval = createGrowingTime({ minMs: minScanIntervalMs, maxMs: maxScanIntervalMs });
   while (!signal.aborted) {
     const others = listHubs().filter((address) => address !== readSelf().address);
     links.forEach((controller, address) => {
@@ -42,7 +46,7 @@
         links.set(address, controller);
         void runLink(options, address, controller.signal);
       });
-    await clock.wait(scanIntervalMs, signal);
+    await clock.wait(scanInterval.take(), signal);
   }
   links.forEach((controller) => controller.abort());
 }
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -197,13 +197,15 @@
       ? []
       : [[createMetricsServer(() => metrics.format()), metricsAddress] as [Server, string]]),
   ];
-  await Promise.all(servers.map(([server, address]) => listenOn(server, address)));
+  const listening = Promise.all(servers.map(([server, address]) => listenOn(server, address)));
+  // The disk is opened and the hubs are looked for meanwhile.
+  node.start();
+  await listening;
   servers.forEach(([server, address]) =>
     server.on('error', ({ message }) =>
       log.write('server.failed', { address, reason: message }, true),
     ),
   );
-  node.start();
   log.write('process.started', { id, listen, peers: self.address });
   observeSettings({
     clock,
