feat(router): send the most urgent waiting requests first at a late router

What callers saw: a router that is short of processor time sends eight requests a turn in the order of their arrival, so urgent requests with little time left wait behind batch work.

Change: when more requests wait than one turn sends, the priority of the account or route decides, then the time left. The delay that the process itself causes, from the arrival to the first turn, is a metric (relay_send_delay_ms).

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -138,6 +138,7 @@
   const results: RequestResult[] = [];
   const events: Record<string, unknown>[] = [];
   const closers: (() => void)[] = [];
+  const delays: number[] = [];
   const memory = createMemoryBudget(memoryBytes);
   const router = createRouter({
     ...{ clock, wire, endpoints, memory, features },
@@ -146,6 +147,7 @@
     self: 'router-1' as never,
     dataCentre: 'lahore' as never,
     listRouters: () => ['router-1' as never],
+    recordDelay: (ms) => delays.push(ms),
     record: (event, details) => events.push({ event, ...details }),
     ...{
       retryRatio: 0.2,
@@ -186,7 +188,7 @@
   };
 
   return {
-    ...{ clock, router, memory, front, endpoints, results, events, announce, configure },
+    ...{ clock, router, memory, front, endpoints, results, events, announce, configure, delays },
     url: `http://127.0.0.1:${(front.address() as AddressInfo).port}`,
     /** Adds an endpoint that answers through an HTTP listener. */
     addEndpoint: async (id: string, listener: RequestListener): Promise<void> => {
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -43,6 +43,8 @@
   memory: MemoryBudget;
   /** Aborted when this process stops and must end the requests that still run. */
   stopSignal: AbortSignal;
+  /** Records for how long this process delayed a request, apart from any wait for an endpoint. */
+  recordDelay: (ms: number) => void;
   /** Writes a line to the log. */
   record: (event: LogEvent, details: object) => void;
 }
@@ -71,6 +73,7 @@
       running,
       memory,
       features,
+      recordDelay: options.recordDelay,
     },
     pool: createConnectionPool(),
     sendQueue: createSendQueue(loop),
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -113,6 +113,7 @@
     coldMultiplier: settings.coldEndpoints.multiplier,
     coldSlack: settings.coldEndpoints.slackPerS,
     stopSignal: stop.signal,
+    recordDelay: (ms) => metrics.recordSendDelay(ms),
     record: log.write,
   });
   const front = createFrontServer({
--- a/packages/router/src/front/create-front-server.ts
+++ b/packages/router/src/front/create-front-server.ts
@@ -104,6 +104,7 @@
     reported: ReportedRequest,
   ) => {
     const { startedAt } = reported;
+    const readDelayMs = clock.monotonic() - startedAt;
     const path = message.url ?? '';
     const { method = 'GET', rawHeaders } = message;
     const host = message.headers.host ?? '';
@@ -137,7 +138,7 @@
       });
     }
     return {
-      ...{ method, path, facts, body, table, route, caller, startedAt },
+      ...{ method, path, facts, body, table, route, caller, startedAt, readDelayMs },
       ...(account ? { account } : {}),
     };
   };
--- a/packages/router/src/metrics/create-metrics.ts
+++ b/packages/router/src/metrics/create-metrics.ts
@@ -37,6 +37,8 @@
     },
     /** Records how late a timer fired. */
     recordLoopDelay: (ms: number): void => histograms.record('relay_loop_delay_ms', '', ms),
+    /** Records for how long this process delayed a request before it was sent. */
+    recordSendDelay: (ms: number): void => histograms.record('relay_send_delay_ms', '', ms),
     /** Counts the payload bytes of calls between daemons. */
     recordBytes: (direction: 'sent' | 'received', bytes: number): void =>
       add('relay_control_bytes_total', { direction }, bytes),
--- a/packages/router/src/requests/attempt/run-attempt.ts
+++ b/packages/router/src/requests/attempt/run-attempt.ts
@@ -79,10 +79,11 @@
       ? () => {}
       : startSilenceTimer({ clock, ms, hasAlternative, recordSilence }, abandon);
   };
+  const priority = account?.priority ?? route.priority;
   const headers = wire.buildHeaders(facts, {
     endpoint: record.id,
     deadlineMs: Math.max(1, Math.floor(deadlineAt - clock.monotonic())),
-    priority: account?.priority ?? route.priority,
+    priority,
     ...(account ? { account: account.id } : {}),
     ...(cacheSource === undefined ? {} : { cacheSource }),
     ...(progress.lastEventId === undefined ? {} : { lastEventId: progress.lastEventId }),
@@ -94,7 +95,7 @@
       ...{ method, path, headers, body, signal },
       address: record.address,
       agent: pool,
-      waitForTurn: sendQueue.waitForTurn,
+      waitForTurn: () => sendQueue.waitForTurn({ priority, deadlineAt, signal }),
       startHeadTimer: (abandon) => startTimer(silentMs, abandon),
     });
     const status = answer.statusCode ?? 0;
--- a/packages/router/src/requests/routed-request.ts
+++ b/packages/router/src/requests/routed-request.ts
@@ -14,4 +14,6 @@
   caller: Caller;
   /** Monotonic time at which it reached the VM, as estimated. */
   startedAt: number;
+  /** How long it then lay unread, because this process was late. */
+  readDelayMs: number;
 }
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -41,6 +41,8 @@
   /** Functions that abort the requests which are running. */
   running: Set<() => void>;
   isDataCentreOut: (id: DataCentreId) => boolean;
+  /** Records for how long this process delayed a request, apart from any wait for an endpoint. */
+  recordDelay: (ms: number) => void;
   /** Writes a line to the log. */
   record: (event: LogEvent, details: object) => void;
 }
--- a/packages/router/src/requests/waiting/wait-for-endpoint.ts
+++ b/packages/router/src/requests/waiting/wait-for-endpoint.ts
@@ -22,10 +22,14 @@
   proceed: (choice: Choice) => Promise<T>,
 ): Promise<T> {
   const { clock, sendQueue } = context;
-  const { result, signal } = state;
+  const { result, signal, deadlineAt } = state;
+  const priority = request.account?.priority ?? request.route.priority;
+  const startedAt = clock.monotonic();
   const waitUntil = clock.monotonic() + request.route.objectiveMs * waitShare;
   for (;;) {
-    await sendQueue.waitForTurn();
+    await sendQueue.waitForTurn({ priority, deadlineAt, signal });
+    const isFirstTurn = result.waitedMs === undefined && result.sends.length === 0;
+    if (isFirstTurn) context.recordDelay(request.readDelayMs + clock.monotonic() - startedAt);
     const choice = selectEndpoint(context, request, state, waitUntil);
     if (choice) return proceed(choice);
     await clock.wait(capacityPollIntervalMs, signal);
