feat(router): take a router out for a while when it is late

What was seen: 7 of 36 routers were slowed to a fifth of their processor time; requests that arrived at these were sent 0.6 to 1.5 s after their arrival, while 29 others had time to spare.

Change: createLateness decides from the delays of requests that the process itself causes and of its event loop, in time slots of 250 ms; three late slots of the last second, each with more than half of its delays above the smallest objective, make a router late, so a single late turn does not. While it is out the readiness check fails and answers carry Connection: close; it returns when it is in time, after 3 s at the earliest and 15 s at the latest, or at once when too many are late. For delays of less than twice the objective it is out for an eighth of its time at most. Log lines router.late and router.inTime; gauges relay_is_late and relay_late_routers. The departure of an unknown endpoint depends on the state only, as a late router has it.

Not measured on a fleet.

--- a/packages/fleet/__tests__/observations.test.ts
+++ b/packages/fleet/__tests__/observations.test.ts
@@ -33,6 +33,8 @@
     ['rates', { e1: { ageMs: 5, demandPerS: '6' } }],
     ['notices', { e1: { bornAt: 1, waitMs: 7 } }],
     ['loads', []],
+    ['lateRouters', '1'],
+    ['lateRouters', -1],
   ];
   const isOddAccepted = odd.map(([name, part]) => isAccepted({ ...sound, [name]: part }));
   expect([isAccepted(sound), isAccepted({}), isAccepted(null), isOddAccepted]).toEqual([
@@ -57,3 +59,11 @@
     { seed, numRuns: 3_000 },
   );
 });
+
+// Guards against late routers that are counted wrong beside daemons of an older version, and against
+// bytes in each exchange while none is late.
+it('counts the routers that say that they are late', () => {
+  const parts = [{ lateRouters: 1 }, {}, { lateRouters: 2 }].map(buildObservations);
+  expect(mergeObservations(parts).lateRouters).toBe(3);
+  expect(mergeObservations([buildObservations()])).not.toHaveProperty('lateRouters');
+});
--- a/packages/fleet/src/messages/check-observations.ts
+++ b/packages/fleet/src/messages/check-observations.ts
@@ -17,6 +17,7 @@
 }
 
 const checks: Record<keyof Observations, Check> = {
+  lateRouters: isCount,
   loads: hasOnly(isCount),
   outcomes: hasOnly((value) => Array.isArray(value) && value.length === 2 && value.every(isCount)),
   crashes: hasOnly(
--- a/packages/fleet/src/messages/observations.ts
+++ b/packages/fleet/src/messages/observations.ts
@@ -17,4 +17,6 @@
   crashes: CrashReports;
   rates: RateReports;
   notices: EndpointNotices;
+  /** Number of these daemons that are late; absent for none, and in messages of earlier versions. */
+  lateRouters?: number;
 }
--- a/packages/fleet/src/sync/merge-observations.ts
+++ b/packages/fleet/src/sync/merge-observations.ts
@@ -19,5 +19,6 @@
       sum.outcomes[id] = [knownGood + good, knownBad + bad];
     });
   });
-  return sum;
+  const lateRouters = parts.reduce((count, part) => count + (part.lateRouters ?? 0), 0);
+  return lateRouters > 0 ? { ...sum, lateRouters } : sum;
 }
--- a/packages/router/__tests__/unknown-departures.test.ts
+++ b/packages/router/__tests__/unknown-departures.test.ts
@@ -5,15 +5,17 @@
 
 const clock = { monotonic: () => 0 };
 
-const createCalls = (isReady: boolean) =>
+/** Creates the calls of a daemon that is not ready for requests, because it is late or starts. */
+const createCalls = (hasState: boolean) =>
   createControlCalls({
     ...{ clock, node: {} as never, log: { write: () => {} } as never },
     endpoints: createEndpointTable({ clock, silenceMs: 1_000 }),
-    ...{ decodeConfig: () => ({}) as never, isReady: () => isReady, recordOrder: () => {} },
+    ...{ decodeConfig: () => ({}) as never, recordOrder: () => {} },
+    ...{ hasState: () => hasState, isReady: () => false },
   });
 
-const remove = (isReady: boolean) =>
-  createCalls(isReady)
+const remove = (hasState: boolean) =>
+  createCalls(hasState)
     .removeEndpoint(toId<EndpointId>('i-1'))
     .then(
       () => 'acknowledged',
--- a/packages/router/src/daemon/create-control-calls.ts
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -15,6 +15,8 @@
   endpoints: EndpointTable;
   log: Log;
   decodeConfig: (source: string) => RoutingConfig;
+  /** Whether this daemon has the shared state, and with it all endpoints, and does not stop. */
+  hasState: () => boolean;
   isReady: () => boolean;
   /** Counts an operator's call that was answered. */
   recordOrder: (order: string, status: number, ms: number) => void;
@@ -22,7 +24,7 @@
 
 /** Creates the calls for operators and endpoints on top of this daemon's fleet node. */
 export function createControlCalls(options: ControlCallOptions): ControlCalls {
-  const { clock, node, endpoints, log, decodeConfig, isReady } = options;
+  const { clock, node, endpoints, log, decodeConfig, hasState, isReady } = options;
 
   const propose = async (command: SharedCommand, signal?: AbortSignal): Promise<void> => {
     const result = await node.propose(command, signal);
@@ -98,7 +100,7 @@
     removeEndpoint: async (id) => {
       const known = endpoints.find(id);
       if (!known) {
-        if (isReady()) return;
+        if (hasState()) return;
         const message = 'this daemon does not know all endpoints yet';
         throw new RelayError(ResultCode.notReady, message, { notRun: true });
       }
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -16,6 +16,9 @@
 import { createEndpointTable, type RoutingConfig } from '@vanillarelay/routing';
 import { createRouter } from '../create-router.js';
 import { createFrontServer } from '../front/create-front-server.js';
+import { computeLatenessLimits } from '../loop/compute-lateness-limits.js';
+import { createLateness } from '../loop/create-lateness.js';
+import { runEvery } from '../loop/run-every.js';
 import { createLog } from '../log/create-log.js';
 import type { LogEvent } from '../log/log-event.js';
 import { createMemoryBudget } from '../memory/create-memory-budget.js';
@@ -57,6 +60,10 @@
 /** Number of announcements that may be missed before an endpoint is marked silent. */
 const maxMissedAnnouncements = 4;
 
+/** Age of the last contact to a hub from which this daemon does not know which others are late. */
+const contactAgeLimitMs = 2_000;
+const latenessIntervalMs = 250;
+
 /** Delay of the event loop that is logged. */
 const lateLoopMs = 200;
 
@@ -95,8 +102,13 @@
   let seeds = toPeerAddresses(settings);
   const stop = createStopPlan(clock);
   const metrics = createMetrics();
+  const lateness = createLateness({
+    clock,
+    notify: (change, details) => log.write(`router.${change}`, details),
+  });
   void observeLoopDelay(clock, (delayMs) => {
     metrics.recordLoopDelay(delayMs);
+    lateness.record(delayMs);
     if (delayMs >= lateLoopMs) log.write('loop.late', { ms: Math.round(delayMs) });
   });
   const memory = createMemoryBudget((settings.memoryLimitMb ?? defaultMemoryMb) * bytesPerMb);
@@ -113,7 +125,10 @@
     coldMultiplier: settings.coldEndpoints.multiplier,
     coldSlack: settings.coldEndpoints.slackPerS,
     stopSignal: stop.signal,
-    recordDelay: (ms) => metrics.recordSendDelay(ms),
+    recordDelay: (ms) => {
+      metrics.recordSendDelay(ms);
+      lateness.record(ms);
+    },
     record: log.write,
   });
   const front = createFrontServer({
@@ -121,7 +136,7 @@
     memory,
     wire,
     readTable: router.readTable,
-    isClosing: stop.isStopping,
+    isClosing: () => stop.isStopping() || lateness.isOut(),
     stopSignal: stop.startSignal,
     canComplete: stop.canComplete,
     estimateArrival: router.estimateArrival,
@@ -141,6 +156,8 @@
       });
     },
   });
+  /** Number of other routers that are late. */
+  let lateRouters = 0;
   /** Version of the configuration that the router runs on. */
   let configVersion = 0;
   const node = createFleetNode({
@@ -152,8 +169,14 @@
     openPeer: (address) => openFleetPeer({ address, recordBytes: metrics.recordBytes }),
     listSeeds: () => seeds,
     isFirstStart: settings.isFirstStart,
-    readObservations: router.readObservations,
-    notifyObservations: router.updateObservations,
+    readObservations: () => ({
+      ...router.readObservations(),
+      ...(lateness.isAnnounced() ? { lateRouters: 1 } : {}),
+    }),
+    notifyObservations: (observations) => {
+      lateRouters = observations.lateRouters ?? 0;
+      router.updateObservations(observations);
+    },
     notifyState: (state) => {
       router.updateDataCentresOut(state.dataCentresOut);
       if (state.version === 0) return;
@@ -167,10 +190,22 @@
       log.write('state.inForce', { index, version, dataCentresOut });
     },
   });
+  const updateLateness = (): void => {
+    const table = router.readTable();
+    const { daemons, quorumContactAt } = node.view;
+    const hasContact = clock.monotonic() - quorumContactAt <= contactAgeLimitMs;
+    lateness.update({
+      limits: table && computeLatenessLimits(table.config.routes),
+      fleet: hasContact ? { late: lateRouters, routers: daemons.length } : undefined,
+    });
+  };
+  const hasState = (): boolean =>
+    !stop.isStopping() && node.view.isCurrent && router.readTable() !== undefined;
   const calls = createControlCalls({
     ...{ clock, node, endpoints, log, decodeConfig },
     recordOrder: metrics.recordOrder,
-    isReady: () => !stop.isStopping() && node.view.isCurrent && router.readTable() !== undefined,
+    hasState,
+    isReady: () => hasState() && !lateness.isOut(),
   });
   metrics.registerGauges(() => ({
     relay_config_version: node.view.state.version,
@@ -180,6 +215,8 @@
     ...buildControlGauges(node.readControlSummary()),
     ...countEndpoints(endpoints),
     ...router.readRetryGauges(),
+    relay_is_late: Number(lateness.isOut()),
+    relay_late_routers: lateRouters,
     relay_limited_endpoints: router.countLimitedEndpoints(),
     relay_blocked_suspects: router.countBlockedSuspects(),
     relay_log_lines_lost: log.countLost(),
@@ -216,6 +253,7 @@
       seeds = toPeerAddresses(next);
     },
   });
+  void runEvery(clock, latenessIntervalMs, updateLateness);
   await runShutdown({ clock, log, front, stop, graceMs: settings.graceS * msPerS });
   node.stop();
   log.close();
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -24,6 +24,9 @@
   'server.failed': 'a listening server reported an error, such as no free file descriptor',
   'loop.late':
     'the event loop was blocked or short of processor time; `ms` is how late a timer fired',
+  'router.late':
+    'this router delays requests beyond the smallest objective: not ready until it is in time',
+  'router.inTime': 'a router that was late is ready again, after `ms`, for the `reason` named',
   'endpoint.limited':
     'an endpoint named a limit of requests per second for all routers, or names none any more (0)',
   'endpoint.leaving': 'an endpoint said in an answer that it is leaving; it gets no new requests',
