--- /dev/null
+++ b/packages/routing/src/rollouts/rollout.ts
@@ -0,0 +1,17 @@
+/** The roll-out of a version of one service, as the replicated state holds it. */
+export interface Rollout {
+  /** The version that the traffic of the service moves to. */
+  to: string;
+  /** Time from the order to its deadline, in milliseconds. */
+  durationMs: number;
+  state: 'inProgress' | 'completed' | 'rolledBack';
+  /** Log index of the command that started it, which identifies it. */
+  startIndex: number;
+  /** Log index of the last command for it, also of one that changed nothing. */
+  lastIndex: number;
+  /**
+   * Wall clock of the proposer at the order, in milliseconds since the epoch. It serves only as a
+   * lower bound of the age after a restart, because wall clocks jump.
+   */
+  startedAt: number;
+}
