feat(routing): keep the version that an endpoint announces

Roll-outs separate the endpoints of a service by version, and records dropped it. A record carries an optional version, since daemons and disk files of earlier versions have none; a changed version is a change of content, and a later record of the same incarnation that names none keeps the known one. vitest packages/routing and platform/__tests__/control-server.test.ts: 97 tests pass, the

--- a/packages/routing/__tests__/endpoint-table.test.ts
+++ b/packages/routing/__tests__/endpoint-table.test.ts
@@ -119,3 +119,25 @@
     expect(states).toEqual(['ready', 'ready']);
   },
 );
+
+// Guards against routers that keep the version of an endpoint which announced another one.
+it('counts a changed version as a change', () => {
+  const { table, build } = createTable();
+  table.merge(build({ version: 'v1' }));
+  const isRepeatChange = table.merge(build({ sequence: 2, version: 'v1' }));
+  const isVersionChange = table.merge(build({ sequence: 3, version: 'v2' }));
+  expect([isRepeatChange, isVersionChange, table.find('e1' as EndpointId)?.record.version]).toEqual(
+    [false, true, 'v2'],
+  );
+});
+
+// Guards against an endpoint that loses its version when a daemon of an earlier version relays it.
+it('keeps the version of an incarnation that a later record does not name', () => {
+  const { table, build } = createTable();
+  const readVersion = () => table.find('e1' as EndpointId)?.record.version;
+  table.merge(build({ version: 'v1' }));
+  table.merge(build({ sequence: 2 }));
+  const kept = readVersion();
+  table.merge(build({ bornAt: 200 }));
+  expect([kept, readVersion()]).toEqual(['v1', undefined]);
+});
--- a/packages/routing/src/endpoints/create-endpoint-table.ts
+++ b/packages/routing/src/endpoints/create-endpoint-table.ts
@@ -132,6 +132,7 @@
     const record: EndpointRecord = {
       ...(isSilent && known && isRecentlyHeard(known) ? receivedWithoutSilence : received),
       ...(isContested ? { isAddressContested: true } : {}),
+      ...findKnownVersion(received, known?.record),
     };
     const at = clock.monotonic();
     const coldMs = record.coldLeftMs;
@@ -271,6 +272,7 @@
     a.address === b.address &&
     a.dataCentre === b.dataCentre &&
     a.slots === b.slots &&
+    a.version === b.version &&
     a.state === b.state &&
     Boolean(a.isSilent) === Boolean(b.isSilent) &&
     Boolean(a.isAddressContested) === Boolean(b.isAddressContested)
@@ -282,3 +284,12 @@
   const hasStart = next.bornAt > 0 && next.bornAt === known.bornAt;
   return hasStart && (next.address !== known.address || next.service !== known.service);
 }
+
+/** The version that a record from a daemon of an earlier version lacks, if its incarnation named one. */
+function findKnownVersion(
+  received: EndpointRecord,
+  known: EndpointRecord | undefined,
+): Pick<EndpointRecord, 'version'> {
+  if (received.version !== undefined || known?.version === undefined) return {};
+  return known.bornAt === received.bornAt ? { version: known.version } : {};
+}
--- a/packages/routing/src/endpoints/endpoint-record.ts
+++ b/packages/routing/src/endpoints/endpoint-record.ts
@@ -12,6 +12,11 @@
   address: string;
   dataCentre: DataCentreId;
   slots: number;
+  /**
+   * Version of the endpoint's software. Absent in records that come from daemons or disk files of
+   * earlier versions.
+   */
+  version?: string;
   state: 'ready' | 'leaving' | 'gone';
   /** Remaining cold time, in milliseconds from when this record was sent. */
   coldLeftMs: number;
--- a/packages/routing/src/rollouts/rollout.ts
+++ b/packages/routing/src/rollouts/rollout.ts
@@ -7,7 +7,7 @@
   state: 'inProgress' | 'completed' | 'rolledBack';
   /** Log index of the command that started it, which identifies it. */
   startIndex: number;
-  /** Log index of the last command for it, also of one that changed nothing. */
+  /** Log index of its last change: the start, or the end. */
   lastIndex: number;
   /**
    * Wall clock of the proposer at the order, in milliseconds since the epoch. It serves only as a
