feat(fleet): hold roll-outs in the replicated state, with their ages

A version is rolled out by an order that must survive any restart, so the state holds the last roll-out of each service. A start is proposed on top of a known state, as orders for data centres are, and a repeat within the time for which operators resend is acknowledged without a proposal. The first end of a roll-out wins. Daemons tell ages instead of times because wall clocks jump: a hub counts from when it applied the start, and estimates from the wall clock only what it read from its disk. vitest packages/fleet, packages/cli/__tests__/pages.test.ts and packages/router/__tests__/log.test.ts: 219 tests pass.

--- a/packages/core/src/errors/result-code.ts
+++ b/packages/core/src/errors/result-code.ts
@@ -65,6 +65,8 @@
   notMember: 5007,
   /** The maximum number of weight loads is running. */
   permitDenied: 5008,
+  /** Another version of the service is being rolled out. */
+  rolloutConflict: 5009,
   // 6000: settings and startup
   invalidSettings: 6000,
   unreadableFile: 6001,
--- a/packages/fleet/__tests__/content.test.ts
+++ b/packages/fleet/__tests__/content.test.ts
@@ -125,7 +125,14 @@
       ...{ readHeld: () => held, findContent: contents.find },
     });
     const { source, ...content } = target;
-    const summary = { ...content, index: 1, version: 1, dataCentresOut: [], orderIndexes: {} };
+    const summary = {
+      ...content,
+      index: 1,
+      version: 1,
+      dataCentresOut: [],
+      orderIndexes: {},
+      rollouts: {},
+    };
     receiver.receive(summary, contents.buildPart(emptyContent, target, 0));
     expect(receiver.readPosition().incoming).toBeDefined();
     contents.add(target);
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -17,9 +17,12 @@
 import type { FleetPeer } from './messages/fleet-peer.js';
 import type { Observations } from './messages/observations.js';
 import { createOperatorCalls } from './proposals/create-operator-calls.js';
+import { listAgedRollouts } from './state/list-aged-rollouts.js';
+import type { AgedRollout } from './state/aged-rollout.js';
 import type { SharedState } from './state/shared-state.js';
 import { createEndpointPersistence } from './sync/create-endpoint-persistence.js';
 import { createHub } from './sync/create-hub.js';
+import { createRolloutAges } from './sync/create-rollout-ages.js';
 import { createSyncClient } from './sync/create-sync-client.js';
 import { runHubAnnouncements } from './sync/run-hub-announcements.js';
 import { runHubLinks } from './sync/run-hub-links.js';
@@ -64,6 +67,7 @@
   const record = (name: string, details?: EventDetails) => timeline.record(name, details);
 
   const contents = createContentStore();
+  const rolloutAges = createRolloutAges(clock);
 
   const voter =
     options.openDisk &&
@@ -82,6 +86,7 @@
       contents,
       notify: () => {
         keepContent();
+        recordRolloutAges();
         hub.wake();
       },
     });
@@ -91,7 +96,7 @@
       ...{ clock, table, openDisk: options.openDisk, record, signal: stopping.signal },
     });
   const hub = createHub({
-    ...{ clock, table, voter, contents, openPeer, record },
+    ...{ clock, table, voter, contents, rolloutAges, openPeer, record },
     waitUntilDurable: async (signal) => {
       if (!persistence) throw new RelayError(ResultCode.notMember, 'this daemon has no disk');
       await persistence.waitUntilDurable(signal);
@@ -104,6 +109,9 @@
     const { hash, source } = voter?.readState() ?? emptyContent;
     contents.add({ hash, source });
   };
+  const recordRolloutAges = (): void => {
+    if (voter) rolloutAges.recordHeld(voter.readState().rollouts, voter.readHeldIndex());
+  };
   const founderSelection = createFounderSelection({
     clock,
     isCoordinator: options.isFirstStart && options.listSeeds()[0] === self.address,
@@ -145,8 +153,7 @@
     clock,
     random: options.random,
     readSelf,
-    table,
-    record,
+    ...{ table, rolloutAges, record },
     listSeeds: options.listSeeds,
     isOwnHub: () => isMember() && (voter?.readStateAgeMs() ?? Infinity) <= stateAgeLimitMs,
     mayFound: () => options.isFirstStart && voter?.readDiskId() !== undefined && !isMember(),
@@ -160,6 +167,7 @@
 
   const calls = createOperatorCalls({
     ...{ clock, record, view: client.view },
+    readRolloutAgeMs: rolloutAges.readAgeMs,
     listHubs: client.listHubs,
     openPeer: openPeerOrSelf,
   });
@@ -209,7 +217,7 @@
         const listHubs = () =>
           isMember() ? voter.readMembers().map(({ address }) => address) : [];
         void runHubLinks({
-          ...{ clock, readSelf, openPeer, table, hub, record, listHubs, signal },
+          ...{ clock, readSelf, openPeer, table, hub, rolloutAges, record, listHubs, signal },
         });
         void runHubAnnouncements({
           ...{ clock, readSelf, openPeer, record, listSeeds, listHubs, signal },
@@ -223,6 +231,8 @@
     },
     ...calls,
     announce,
+    /** Lists the last roll-out of each service, with the time since its start. */
+    listRollouts: (): AgedRollout[] => listAgedRollouts(client.view.state, rolloutAges.readAgeMs),
     readControlSummary: () => voter?.readSummary(),
   };
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,6 +10,8 @@
 export type { ProposalReply } from './messages/proposal-reply.js';
 export type { SyncReply } from './messages/sync-reply.js';
 export type { SyncRequest } from './messages/sync-request.js';
+export type { AgedRollout } from './state/aged-rollout.js';
+export { findRollout } from './state/find-rollout.js';
 export type { SharedCommand } from './state/shared-command.js';
 export type { SharedState } from './state/shared-state.js';
 export type { FleetView } from './sync/fleet-view.js';
--- a/packages/fleet/src/messages/sync-reply.ts
+++ b/packages/fleet/src/messages/sync-reply.ts
@@ -4,6 +4,7 @@
 import type { StateSummary } from '../state/state-summary.js';
 import type { DaemonInfo } from './daemon-info.js';
 import type { Observations } from './observations.js';
+import type { RolloutAges } from './rollout-ages.js';
 
 /** A hub's reply to a `SyncRequest`. */
 export interface SyncReply {
@@ -22,6 +23,8 @@
   state?: StateSummary;
   /** The next part of a configuration that the sender of the request lacks. */
   part?: ContentPart;
+  /** Ages of the roll-outs in progress and of those started a short time ago; absent without any. */
+  rolloutAges?: RolloutAges;
   /** Milliseconds since the hub's state was last known to hold everything that was committed. */
   stateAgeMs: number;
   /** Address of the leader, if known. */
--- a/packages/fleet/src/proposals/create-operator-calls.ts
+++ b/packages/fleet/src/proposals/create-operator-calls.ts
@@ -5,11 +5,14 @@
   type Clock,
   type CommandResult,
   type EventDetails,
+  type ServiceId,
 } from '@vanillarelay/core';
 import type { FleetPeer } from '../messages/fleet-peer.js';
 import type { Proposal } from '../messages/proposal.js';
 import type { ProposalReply } from '../messages/proposal-reply.js';
-import type { DataCentreCommand } from '../state/data-centre-command.js';
+import type { EndRollout } from '../state/end-rollout.js';
+import { findRollout } from '../state/find-rollout.js';
+import type { OrderCommand } from '../state/order-command.js';
 import type { SharedCommand } from '../state/shared-command.js';
 import type { SharedState } from '../state/shared-state.js';
 import type { FleetView } from '../sync/fleet-view.js';
@@ -22,6 +25,8 @@
   listHubs: () => string[];
   openPeer: (address: string) => FleetPeer;
   record: (name: string, details?: EventDetails) => void;
+  /** Returns how long ago a roll-out was started; undefined when that is not known. */
+  readRolloutAgeMs: (service: ServiceId, startIndex: number) => number | undefined;
 }
 
 /** When a call to the leader ends early. */
@@ -32,6 +37,9 @@
   signal?: AbortSignal | undefined;
 }
 
+/** Limits of an order of an operator. */
+type OrderLimits = CallLimits & { deadline: number };
+
 /** Time limit of an operator's call, below the 1 s after which operators try another daemon. */
 const operatorTimeoutMs = 900;
 /**
@@ -45,6 +53,10 @@
  * paused reads the order first and the close in one of its next turns.
  */
 const closeDelayMs = 50;
+/** Time for which operators resend an order whose answer was lost. */
+const resendMs = 5_000;
+/** Time that the last resent order may spend on its way, or in a daemon that is paused. */
+const resendMarginMs = 2_500;
 /** Interval at which a read checks whether the confirmed state has arrived. */
 const indexPollIntervalMs = 10;
 
@@ -82,9 +94,7 @@
     throw failure;
   };
 
-  const readConfirmedState = async (): Promise<SharedState> => {
-    const deadline = clock.monotonic() + operatorTimeoutMs;
-    const { index } = await callLeader('readIndex', (peer, signal) => peer.readIndex(signal));
+  const waitForState = async (index: number, deadline: number): Promise<void> => {
     while (view.state.index < index) {
       if (clock.monotonic() >= deadline) {
         const message = `state ${index} did not arrive in time`;
@@ -92,6 +102,12 @@
       }
       await clock.wait(indexPollIntervalMs);
     }
+  };
+
+  const readConfirmedState = async (): Promise<SharedState> => {
+    const deadline = clock.monotonic() + operatorTimeoutMs;
+    const { index } = await callLeader('readIndex', (peer, signal) => peer.readIndex(signal));
+    await waitForState(index, deadline);
     return view.state;
   };
 
@@ -105,43 +121,67 @@
     return reply.index;
   };
 
+  const proposeCommand = async (
+    command: OrderCommand | EndRollout,
+    limits?: CallLimits,
+  ): Promise<CommandResult> => {
+    const reply = await callLeaderWith(command, limits);
+    if (reply.type === 'result') return reply.result;
+    throw new RelayError(ResultCode.internal, `${command.type} has no content to send`);
+  };
+
+  /**
+   * The result of an order that this one repeats, if it started a roll-out a short time ago. That
+   * roll-out may have ended since, and a repeat must not start it again.
+   */
+  const findRepeated = (command: OrderCommand): CommandResult | undefined => {
+    if (command.type !== 'startRollout') return undefined;
+    const { service, to } = command;
+    const known = findRollout(view.state, service);
+    if (known?.to !== to) return undefined;
+    const ageMs = options.readRolloutAgeMs(service, known.startIndex) ?? Infinity;
+    return ageMs <= resendMs + resendMarginMs ? { ok: true, index: known.startIndex } : undefined;
+  };
+
   /**
    * Proposes a command on top of a state, whose index is read before this daemon checks that the
    * operator still waits. So every order that the operator sends after it has given this one up has
    * a later index, and whatever delays the proposal from here on, it cannot undo such an order.
    */
   const proposeOnce = async (
-    command: DataCentreCommand,
+    command: OrderCommand,
     isNewest: boolean,
-    limits: CallLimits,
+    limits: OrderLimits,
   ): Promise<CommandResult> => {
     const base = await readIndex(isNewest, limits);
+    // Whether a start is a repeat shows only in a state that is not older than its base.
+    if (command.type === 'startRollout') await waitForState(base, limits.deadline);
+    const repeated = findRepeated(command);
+    if (repeated) return repeated;
     await clock.wait(closeDelayMs, limits.signal);
     if (limits.signal?.aborted) {
       throw new RelayError(ResultCode.cancelled, 'the operator gave the order up', {
         notRun: true,
       });
     }
-    const reply = await callLeaderWith({ ...command, base }, limits);
-    if (reply.type === 'result') return reply.result;
-    throw new RelayError(ResultCode.internal, `${command.type} has no content to send`);
+    return proposeCommand({ ...command, base }, limits);
   };
 
-  const proposeDataCentre = async (
-    command: DataCentreCommand,
+  const proposeOrder = async (
+    command: OrderCommand,
     signal?: AbortSignal,
   ): Promise<CommandResult> => {
     const limits = { deadline: clock.monotonic() + operatorTimeoutMs, signal };
     let result = await proposeOnce(command, false, limits);
     while (!result.ok && result.code === ResultCode.staleFencingToken) {
-      record('fleet.orderOutdated', { command: command.type, dataCentre: command.dataCentre });
+      record('fleet.orderOutdated', buildOrderDetails(command));
       result = await proposeOnce(command, true, limits);
     }
     return result;
   };
 
   const propose = async (command: SharedCommand, signal?: AbortSignal): Promise<CommandResult> => {
-    if (command.type !== 'putConfig') return proposeDataCentre(command, signal);
+    if (command.type !== 'putConfig') return proposeOrder(command, signal);
     const { state, isCurrent } = view;
     // What this daemon holds is committed, so a version that is not newer has no effect.
     if (isCurrent && command.version <= state.version) return { ok: true, index: state.index };
@@ -150,11 +190,27 @@
 
   return {
     /**
-     * Proposes a command. One for a data centre is not carried out once `signal`, which aborts when
+     * Proposes a command. One for a data centre or a roll-out is not carried out once `signal`, which aborts when
      * the operator closes its connection, is aborted before it is sent to the leader.
      */
     propose,
+    /**
+     * Proposes the end of a roll-out, after the verdict of this hub. It has no effect on a roll-out
+     * that has ended or on a later one of the service.
+     */
+    proposeRolloutEnd: (
+      service: ServiceId,
+      startIndex: number,
+      outcome: EndRollout['outcome'],
+    ): Promise<CommandResult> =>
+      proposeCommand({ type: 'endRollout', service, startIndex, outcome }),
     /** Reads the newest state, confirmed by a quorum. */
     readConfirmedState,
   };
 }
+
+function buildOrderDetails(command: OrderCommand): EventDetails {
+  return command.type === 'startRollout'
+    ? { command: command.type, service: command.service }
+    : { command: command.type, dataCentre: command.dataCentre };
+}
--- a/packages/fleet/src/state/apply-shared-command.ts
+++ b/packages/fleet/src/state/apply-shared-command.ts
@@ -2,6 +2,7 @@
 import { applyPatch } from '../content/apply-patch.js';
 import type { Content } from '../content/content.js';
 import { createContent } from '../content/create-content.js';
+import { applyRolloutCommand } from './apply-rollout-command.js';
 import type { DataCentreCommand } from './data-centre-command.js';
 import type { LogCommand } from './log-command.js';
 import type { PatchConfig } from './patch-config.js';
@@ -12,7 +13,8 @@
  * Applies a command. The highest version wins: a configuration that is not newer is accepted
  * without effect, so that an operator can safely resend it after a lost reply. Throws
  * `versionConflict` if a patch was built on another configuration, and `staleFencingToken` if a
- * command for a data centre would undo an order that was accepted after its base.
+ * command for a data centre would undo an order that was accepted after its base. Commands for
+ * roll-outs are described at `applyRolloutCommand`.
  */
 export function applySharedCommand(
   state: SharedState,
@@ -23,6 +25,9 @@
     if (command.version <= state.version) return state;
     return { ...state, ...buildContent(state, command), index, version: command.version };
   }
+  if (command.type === 'startRollout' || command.type === 'endRollout') {
+    return applyRolloutCommand(state, command, index);
+  }
   return applyDataCentreCommand(state, command, index);
 }
 
--- a/packages/fleet/src/state/empty-shared-state.ts
+++ b/packages/fleet/src/state/empty-shared-state.ts
@@ -8,4 +8,5 @@
   version: 0,
   dataCentresOut: [],
   orderIndexes: {},
+  rollouts: {},
 };
--- a/packages/fleet/src/state/shared-state.ts
+++ b/packages/fleet/src/state/shared-state.ts
@@ -1,4 +1,5 @@
-import type { DataCentreId } from '@vanillarelay/core';
+import type { DataCentreId, ServiceId } from '@vanillarelay/core';
+import type { Rollout } from '@vanillarelay/routing';
 import type { Content } from '../content/content.js';
 
 /** State that all routers share through the replicated log. */
@@ -10,4 +11,6 @@
   dataCentresOut: DataCentreId[];
   /** Log index of the last accepted order of each data centre, also of one that changed nothing. */
   orderIndexes: Partial<Record<DataCentreId, number>>;
+  /** The last roll-out of each service that had one. */
+  rollouts: Partial<Record<ServiceId, Rollout>>;
 }
--- a/packages/fleet/src/sync/create-exchange.ts
+++ b/packages/fleet/src/sync/create-exchange.ts
@@ -3,6 +3,7 @@
 import { checkAddresses } from '../messages/check-addresses.js';
 import { checkDaemonInfo } from '../messages/check-daemon-info.js';
 import { checkObservations } from '../messages/check-observations.js';
+import { checkRolloutAges } from '../messages/check-rollout-ages.js';
 import type { DaemonInfo } from '../messages/daemon-info.js';
 import type { FleetPeer } from '../messages/fleet-peer.js';
 import type { SyncReply } from '../messages/sync-reply.js';
@@ -47,6 +48,7 @@
     );
     checkObservations(reply.observations);
     checkAddresses(reply.hubs);
+    checkRolloutAges(reply.rolloutAges);
     reply.daemons?.forEach(checkDaemonInfo);
     const { hubIncarnation, cursor, daemonsVersion, heardCursor } = reply;
     position = { hubIncarnation, cursor, daemonsVersion, heardCursor };
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -19,6 +19,7 @@
 import type { Voter } from '../voter/voter.js';
 import { createDaemonTable } from './create-daemon-table.js';
 import { createWaitingPolls } from './create-waiting-polls.js';
+import type { RolloutAgeRecord } from './rollout-age-record.js';
 
 interface HubOptions {
   clock: Clock;
@@ -27,6 +28,7 @@
   table: EndpointTable;
   voter: Voter | undefined;
   contents: ContentStore;
+  rolloutAges: RolloutAgeRecord;
   openPeer: (address: string) => FleetPeer;
   record: (name: string, details?: EventDetails) => void;
   /** Resolves once all changes of the table up to now are on this daemon's disk. */
@@ -77,6 +79,11 @@
     return { state: summary, ...(part ? { part } : {}) };
   };
 
+  const buildRolloutAges = (): Pick<SyncReply, 'rolloutAges'> => {
+    const rolloutAges = options.rolloutAges.listAges(voter?.readState().rollouts ?? {});
+    return Object.keys(rolloutAges).length > 0 ? { rolloutAges } : {};
+  };
+
   const buildReply = (request: SyncRequest): SyncReply => {
     const { from, isHub, daemonsVersion } = request;
     const isSameIncarnation = request.hubIncarnation === incarnation;
@@ -92,6 +99,7 @@
       heard: isHub ? table.listHeard(isSameIncarnation ? request.heardCursor : 0) : [],
       heardCursor: table.readLastHeardCursor(),
       ...buildStateReply(request),
+      ...buildRolloutAges(),
       stateAgeMs: Math.round(Math.min(voter?.readStateAgeMs() ?? Infinity, maxAgeMs)),
       ...(leader === undefined ? {} : { leader }),
       hubs: listHubs(),
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -16,6 +16,7 @@
 import { createHubChoice } from './create-hub-choice.js';
 import { createStateReceiver } from './create-state-receiver.js';
 import type { FleetView } from './fleet-view.js';
+import type { RolloutAgeRecord } from './rollout-age-record.js';
 
 interface SyncClientOptions {
   clock: Clock;
@@ -29,6 +30,7 @@
   mayFound: () => boolean;
   openPeer: (address: string) => FleetPeer;
   table: EndpointTable;
+  rolloutAges: RolloutAgeRecord;
   /** Finds a configuration that this daemon's own hub keeps. */
   findContent: (hash: ContentHash) => Content | undefined;
   readObservations: () => Observations;
@@ -73,16 +75,20 @@
     ...{ clock, record, findContent: options.findContent },
     readHeld: () => view.state,
   });
-  /** The newest known list of data centres that are out, which does not wait for a configuration. */
-  let newest: Pick<StateSummary, 'index' | 'dataCentresOut'> = emptySharedState;
+  /** The newest known orders of operators, which do not wait for a configuration. */
+  let newest: Pick<StateSummary, 'index' | 'dataCentresOut' | 'rollouts'> = emptySharedState;
 
-  const applyState = (summary: StateSummary, part?: ContentPart): void => {
+  const applyState = (received: StateSummary, part?: ContentPart): void => {
+    // A hub of an earlier version knows no roll-outs.
+    const summary = { ...received, rollouts: received.rollouts ?? {} };
     if (summary.index > newest.index) newest = summary;
-    const received = receiver.receive(summary, part);
-    const next = received && received.index > view.state.index ? received : view.state;
-    const { dataCentresOut } = newest;
+    // A hub of an earlier version tells no ages.
+    options.rolloutAges.recordHeld(newest.rollouts, newest.index);
+    const complete = receiver.receive(summary, part);
+    const next = complete && complete.index > view.state.index ? complete : view.state;
+    const { dataCentresOut, rollouts } = newest;
     if (next === view.state && dataCentresOut === view.state.dataCentresOut) return;
-    view.state = { ...next, dataCentresOut };
+    view.state = { ...next, dataCentresOut, rollouts };
     if (view.isCurrent) options.notifyState(view.state);
   };
 
@@ -103,6 +109,7 @@
     if (reply.leader === undefined) delete view.leader;
     else view.leader = reply.leader;
     if (stateAgeMs <= stateAgeLimitMs) view.quorumContactAt = clock.monotonic();
+    options.rolloutAges.receive(reply.rolloutAges);
     const mayApplyState = view.isCurrent || stateAgeMs <= initialStateAgeLimitMs;
     if (reply.state && mayApplyState) applyState(reply.state, reply.part);
     updateIsCurrent(reply);
--- a/packages/fleet/src/sync/run-hub-links.ts
+++ b/packages/fleet/src/sync/run-hub-links.ts
@@ -6,6 +6,7 @@
 import type { FleetPeer } from '../messages/fleet-peer.js';
 import { createExchange } from './create-exchange.js';
 import type { Hub } from './hub.js';
+import type { RolloutAgeRecord } from './rollout-age-record.js';
 
 interface HubLinkOptions {
   clock: Clock;
@@ -14,6 +15,7 @@
   openPeer: (address: string) => FleetPeer;
   table: EndpointTable;
   hub: Hub;
+  rolloutAges: RolloutAgeRecord;
   record: (name: string, details?: EventDetails) => void;
   signal: AbortSignal;
 }
@@ -48,7 +50,7 @@
 }
 
 async function runLink(
-  { clock, readSelf, openPeer, table, hub, record }: HubLinkOptions,
+  { clock, readSelf, openPeer, table, hub, rolloutAges, record }: HubLinkOptions,
   address: string,
   signal: AbortSignal,
 ): Promise<void> {
@@ -66,6 +68,7 @@
         waitMs: pollWaitMs,
       });
       hub.daemons.updateRemote(address, reply.daemons, reply.observations);
+      rolloutAges.receive(reply.rolloutAges);
       if (isLost) record('fleet.linkRegained', { hub: address });
       isLost = false;
       await clock.wait(minPauseMs, signal);
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -23,8 +23,7 @@
 import { createConfigProposals } from '../proposals/create-config-proposals.js';
 import { createSharedStateMachine } from '../state/create-shared-state-machine.js';
 import { emptySharedState } from '../state/empty-shared-state.js';
-import type { DataCentreCommand } from '../state/data-centre-command.js';
-import type { PatchConfig } from '../state/patch-config.js';
+import type { LogCommand } from '../state/log-command.js';
 import type { SharedState } from '../state/shared-state.js';
 
 interface VoterOptions {
@@ -66,7 +65,7 @@
   let closeNode = () => {};
 
   const createNode = (log: LogStore, reportFailure: (error: Error) => void): RaftNode => {
-    machine = createSharedStateMachine(notify);
+    machine = createSharedStateMachine(notify, log.memory.readLast().index);
     return createRaftNode({
       ...{ id, address, clock, machine, log, reportFailure, timeline },
       random: options.random,
@@ -139,7 +138,7 @@
 
   const readState = (): SharedState => (node ? machine.readState() : emptySharedState);
 
-  const commit = async (command: PatchConfig | DataCentreCommand): Promise<CommandResult> => {
+  const commit = async (command: LogCommand): Promise<CommandResult> => {
     const data = JSON.stringify(command);
     const startedAt = clock.monotonic();
     const buildDetails = () => ({
@@ -203,6 +202,7 @@
       throw buildNotLeader(current);
     },
     readState,
+    readHeldIndex: (): number => machine.readHeldIndex(),
     readStateAgeMs: (): number => node?.readStateAgeMs() ?? Infinity,
     readMembers,
     readDiskId: (): string | undefined => node?.readStatus().diskId,
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -59,7 +59,7 @@
   'fleet.hubFailed': 'a hub did not answer',
   'fleet.syncFailed': 'an unexpected error interrupted the exchange with the hubs; it is retried',
   'fleet.orderOutdated':
-    'an order for a data centre came after a newer one and was dropped; it is sent again while its operator waits',
+    'an order for a data centre or a roll-out came after a newer one and was dropped; it is sent again while its operator waits',
   'fleet.callFailed':
     "a hub did not carry out an operator's call; the next hub is called until the time is up",
   'fleet.configReceived': 'a configuration that was sent in several parts is complete',
