feat(platform): take orders of roll-outs and answer their state

An unknown service is refused only when the confirmed configuration lacks it, since the daemon that is asked may be behind.

--- a/packages/router/__tests__/unknown-departures.test.ts
+++ b/packages/router/__tests__/unknown-departures.test.ts
@@ -3,12 +3,13 @@
 import { expect, it } from 'vitest';
 import { createControlCalls } from '../src/daemon/create-control-calls.js';
 
-const clock = { monotonic: () => 0 };
+const clock = { monotonic: () => 0, now: () => 0 };
 
 const createCalls = (isReady: boolean) =>
   createControlCalls({
     ...{ clock, node: {} as never, log: { write: () => {} } as never },
     endpoints: createEndpointTable({ clock, silenceMs: 1_000 }),
+    hasService: () => true,
     ...{ decodeConfig: () => ({}) as never, isReady: () => isReady, recordOrder: () => {} },
   });
 
--- a/packages/router/src/daemon/control-calls.ts
+++ b/packages/router/src/daemon/control-calls.ts
@@ -1,7 +1,8 @@
-import type { DataCentreId, EndpointId } from '@vanillarelay/core';
+import type { DataCentreId, EndpointId, ServiceId } from '@vanillarelay/core';
 import type { DaemonInfo } from '@vanillarelay/fleet';
-import type { EndpointRecord } from '@vanillarelay/routing';
+import type { EndpointRecord, Rollout } from '@vanillarelay/routing';
 import type { OrderResult } from './order-result.js';
+import type { RolloutOrder } from './rollout-order.js';
 
 /** Calls that operators and endpoints make to a daemon. */
 export interface ControlCalls {
@@ -12,6 +13,14 @@
   /** `signal` aborts when the operator closes its connection; the order is not carried out then. */
   takeOutDataCentre(id: DataCentreId, signal: AbortSignal): Promise<void>;
   bringBackDataCentre(id: DataCentreId, signal: AbortSignal): Promise<void>;
+  /**
+   * Starts a roll-out once the order is durable; a repeated order changes nothing. Throws
+   * `unknownService`, or `rolloutConflict` while another version is rolled out. `signal` aborts when
+   * the operator closes its connection; the order is not carried out then.
+   */
+  startRollout(order: RolloutOrder, signal: AbortSignal): Promise<void>;
+  /** The last roll-out of a service, if any; throws when a quorum cannot confirm it. */
+  readRollout(service: ServiceId): Promise<Rollout | undefined>;
   /** Records an endpoint's announcement; resolves when it may be acknowledged. */
   announce(record: EndpointRecord): Promise<void>;
   /** Logs why an announcement was refused. */
--- a/packages/router/src/daemon/create-control-calls.ts
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -1,5 +1,11 @@
-import { RelayError, ResultCode, type Clock, type DataCentreId } from '@vanillarelay/core';
-import type { FleetNode, SharedCommand } from '@vanillarelay/fleet';
+import {
+  RelayError,
+  ResultCode,
+  type Clock,
+  type DataCentreId,
+  type ServiceId,
+} from '@vanillarelay/core';
+import { findRollout, type FleetNode, type SharedCommand } from '@vanillarelay/fleet';
 import {
   checkRoutingConfig,
   type EndpointRecord,
@@ -10,11 +16,13 @@
 import type { ControlCalls } from './control-calls.js';
 
 interface ControlCallOptions {
-  clock: Pick<Clock, 'monotonic'>;
+  clock: Pick<Clock, 'monotonic' | 'now'>;
   node: FleetNode;
   endpoints: EndpointTable;
   log: Log;
   decodeConfig: (source: string) => RoutingConfig;
+  /** Whether the configuration that this daemon runs on has a service. */
+  hasService: (service: ServiceId) => boolean;
   isReady: () => boolean;
   /** Counts an operator's call that was answered. */
   recordOrder: (order: string, status: number, ms: number) => void;
@@ -38,6 +46,16 @@
     log.write('dataCentre.changed', { dataCentre: id, change: type });
   };
 
+  /** Throws unless the configuration in force has a service; this daemon may be behind it. */
+  const checkService = async (service: ServiceId): Promise<void> => {
+    if (options.hasService(service)) return;
+    const { version, source } = await node.readConfirmedState();
+    const services = version > 0 ? decodeConfig(source).services : [];
+    if (services.some(({ id }) => id === service)) return;
+    const message = `no service ${service} in version ${version} of the configuration`;
+    throw new RelayError(ResultCode.unknownService, message, { notRun: true });
+  };
+
   /** Reports an announcement to a hub ahead of the next heartbeat, which also carries it. */
   const announceToHub = async (record: EndpointRecord): Promise<void> => {
     try {
@@ -67,6 +85,11 @@
     },
     takeOutDataCentre: (id, signal) => proposeDataCentre('takeOutDataCentre', id, signal),
     bringBackDataCentre: (id, signal) => proposeDataCentre('bringBackDataCentre', id, signal),
+    startRollout: async (order, signal) => {
+      await checkService(order.service);
+      await propose({ type: 'startRollout', ...order, startedAt: clock.now() }, signal);
+    },
+    readRollout: async (service) => findRollout(await node.readConfirmedState(), service),
     announce: async (record) => {
       const isUpdated = endpoints.announce(record);
       const { id, state, service, address, sequence, coldLeftMs } = record;
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -30,6 +30,7 @@
 import type { RouterWire } from '../wire/router-wire.js';
 import type { ControlCalls } from './control-calls.js';
 import { createControlCalls } from './create-control-calls.js';
+import { createRolloutLog } from './create-rollout-log.js';
 import { createStopPlan } from './create-stop-plan.js';
 import { loadSettings } from './load-settings.js';
 import type { RouterFeatures } from './router-features.js';
@@ -138,6 +139,7 @@
       });
     },
   });
+  const logRollouts = createRolloutLog(log);
   /** Version of the configuration that the router runs on. */
   let configVersion = 0;
   const node = createFleetNode({
@@ -153,6 +155,7 @@
     notifyObservations: router.updateObservations,
     notifyState: (state) => {
       router.updateDataCentresOut(state.dataCentresOut);
+      logRollouts(node.listRollouts());
       if (state.version === 0) return;
       if (state.version !== configVersion) {
         configVersion = state.version;
@@ -167,6 +170,7 @@
   const calls = createControlCalls({
     ...{ clock, node, endpoints, log, decodeConfig },
     recordOrder: metrics.recordOrder,
+    hasService: (service) => router.readTable()?.findService(service) !== undefined,
     isReady: () => !stop.isStopping() && node.view.isCurrent && router.readTable() !== undefined,
   });
   metrics.registerGauges(() => ({
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -40,6 +40,9 @@
   'config.accepted': 'this daemon acknowledged a configuration',
   'state.inForce': 'this daemon applied a newer shared state',
   'dataCentre.changed': 'this daemon acknowledged taking a data centre out or bringing it back',
+  'rollout.started': 'this daemon learned that the roll-out of a version is in progress',
+  'rollout.ended':
+    'this daemon learned the `outcome` of a roll-out: it was completed or rolled back',
   'endpoint.announced': 'an endpoint announced itself for the first time or with a change',
   'endpoint.left': 'an endpoint reported its departure',
   'endpoint.silent':
