fix(fleet): recognise repeated orders of roll-outs after restarts and between two operators

An order was carried out again when another version had been rolled out in between, so the state holds the last starts of each service. The age fell from 14 s to 0 when a hub that had been cut off applied the start late, so a start counts from its application only if the state was known to be complete within the second before. Wall clocks that differ made a repeat look old after a loss of power, so an estimated age counts as recent for longer.

--- a/packages/fleet/__tests__/content.test.ts
+++ b/packages/fleet/__tests__/content.test.ts
@@ -132,6 +132,7 @@
       dataCentresOut: [],
       orderIndexes: {},
       rollouts: {},
+      rolloutStarts: {},
     };
     receiver.receive(summary, contents.buildPart(emptyContent, target, 0));
     expect(receiver.readPosition().incoming).toBeDefined();
--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -46,6 +46,8 @@
   others?: number;
   /** Size of the log above which a snapshot is taken, in bytes. */
   snapshotBytes?: number;
+  /** How far the wall clock of each start of a daemon is ahead, in milliseconds. */
+  readClockOffset?: () => number;
   /** Called with each disk that a daemon opens. */
   wrapDisk?: (disk: Disk, process: VirtualProcess) => Disk;
 }
@@ -61,6 +63,7 @@
   disks = 3,
   others = 4,
   snapshotBytes,
+  readClockOffset = () => 0,
   wrapDisk = (disk) => disk,
 }: TestFleetOptions) {
   const random = createSeededRandom(seed);
@@ -96,7 +99,7 @@
 
   const start = (index: number, { isFirstStart = false, address = buildAddress(index) } = {}) => {
     const id = `daemon-${index}`;
-    const process = virtual.createProcess(id);
+    const process = virtual.createProcess(id, readClockOffset());
     const previous = daemons.get(id);
     const newDisk = index < disks && !previous ? createFakeDisk({ random }) : undefined;
     const disk = previous?.disk ?? newDisk;
--- a/packages/fleet/__tests__/rollout-state.test.ts
+++ b/packages/fleet/__tests__/rollout-state.test.ts
@@ -87,16 +87,17 @@
 
 // Guards against a state machine that cannot read its own snapshot or one of an earlier version.
 it('reads snapshots with and without roll-outs', () => {
-  const machine = createSharedStateMachine(() => {}, 3);
+  const machine = createSharedStateMachine(() => {});
   machine.apply({ kind: 'command', data: JSON.stringify(start('v2', 0)), index: 7 } as never);
   const copy = createSharedStateMachine(() => {});
   copy.install([...machine.encode()]);
   const old = createSharedStateMachine(() => {});
-  old.install([JSON.stringify({ ...emptySharedState, rollouts: undefined })]);
+  old.install([
+    JSON.stringify({ ...emptySharedState, rollouts: undefined, rolloutStarts: undefined }),
+  ]);
   expect({
     same: copy.readState().rollouts,
-    held: [machine.readHeldIndex(), copy.readHeldIndex()],
     old: old.readState().rollouts,
-  }).toEqual({ same: machine.readState().rollouts, held: [3, 7], old: {} });
+  }).toEqual({ same: machine.readState().rollouts, old: {} });
   expect(findRollout(copy.readState(), service)?.startIndex).toBe(7);
 });
--- a/packages/fleet/__tests__/run-order-model.ts
+++ b/packages/fleet/__tests__/run-order-model.ts
@@ -101,7 +101,7 @@
     const operatorCalls = createOperatorCalls({
       ...{ clock: process.clock, view: view as unknown as FleetView, record: () => {} },
       ...{ listHubs: () => [leader.id], openPeer: () => peer },
-      readRolloutAgeMs: () => undefined,
+      isRecentRollout: () => false,
     });
     void runSync(async () => {
       const { index: known } = await peer.readIndex(new AbortController().signal);
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -110,7 +110,7 @@
     contents.add({ hash, source });
   };
   const recordRolloutAges = (): void => {
-    if (voter) rolloutAges.recordHeld(voter.readState().rollouts, voter.readHeldIndex());
+    if (voter) rolloutAges.recordHeld(voter.readState(), voter.readStateAgeMs());
   };
   const founderSelection = createFounderSelection({
     clock,
@@ -167,7 +167,7 @@
 
   const calls = createOperatorCalls({
     ...{ clock, record, view: client.view },
-    readRolloutAgeMs: rolloutAges.readAgeMs,
+    isRecentRollout: rolloutAges.isRecent,
     listHubs: client.listHubs,
     openPeer: openPeerOrSelf,
   });
--- a/packages/fleet/src/messages/check-rollout-ages.ts
+++ b/packages/fleet/src/messages/check-rollout-ages.ts
@@ -5,19 +5,13 @@
  * Throws `malformedMessage`.
  */
 export function checkRolloutAges(received: unknown): void {
-  if (received === undefined || (isObject(received) && Object.values(received).every(isAge))) {
-    return;
-  }
-  throw new RelayError(ResultCode.malformedMessage, 'rolloutAges: not ages by service');
-}
-
-function isObject(value: unknown): value is Record<string, unknown> {
-  return typeof value === 'object' && value !== null && !Array.isArray(value);
+  if (received === undefined || (Array.isArray(received) && received.every(isAge))) return;
+  throw new RelayError(ResultCode.malformedMessage, 'rolloutAges: not a list of ages');
 }
 
 function isAge(value: unknown): boolean {
-  if (!isObject(value)) return false;
-  const { startIndex, ageMs, isEstimated = false } = value;
+  if (typeof value !== 'object' || value === null) return false;
+  const { startIndex, ageMs, isEstimated = false } = value as Record<string, unknown>;
   return isCount(startIndex) && isCount(ageMs) && typeof isEstimated === 'boolean';
 }
 
--- a/packages/fleet/src/messages/rollout-ages.ts
+++ b/packages/fleet/src/messages/rollout-age.ts
@@ -1,12 +1,7 @@
-import type { ServiceId } from '@vanillarelay/core';
-
 /** How long ago a roll-out was started, as daemons tell each other. */
-interface RolloutAge {
+export interface RolloutAge {
   startIndex: number;
   ageMs: number;
   /** Set when the age comes from wall clocks, since no daemon has counted from the start. */
   isEstimated?: boolean;
 }
-
-/** Ages of roll-outs by service. */
-export type RolloutAges = Partial<Record<ServiceId, RolloutAge>>;
--- a/packages/fleet/src/messages/sync-reply.ts
+++ b/packages/fleet/src/messages/sync-reply.ts
@@ -4,7 +4,7 @@
 import type { StateSummary } from '../state/state-summary.js';
 import type { DaemonInfo } from './daemon-info.js';
 import type { Observations } from './observations.js';
-import type { RolloutAges } from './rollout-ages.js';
+import type { RolloutAge } from './rollout-age.js';
 
 /** A hub's reply to a `SyncRequest`. */
 export interface SyncReply {
@@ -24,7 +24,7 @@
   /** The next part of a configuration that the sender of the request lacks. */
   part?: ContentPart;
   /** Ages of the roll-outs in progress and of those started a short time ago; absent without any. */
-  rolloutAges?: RolloutAges;
+  rolloutAges?: RolloutAge[];
   /** Milliseconds since the hub's state was last known to hold everything that was committed. */
   stateAgeMs: number;
   /** Address of the leader, if known. */
--- a/packages/fleet/src/proposals/create-operator-calls.ts
+++ b/packages/fleet/src/proposals/create-operator-calls.ts
@@ -11,7 +11,7 @@
 import type { Proposal } from '../messages/proposal.js';
 import type { ProposalReply } from '../messages/proposal-reply.js';
 import type { EndRollout } from '../state/end-rollout.js';
-import { findRollout } from '../state/find-rollout.js';
+import { listRolloutStarts } from '../state/list-rollout-starts.js';
 import type { OrderCommand } from '../state/order-command.js';
 import type { SharedCommand } from '../state/shared-command.js';
 import type { SharedState } from '../state/shared-state.js';
@@ -25,8 +25,8 @@
   listHubs: () => string[];
   openPeer: (address: string) => FleetPeer;
   record: (name: string, details?: EventDetails) => void;
-  /** Returns how long ago a roll-out was started; undefined when that is not known. */
-  readRolloutAgeMs: (service: ServiceId, startIndex: number) => number | undefined;
+  /** Whether a roll-out may have been started within the last `ms` milliseconds. */
+  isRecentRollout: (startIndex: number, ms: number) => boolean;
 }
 
 /** When a call to the leader ends early. */
@@ -136,11 +136,11 @@
    */
   const findRepeated = (command: OrderCommand): CommandResult | undefined => {
     if (command.type !== 'startRollout') return undefined;
-    const { service, to } = command;
-    const known = findRollout(view.state, service);
-    if (known?.to !== to) return undefined;
-    const ageMs = options.readRolloutAgeMs(service, known.startIndex) ?? Infinity;
-    return ageMs <= resendMs + resendMarginMs ? { ok: true, index: known.startIndex } : undefined;
+    const repeated = listRolloutStarts(view.state, command.service).find(
+      ({ to, startIndex }) =>
+        to === command.to && options.isRecentRollout(startIndex, resendMs + resendMarginMs),
+    );
+    return repeated && { ok: true, index: repeated.startIndex };
   };
 
   /**
--- a/packages/fleet/src/state/create-shared-state-machine.ts
+++ b/packages/fleet/src/state/create-shared-state-machine.ts
@@ -6,20 +6,11 @@
 import type { LogCommand } from './log-command.js';
 import type { SharedState } from './shared-state.js';
 
-/**
- * Creates the state machine that the replicated log applies commands to. `lastIndex` is the index of
- * the last entry that the log held when it was opened.
- */
-export function createSharedStateMachine(
-  notify: () => void,
-  lastIndex = 0,
-): StateMachine & {
+/** Creates the state machine that the replicated log applies commands to. */
+export function createSharedStateMachine(notify: () => void): StateMachine & {
   readState(): SharedState;
-  /** Index up to which commands came from the disk or a snapshot, some time after their commit. */
-  readHeldIndex(): number;
 } {
   let state = emptySharedState;
-  let heldIndex = lastIndex;
 
   const apply = (command: LogCommand, index: number): CommandResult => {
     try {
@@ -42,10 +33,8 @@
       const stored = JSON.parse(parts.join('')) as SharedState;
       // Snapshots of earlier versions have no hash, no indexes of orders and no roll-outs.
       state = { ...emptySharedState, ...stored, ...createContent(stored.source) };
-      heldIndex = Math.max(heldIndex, state.index);
       notify();
     },
     readState: () => state,
-    readHeldIndex: () => heldIndex,
   };
 }
--- a/packages/fleet/src/state/empty-shared-state.ts
+++ b/packages/fleet/src/state/empty-shared-state.ts
@@ -9,4 +9,5 @@
   dataCentresOut: [],
   orderIndexes: {},
   rollouts: {},
+  rolloutStarts: {},
 };
--- a/packages/fleet/src/state/list-aged-rollouts.ts
+++ b/packages/fleet/src/state/list-aged-rollouts.ts
@@ -5,11 +5,11 @@
 /** Lists the last roll-out of each service with its age; one without a known age has just begun. */
 export function listAgedRollouts(
   { rollouts }: Pick<SharedState, 'rollouts'>,
-  readAgeMs: (service: ServiceId, startIndex: number) => number | undefined,
+  readAgeMs: (startIndex: number) => number | undefined,
 ): AgedRollout[] {
   return Object.entries(rollouts).flatMap(([key, rollout]) => {
     if (!rollout) return [];
-    const service = key as ServiceId;
-    return [{ service, rollout, ageMs: readAgeMs(service, rollout.startIndex) ?? 0 }];
+    const ageMs = readAgeMs(rollout.startIndex) ?? 0;
+    return [{ service: key as ServiceId, rollout, ageMs }];
   });
 }
--- a/packages/fleet/src/state/shared-state.ts
+++ b/packages/fleet/src/state/shared-state.ts
@@ -1,6 +1,7 @@
 import type { DataCentreId, ServiceId } from '@vanillarelay/core';
 import type { Rollout } from '@vanillarelay/routing';
 import type { Content } from '../content/content.js';
+import type { RolloutStart } from './rollout-start.js';
 
 /** State that all routers share through the replicated log. */
 export interface SharedState extends Content {
@@ -13,4 +14,6 @@
   orderIndexes: Partial<Record<DataCentreId, number>>;
   /** The last roll-out of each service that had one. */
   rollouts: Partial<Record<ServiceId, Rollout>>;
+  /** The last starts of each service, newest first; repeated orders are recognised by them. */
+  rolloutStarts: Partial<Record<ServiceId, RolloutStart[]>>;
 }
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -80,8 +80,8 @@
   };
 
   const buildRolloutAges = (): Pick<SyncReply, 'rolloutAges'> => {
-    const rolloutAges = options.rolloutAges.listAges(voter?.readState().rollouts ?? {});
-    return Object.keys(rolloutAges).length > 0 ? { rolloutAges } : {};
+    const rolloutAges = voter ? options.rolloutAges.listAges(voter.readState()) : [];
+    return rolloutAges.length > 0 ? { rolloutAges } : {};
   };
 
   const buildReply = (request: SyncRequest): SyncReply => {
--- a/packages/fleet/src/sync/create-rollout-ages.ts
+++ b/packages/fleet/src/sync/create-rollout-ages.ts
@@ -1,17 +1,26 @@
-import type { Clock, ServiceId } from '@vanillarelay/core';
-import type { Rollout } from '@vanillarelay/routing';
-import type { RolloutAges } from '../messages/rollout-ages.js';
+import type { Clock } from '@vanillarelay/core';
+import type { RolloutAge } from '../messages/rollout-age.js';
+import type { RolloutStart } from '../state/rollout-start.js';
 import type { SharedState } from '../state/shared-state.js';
 
 interface Row {
-  startIndex: number;
   /** Monotonic time of the start. */
   since: number;
   isEstimated: boolean;
 }
 
+type StartsState = Pick<SharedState, 'rollouts' | 'rolloutStarts'>;
+
+/**
+ * A start counts from when it was applied if the state was this recently known to hold everything
+ * that was committed; otherwise it may have been committed long before.
+ */
+const maxApplyDelayMs = 1_000;
 /** Ages of ended roll-outs are told for this long, so that repeated orders are recognised. */
-const endedRetentionMs = 10_000;
+const endedRetentionMs = 20_000;
+/** How far the wall clocks of two VMs may differ, as both jump by seconds. */
+const maxClockErrorMs = 10_000;
+const maxRows = 1_024;
 
 /**
  * Creates a daemon's record of how long ago roll-outs were started. An age that a daemon counted
@@ -19,68 +28,70 @@
  * of them holds. Wall clocks jump, so an age from them holds only while no daemon has counted.
  */
 export function createRolloutAges(clock: Pick<Clock, 'monotonic' | 'now'>) {
-  const rows = new Map<ServiceId, Row>();
+  const rows = new Map<number, Row>();
 
-  const update = (service: ServiceId, next: Row): void => {
-    const known = rows.get(service);
-    if (!known || isBetter(next, known)) rows.set(service, next);
+  const update = (startIndex: number, next: Row): void => {
+    const known = rows.get(startIndex);
+    if (!known || isBetter(next, known)) rows.set(startIndex, next);
+    const [oldest = 0] = rows.keys();
+    if (rows.size > maxRows) rows.delete(oldest);
   };
 
-  const estimateAgeMs = ({ startedAt }: Rollout): number => Math.max(0, clock.now() - startedAt);
-
-  const readAgeMs = (service: ServiceId, startIndex: number): number | undefined => {
-    const row = rows.get(service);
-    return row?.startIndex === startIndex ? clock.monotonic() - row.since : undefined;
+  const readAgeMs = (startIndex: number): number | undefined => {
+    const row = rows.get(startIndex);
+    return row && clock.monotonic() - row.since;
   };
 
+  const estimateAgeMs = ({ startedAt }: RolloutStart, stateAgeMs: number): number =>
+    Math.min(Math.max(0, clock.now() - startedAt), stateAgeMs);
+
   return {
     readAgeMs,
+    /** Whether a roll-out may have been started within the last `ms` milliseconds. */
+    isRecent: (startIndex: number, ms: number): boolean => {
+      const ageMs = readAgeMs(startIndex) ?? Infinity;
+      return ageMs <= ms + (rows.get(startIndex)?.isEstimated ? maxClockErrorMs : 0);
+    },
     /**
-     * Records roll-outs of a state that is now held here. Starts up to `heldIndex` were read from a
-     * disk or a snapshot instead of being applied when they were committed, so their age is
-     * estimated.
+     * Records the starts of a state that is now held here. `stateAgeMs` is the time since the state
+     * before it was known to hold everything that was committed.
      */
-    recordHeld: (rollouts: SharedState['rollouts'], heldIndex: number): void => {
-      Object.entries(rollouts).forEach(([key, rollout]) => {
-        const service = key as ServiceId;
-        if (!rollout || readAgeMs(service, rollout.startIndex) !== undefined) return;
-        const { startIndex } = rollout;
-        const isEstimated = startIndex <= heldIndex;
-        const since = clock.monotonic() - (isEstimated ? estimateAgeMs(rollout) : 0);
-        update(service, { startIndex, since, isEstimated });
-      });
+    recordHeld: (state: StartsState, stateAgeMs: number): void => {
+      listStarts(state)
+        .filter(({ startIndex }) => !rows.has(startIndex))
+        .forEach((start) => {
+          const isEstimated = stateAgeMs > maxApplyDelayMs;
+          const ageMs = isEstimated ? estimateAgeMs(start, stateAgeMs) : 0;
+          update(start.startIndex, { since: clock.monotonic() - ageMs, isEstimated });
+        });
     },
     /** Receives the ages that another daemon told. */
-    receive: (ages: RolloutAges = {}): void => {
-      Object.entries(ages).forEach(([service, age]) => {
-        if (!age) return;
-        const { startIndex, ageMs, isEstimated = false } = age;
-        update(service as ServiceId, {
-          ...{ startIndex, isEstimated, since: clock.monotonic() - ageMs },
-        });
-      });
+    receive: (ages: readonly RolloutAge[] = []): void => {
+      ages.forEach(({ startIndex, ageMs, isEstimated = false }) =>
+        update(startIndex, { since: clock.monotonic() - ageMs, isEstimated }),
+      );
     },
-    /** Lists the ages of the roll-outs of a state to tell other daemons. */
-    listAges: (rollouts: SharedState['rollouts']): RolloutAges => {
-      const ages: RolloutAges = {};
-      Object.entries(rollouts).forEach(([key, rollout]) => {
-        const service = key as ServiceId;
-        const ageMs = rollout && readAgeMs(service, rollout.startIndex);
-        if (!rollout || ageMs === undefined) return;
-        if (rollout.state !== 'inProgress' && ageMs > endedRetentionMs) return;
-        const { startIndex } = rollout;
-        ages[service] = {
-          ...{ startIndex, ageMs: Math.round(ageMs) },
-          ...(rows.get(service)?.isEstimated ? { isEstimated: true } : {}),
-        };
+    /** Lists the ages to tell other daemons: of what is in progress or was started recently. */
+    listAges: (state: StartsState): RolloutAge[] => {
+      const inProgress = Object.values(state.rollouts)
+        .filter((rollout) => rollout?.state === 'inProgress')
+        .map((rollout) => rollout?.startIndex);
+      return listStarts(state).flatMap(({ startIndex }) => {
+        const row = rows.get(startIndex);
+        if (!row) return [];
+        const ageMs = Math.round(clock.monotonic() - row.since);
+        if (ageMs > endedRetentionMs && !inProgress.includes(startIndex)) return [];
+        return [{ startIndex, ageMs, ...(row.isEstimated ? { isEstimated: true } : {}) }];
       });
-      return ages;
     },
   };
 }
 
+function listStarts({ rolloutStarts }: StartsState): RolloutStart[] {
+  return Object.values(rolloutStarts).flatMap((starts) => starts ?? []);
+}
+
 function isBetter(next: Row, known: Row): boolean {
-  if (next.startIndex !== known.startIndex) return next.startIndex > known.startIndex;
   if (next.isEstimated !== known.isEstimated) return known.isEstimated;
   return next.since < known.since;
 }
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -43,9 +43,16 @@
   record: (name: string, details?: EventDetails) => void;
 }
 
+/** The parts of the state that operators order apart from the configuration. */
+type NewestOrders = Pick<StateSummary, 'index' | 'dataCentresOut' | 'rollouts' | 'rolloutStarts'>;
+
 /** How long a hub may delay its reply while there are no changes. */
 const pollWaitMs = 200;
 const minPauseMs = 60;
+const noRollouts: Pick<SharedState, 'rollouts' | 'rolloutStarts'> = {
+  rollouts: {},
+  rolloutStarts: {},
+};
 const helloTimeoutMs = 400;
 const retryDelayMs = 100;
 /** Age of a hub's state above which other hubs are preferred. */
@@ -76,19 +83,18 @@
     readHeld: () => view.state,
   });
   /** The newest known orders of operators, which do not wait for a configuration. */
-  let newest: Pick<StateSummary, 'index' | 'dataCentresOut' | 'rollouts'> = emptySharedState;
+  let newest: NewestOrders = emptySharedState;
 
   const applyState = (received: StateSummary, part?: ContentPart): void => {
-    // A hub of an earlier version knows no roll-outs.
-    const summary = { ...received, rollouts: received.rollouts ?? {} };
+    // A hub of an earlier version knows no roll-outs, and tells no ages.
+    const summary = { ...noRollouts, ...received };
     if (summary.index > newest.index) newest = summary;
-    // A hub of an earlier version tells no ages.
-    options.rolloutAges.recordHeld(newest.rollouts, newest.index);
+    options.rolloutAges.recordHeld(newest, Infinity);
     const complete = receiver.receive(summary, part);
     const next = complete && complete.index > view.state.index ? complete : view.state;
-    const { dataCentresOut, rollouts } = newest;
+    const { dataCentresOut, rollouts, rolloutStarts } = newest;
     if (next === view.state && dataCentresOut === view.state.dataCentresOut) return;
-    view.state = { ...next, dataCentresOut, rollouts };
+    view.state = { ...next, dataCentresOut, rollouts, rolloutStarts };
     if (view.isCurrent) options.notifyState(view.state);
   };
 
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -65,7 +65,7 @@
   let closeNode = () => {};
 
   const createNode = (log: LogStore, reportFailure: (error: Error) => void): RaftNode => {
-    machine = createSharedStateMachine(notify, log.memory.readLast().index);
+    machine = createSharedStateMachine(notify);
     return createRaftNode({
       ...{ id, address, clock, machine, log, reportFailure, timeline },
       random: options.random,
@@ -202,7 +202,6 @@
       throw buildNotLeader(current);
     },
     readState,
-    readHeldIndex: (): number => machine.readHeldIndex(),
     readStateAgeMs: (): number => node?.readStateAgeMs() ?? Infinity,
     readMembers,
     readDiskId: (): string | undefined => node?.readStatus().diskId,
