--- a/packages/cli/__tests__/cli.test.ts
+++ b/packages/cli/__tests__/cli.test.ts
@@ -89,6 +89,7 @@
   };
   const context: CliContext = {
     openOperator: () => client,
+    callControl: async () => ({ status: 503, body: '' }),
     print: (text) => printed.push(text),
     loadText: async (path) => JSON.stringify(files[path]),
     writeText: async () => {},
--- a/packages/cli/src/context/create-cli-context.ts
+++ b/packages/cli/src/context/create-cli-context.ts
@@ -4,12 +4,14 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { RelayError, ResultCode, toId, type ChangeId } from '@vanillarelay/core';
 import { openOperator } from '@vanillarelay/daemon';
+import { callControl } from './call-control.js';
 import type { CliContext } from './cli-context.js';
 
 /** Creates the context of the real command line; tests pass their own. */
 export function createCliContext(): CliContext {
   return {
     openOperator,
+    callControl,
     print: (text) => console.log(text),
     loadText,
     writeText,
--- a/packages/cli/src/create-main-command.ts
+++ b/packages/cli/src/create-main-command.ts
@@ -7,6 +7,7 @@
 import { createGenerateSettingsCommand } from './commands/generate-settings.js';
 import { createLiftMarkCommand } from './commands/lift-mark.js';
 import { createOrderCommand } from './commands/order-engine.js';
+import { createStartRolloutCommand } from './commands/start-rollout.js';
 import type { CliContext } from './context/cli-context.js';
 import { createProcessCommand } from './processes/create-process-command.js';
 import { createStandInCommands } from './processes/create-stand-in-commands.js';
@@ -22,6 +23,7 @@
 import { createStatusQuery } from './queries/read-status.js';
 import { createTimelineQuery } from './queries/read-timeline.js';
 import { createShowConfigQuery } from './queries/show-config.js';
+import { createShowRolloutQuery } from './queries/show-rollout.js';
 
 /** Creates the `vanillarelay` command with all its subcommands. */
 export function createMainCommand(context: CliContext): CommandDef {
@@ -59,6 +61,10 @@
         }),
         list: createListDataCentresQuery(context),
       }),
+      rollout: createGroup('rollout', 'Roll-outs of a version, at router daemons', {
+        start: createStartRolloutCommand(context),
+        show: createShowRolloutQuery(context),
+      }),
       endpoint: createGroup('endpoint', 'Endpoints', {
         drain: createDrainCommand(context),
         list: createListEndpointsQuery(context),
