feat(fleet): check proposed commands for roll-outs before they are committed

A start without a number as its time would make ages that no daemon accepts, and would stop every exchange with a hub. The leader now refuses such proposals. The node also tells whether it is a hub, which judges roll-outs.

--- a/packages/fleet/__tests__/rollout-state.test.ts
+++ b/packages/fleet/__tests__/rollout-state.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import { expect, it } from 'vitest';
 import { applySharedCommand } from '../src/state/apply-shared-command.js';
+import { checkRolloutProposal } from '../src/messages/check-rollout-proposal.js';
 import { createSharedStateMachine } from '../src/state/create-shared-state-machine.js';
 import { emptySharedState } from '../src/state/empty-shared-state.js';
 import type { EndRollout } from '../src/state/end-rollout.js';
@@ -101,3 +102,30 @@
   }).toEqual({ same: machine.readState().rollouts, old: {} });
   expect(findRollout(copy.readState(), service)?.startIndex).toBe(7);
 });
+
+// Guards against a proposal of another writer whose values spoil the state of all daemons.
+it('refuses proposals with odd values', () => {
+  const isValid = (change: object, proposal: Command) => {
+    try {
+      checkRolloutProposal({ ...proposal, ...change });
+      return true;
+    } catch {
+      return false;
+    }
+  };
+  const odd = fc.constantFrom(undefined, null, '', 'x'.repeat(300), -1, NaN, Infinity, [], {});
+  const property = fc.property(odd, (value) => {
+    const starts = ['service', 'to', 'durationMs', 'startedAt'];
+    const ends = ['service', 'startIndex', 'outcome'];
+    return (
+      !starts.some((field) => isValid({ [field]: value }, start('v2', 0))) &&
+      !ends.some((field) => isValid({ [field]: value }, end(1)))
+    );
+  });
+  fc.assert(property, { seed });
+  expect([isValid({}, start('v2', 0)), isValid({}, start('v2')), isValid({}, end(1))]).toEqual([
+    true,
+    true,
+    true,
+  ]);
+});
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -231,6 +231,8 @@
     },
     ...calls,
     announce,
+    /** Whether this daemon is a member of the control group. */
+    isHub: isMember,
     /** Lists the last roll-out of each service, with the time since its start. */
     listRollouts: (): AgedRollout[] => listAgedRollouts(client.view.state, rolloutAges.readAgeMs),
     readControlSummary: () => voter?.readSummary(),
--- a/packages/fleet/src/proposals/create-operator-calls.ts
+++ b/packages/fleet/src/proposals/create-operator-calls.ts
@@ -190,8 +190,9 @@
 
   return {
     /**
-     * Proposes a command. One for a data centre or a roll-out is not carried out once `signal`, which aborts when
-     * the operator closes its connection, is aborted before it is sent to the leader.
+     * Proposes a command. One for a data centre or a roll-out is not carried out once `signal`,
+     * which aborts when the operator closes its connection, is aborted before it is sent to the
+     * leader.
      */
     propose,
     /**
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -16,6 +16,7 @@
   type Timeline,
 } from '@vanillarelay/core';
 import type { ContentStore } from '../content/content-store.js';
+import { checkRolloutProposal } from '../messages/check-rollout-proposal.js';
 import type { Founder } from '../messages/founder.js';
 import type { IndexReply } from '../messages/index-reply.js';
 import type { Proposal } from '../messages/proposal.js';
@@ -191,10 +192,12 @@
       founders = next;
       closeNode();
     },
-    propose: async (proposal: Proposal): Promise<ProposalReply> =>
-      proposal.type === 'putConfig'
-        ? configs.propose(proposal)
-        : { type: 'result', result: await commit(proposal) },
+    propose: async (proposal: Proposal): Promise<ProposalReply> => {
+      const { type } = proposal;
+      if (type === 'putConfig') return configs.propose(proposal);
+      if (type === 'startRollout' || type === 'endRollout') checkRolloutProposal(proposal);
+      return { type: 'result', result: await commit(proposal) };
+    },
     /** Reads the index of the newest state; only the leader answers. */
     readIndex: async (): Promise<IndexReply> => {
       const current = findNode();
