--- a/packages/fleet/src/state/create-shared-state-machine.ts
+++ b/packages/fleet/src/state/create-shared-state-machine.ts
@@ -31,7 +31,7 @@
     encode: () => [JSON.stringify(state)],
     install: (parts) => {
       const stored = JSON.parse(parts.join('')) as SharedState;
-      // Snapshots of earlier versions have no hash and no indexes of orders.
+      // Snapshots of earlier versions have no hash, no indexes of orders and no roll-outs.
       state = { ...emptySharedState, ...stored, ...createContent(stored.source) };
       notify();
     },
--- a/packages/fleet/src/state/empty-shared-state.ts
+++ b/packages/fleet/src/state/empty-shared-state.ts
@@ -8,4 +8,6 @@
   version: 0,
   dataCentresOut: [],
   orderIndexes: {},
+  rollouts: {},
+  rolloutStarts: {},
 };
--- a/packages/fleet/src/sync/create-hub.ts
+++ b/packages/fleet/src/sync/create-hub.ts
@@ -20,6 +20,7 @@
 import { createDaemonTable } from './create-daemon-table.js';
 import { createHeldCalls } from './create-held-calls.js';
 import { createWaitingPolls } from './create-waiting-polls.js';
+import type { RolloutAgeRecord } from './rollout-age-record.js';
 
 interface HubOptions {
   clock: Clock;
@@ -28,6 +29,7 @@
   table: EndpointTable;
   voter: Voter | undefined;
   contents: ContentStore;
+  rolloutAges: RolloutAgeRecord;
   openPeer: (address: string) => FleetPeer;
   record: (name: string, details?: EventDetails) => void;
   /** Resolves once all changes of the table up to now are on this daemon's disk. */
@@ -85,6 +87,11 @@
     return { state: summary, ...(part ? { part } : {}) };
   };
 
+  const buildRolloutAges = (): Pick<SyncReply, 'rolloutAges'> => {
+    const rolloutAges = voter ? options.rolloutAges.listAges(voter.readState()) : [];
+    return rolloutAges.length > 0 ? { rolloutAges } : {};
+  };
+
   const buildReply = (request: SyncRequest): SyncReply => {
     const { from, isHub, daemonsVersion } = request;
     const isSameIncarnation = request.hubIncarnation === incarnation;
@@ -100,6 +107,7 @@
       heard: isHub ? table.listHeard(isSameIncarnation ? request.heardCursor : 0) : [],
       heardCursor: table.readLastHeardCursor(),
       ...buildStateReply(request),
+      ...buildRolloutAges(),
       stateAgeMs: Math.round(Math.min(readStateAgeMs(), maxAgeMs)),
       ...(leader === undefined ? {} : { leader }),
       hubs: listHubs(),
--- a/packages/fleet/src/sync/create-sync-client.ts
+++ b/packages/fleet/src/sync/create-sync-client.ts
@@ -18,6 +18,7 @@
 import { createHubSearch } from './create-hub-search.js';
 import { createStateReceiver } from './create-state-receiver.js';
 import type { FleetView } from './fleet-view.js';
+import type { RolloutAgeRecord } from './rollout-age-record.js';
 
 interface SyncClientOptions {
   clock: Clock;
@@ -31,6 +32,7 @@
   mayFound: () => boolean;
   openPeer: (address: string) => FleetPeer;
   table: EndpointTable;
+  rolloutAges: RolloutAgeRecord;
   /** Finds a configuration that this daemon's own hub keeps. */
   findContent: (hash: ContentHash) => Content | undefined;
   readObservations: () => Observations;
@@ -43,9 +45,16 @@
   record: (name: string, details?: EventDetails) => void;
 }
 
+/** The parts of the state that operators order apart from the configuration. */
+type NewestOrders = Pick<StateSummary, 'index' | 'dataCentresOut' | 'rollouts' | 'rolloutStarts'>;
+
 /** How long a hub may delay its reply while there are no changes. */
 const pollWaitMs = 200;
 const minPauseMs = 60;
+const noRollouts: Pick<SharedState, 'rollouts' | 'rolloutStarts'> = {
+  rollouts: {},
+  rolloutStarts: {},
+};
 const retryDelayMs = 100;
 /** Pause after an exchange that brought no usable state while this daemon has none. */
 const minStartPauseMs = 20;
@@ -97,16 +106,19 @@
     ...{ clock, record, findContent: options.findContent },
     readHeld: () => view.state,
   });
-  /** The newest known list of data centres that are out, which does not wait for a configuration. */
-  let newest: Pick<StateSummary, 'index' | 'dataCentresOut'> = emptySharedState;
+  /** The newest known orders of operators, which do not wait for a configuration. */
+  let newest: NewestOrders = emptySharedState;
 
-  const applyState = (summary: StateSummary, part?: ContentPart): void => {
+  const applyState = (received: StateSummary, part?: ContentPart): void => {
+    // A hub of an earlier version knows no roll-outs, and tells no ages.
+    const summary = { ...noRollouts, ...received };
     if (summary.index > newest.index) newest = summary;
-    const received = receiver.receive(summary, part);
-    const next = received && received.index > view.state.index ? received : view.state;
-    const { dataCentresOut } = newest;
+    options.rolloutAges.recordHeld(newest, Infinity);
+    const complete = receiver.receive(summary, part);
+    const next = complete && complete.index > view.state.index ? complete : view.state;
+    const { dataCentresOut, rollouts, rolloutStarts } = newest;
     if (next === view.state && dataCentresOut === view.state.dataCentresOut) return;
-    view.state = { ...next, dataCentresOut };
+    view.state = { ...next, dataCentresOut, rollouts, rolloutStarts };
     if (view.isCurrent) options.notifyState(view.state);
   };
 
@@ -127,6 +139,7 @@
     if (reply.leader === undefined) delete view.leader;
     else view.leader = reply.leader;
     if (stateAgeMs <= stateAgeLimitMs) view.quorumContactAt = clock.monotonic();
+    options.rolloutAges.receive(reply.rolloutAges);
     const mayApplyState = view.isCurrent || stateAgeMs <= initialStateAgeLimitMs;
     if (reply.state && mayApplyState) applyState(reply.state, reply.part);
     updateIsCurrent(reply);
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -16,6 +16,7 @@
   type Timeline,
 } from '@vanillarelay/core';
 import type { ContentStore } from '../content/content-store.js';
+import { checkRolloutProposal } from '../messages/check-rollout-proposal.js';
 import type { Founder } from '../messages/founder.js';
 import type { IndexReply } from '../messages/index-reply.js';
 import type { Proposal } from '../messages/proposal.js';
@@ -23,8 +24,7 @@
 import { createConfigProposals } from '../proposals/create-config-proposals.js';
 import { createSharedStateMachine } from '../state/create-shared-state-machine.js';
 import { emptySharedState } from '../state/empty-shared-state.js';
-import type { DataCentreCommand } from '../state/data-centre-command.js';
-import type { PatchConfig } from '../state/patch-config.js';
+import type { LogCommand } from '../state/log-command.js';
 import type { SharedState } from '../state/shared-state.js';
 
 interface VoterOptions {
@@ -139,7 +139,7 @@
 
   const readState = (): SharedState => (node ? machine.readState() : emptySharedState);
 
-  const commit = async (command: PatchConfig | DataCentreCommand): Promise<CommandResult> => {
+  const commit = async (command: LogCommand): Promise<CommandResult> => {
     const data = JSON.stringify(command);
     const startedAt = clock.monotonic();
     const buildDetails = () => ({
@@ -192,10 +192,12 @@
       founders = next;
       closeNode();
     },
-    propose: async (proposal: Proposal): Promise<ProposalReply> =>
-      proposal.type === 'putConfig'
-        ? configs.propose(proposal)
-        : { type: 'result', result: await commit(proposal) },
+    propose: async (proposal: Proposal): Promise<ProposalReply> => {
+      const { type } = proposal;
+      if (type === 'putConfig') return configs.propose(proposal);
+      if (type === 'startRollout' || type === 'endRollout') checkRolloutProposal(proposal);
+      return { type: 'result', result: await commit(proposal) };
+    },
     /** Reads the index of the newest state; only the leader answers. */
     readIndex: async (): Promise<IndexReply> => {
       const current = findNode();
--- a/packages/router/__tests__/unknown-departures.test.ts
+++ b/packages/router/__tests__/unknown-departures.test.ts
@@ -3,14 +3,14 @@
 import { expect, it } from 'vitest';
 import { createControlCalls } from '../src/daemon/create-control-calls.js';
 
-const clock = { monotonic: () => 0 };
+const clock = { monotonic: () => 0, now: () => 0 };
 
 /** Creates the calls of a daemon that is not ready for requests, because it is late or starts. */
 const createCalls = (hasState: boolean) =>
   createControlCalls({
     ...{ clock, node: {} as never, log: { write: () => {} } as never },
     endpoints: createEndpointTable({ clock, silenceMs: 1_000 }),
-    ...{ decodeConfig: () => ({}) as never, recordOrder: () => {} },
+    ...{ decodeConfig: () => ({}) as never, recordOrder: () => {}, hasService: () => true },
     ...{ hasState: () => hasState, isReady: () => false },
   });
 
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -33,6 +33,7 @@
 import type { RouterWire } from '../wire/router-wire.js';
 import type { ControlCalls } from './control-calls.js';
 import { createControlCalls } from './create-control-calls.js';
+import { createRolloutLog } from './create-rollout-log.js';
 import { createStopPlan } from './create-stop-plan.js';
 import { loadSettings } from './load-settings.js';
 import type { RouterFeatures } from './router-features.js';
@@ -158,6 +159,7 @@
   });
   /** Number of other routers that are late. */
   let lateRouters = 0;
+  const logRollouts = createRolloutLog(log);
   /** Version of the configuration that the router runs on. */
   let configVersion = 0;
   const node = createFleetNode({
@@ -179,6 +181,7 @@
     },
     notifyState: (state) => {
       router.updateDataCentresOut(state.dataCentresOut);
+      logRollouts(node.listRollouts());
       if (state.version === 0) return;
       if (state.version !== configVersion) {
         configVersion = state.version;
@@ -205,6 +208,7 @@
     ...{ clock, node, endpoints, log, decodeConfig },
     recordOrder: metrics.recordOrder,
     hasState,
+    hasService: (service) => router.readTable()?.findService(service) !== undefined,
     isReady: () => hasState() && !lateness.isOut(),
   });
   metrics.registerGauges(() => ({
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -43,6 +43,9 @@
   'config.accepted': 'this daemon acknowledged a configuration',
   'state.inForce': 'this daemon applied a newer shared state',
   'dataCentre.changed': 'this daemon acknowledged taking a data centre out or bringing it back',
+  'rollout.started': 'this daemon learned that the roll-out of a version is in progress',
+  'rollout.ended':
+    'this daemon learned the `outcome` of a roll-out: it was completed or rolled back',
   'endpoint.announced': 'an endpoint announced itself for the first time or with a change',
   'endpoint.left': 'an endpoint reported its departure',
   'endpoint.silent':
@@ -62,7 +65,7 @@
   'fleet.hubFailed': 'a hub did not answer',
   'fleet.syncFailed': 'an unexpected error interrupted the exchange with the hubs; it is retried',
   'fleet.orderOutdated':
-    'an order for a data centre came after a newer one and was dropped; it is sent again while its operator waits',
+    'an order for a data centre or a roll-out came after a newer one and was dropped; it is sent again while its operator waits',
   'fleet.callFailed':
     "a hub did not carry out an operator's call; the next hub is called until the time is up",
   'fleet.configReceived': 'a configuration that was sent in several parts is complete',
