feat(routing): endpoint records keep the version that an endpoint names

A roll-out moves the traffic of a service between versions, so routers need the version of each endpoint. It is an optional name of bounded length.

--- a/packages/routing/__tests__/endpoint-record.test.ts
+++ b/packages/routing/__tests__/endpoint-record.test.ts
@@ -33,6 +33,9 @@
     { bornAt: 1_700_000_000_000_000 },
     { coldLeftMs: 1e12 },
     { state: 'resting' },
+    { version: 'v2' },
+    { version: '' },
+    { version: 'v'.repeat(257) },
   ];
   expect(changes.map((change) => [change, readMessage(change)])).toMatchSnapshot();
 });
--- a/packages/routing/src/endpoints/check-endpoint-record.ts
+++ b/packages/routing/src/endpoints/check-endpoint-record.ts
@@ -30,6 +30,7 @@
   ...{ id, bornAt: count.check(z.maximum(maxStart)), sequence: count },
   ...{ service: name, address, dataCentre: name },
   slots: count.check(z.minimum(1), z.maximum(maxSlots)),
+  version: z.optional(name),
   state: z.enum(['ready', 'leaving', 'gone']),
   coldLeftMs: z.number().check(z.nonnegative(), z.maximum(maxColdMs)),
   isSilent: z.optional(z.boolean()),
--- a/packages/routing/src/endpoints/endpoint-record.ts
+++ b/packages/routing/src/endpoints/endpoint-record.ts
@@ -12,6 +12,8 @@
   address: string;
   dataCentre: DataCentreId;
   slots: number;
+  /** Version of the software that it runs; absent when it names none. */
+  version?: string;
   state: 'ready' | 'leaving' | 'gone';
   /** Remaining cold time, in milliseconds from when this record was sent. */
   coldLeftMs: number;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -41,3 +41,4 @@
 export type { LoadView } from './placement/load-view.js';
 export type { OutcomeCounts } from './placement/outcome-counts.js';
 export type { PlacementRequest } from './placement/placement-request.js';
+export type { Rollout } from './rollouts/rollout.js';
