feat(routing): a router's part in roll-outs of a version, and their judging

Routers have to move a service to a new version without a message on the request path: each keeps its own quota, and the sums of what all counted are judged by a sequential test. Pure functions of state and time; nothing calls them yet.

--- /dev/null
+++ b/packages/routing/src/rollouts/create-rollout-traffic.ts
@@ -0,0 +1,168 @@
+import type { Clock, DaemonId, EndpointId, Hash, ServiceId } from '@vanillarelay/core';
+import { computeSlackPart } from './compute-slack-part.js';
+import { createAnswerTimes } from './create-answer-times.js';
+import { createExposureQuota } from './create-exposure-quota.js';
+import { createRolloutProgress } from './create-rollout-progress.js';
+import type { KnownRollout } from './known-rollout.js';
+import type { RolloutBounds } from './rollout-bounds.js';
+import type { RolloutCounts } from './rollout-counts.js';
+import type { RolloutProposal } from './rollout-proposal.js';
+import type { RolloutVerdict } from './rollout-verdict.js';
+import type { Rollout } from './rollout.js';
+import type { VersionReports } from './version-reports.js';
+import type { VersionSides } from './version-sides.js';
+
+type Progress = ReturnType<typeof createRolloutProgress>;
+
+interface TrafficOptions {
+  clock: Pick<Clock, 'monotonic'>;
+  hash: Hash;
+  self: DaemonId;
+  bounds: RolloutBounds;
+  listRouters: () => readonly DaemonId[];
+  /** Monotonic time of the last contact with a hub that had recent contact with a quorum. */
+  readContactAt: () => number;
+  /** Endpoints of a version of a service. */
+  listEndpoints: (service: ServiceId, version: string) => RolloutCounts['endpoints'];
+  notifyStep: (service: ServiceId, to: string, step: object) => void;
+  notifyVerdict: (service: ServiceId, to: string, verdict: RolloutVerdict) => void;
+}
+
+interface Outcome {
+  service: ServiceId;
+  route: string;
+  endpoint: EndpointId;
+  version: string | undefined;
+  isBad: boolean;
+  /** Time to the first byte or event; absent when there was none. */
+  ms?: number;
+  /** Whether the endpoint may have had to read a prompt that no cache of its side held. */
+  mayLackCache?: boolean;
+}
+
+/** Time after the last contact with a hub from which the new version gets nothing. */
+const maxSilenceMs = 1_000;
+/** Roll-outs in progress that a report covers, at most, which bounds its size. */
+const maxReported = 8;
+
+/**
+ * Creates a router's part in roll-outs: which version a request may use, how many requests may go to
+ * a new one, and what its answers say of it.
+ */
+export function createRolloutTraffic(options: TrafficOptions) {
+  const { clock, hash, self, bounds, listRouters, readContactAt } = options;
+  const rollouts = new Map<ServiceId, Rollout>();
+  const inProgress = new Map<ServiceId, Progress>();
+  const times = createAnswerTimes();
+  let remote: VersionReports = {};
+  let hasState = false;
+  let routerCount = 0;
+
+  /**
+   * A router that learns of a roll-out with its first state has restarted since the order and may
+   * have used its part of the slack before.
+   */
+  const readSlackPart = (startIndex: number): number =>
+    hasState
+      ? computeSlackPart({
+          ...{ hash, self, startIndex, routerCount, routers: listRouters() },
+          exposeSlack: bounds.exposeSlack,
+        })
+      : 0;
+
+  const startProgress = ({ service, rollout, ageMs }: KnownRollout): void => {
+    const { to, startIndex } = rollout;
+    const { exposeShare } = bounds;
+    const quota = createExposureQuota({ exposeShare, slackPart: readSlackPart(startIndex) });
+    const progress = createRolloutProgress({
+      ...{ clock, hash, bounds, rollout, ageMs, quota },
+      listNewEndpoints: () => options.listEndpoints(service, to),
+      notifyStep: (step) => options.notifyStep(service, to, step),
+      notifyVerdict: (verdict) => options.notifyVerdict(service, to, verdict),
+    });
+    inProgress.set(service, progress);
+    progress.updateRemote(remote[startIndex] ?? {});
+  };
+
+  const updateRollout = (known: KnownRollout): void => {
+    const { service, rollout, ageMs } = known;
+    const last = rollouts.get(service);
+    // A hub may be behind the one that was heard before.
+    if (last && last.lastIndex > rollout.lastIndex) return;
+    rollouts.set(service, rollout);
+    if (rollout.state !== 'inProgress') inProgress.delete(service);
+    else if (last?.startIndex !== rollout.startIndex) startProgress(known);
+    else inProgress.get(service)?.updateAge(ageMs);
+  };
+
+  const hasContact = (): boolean => clock.monotonic() - readContactAt() <= maxSilenceMs;
+
+  return {
+    /** Takes the last roll-out of each service, from a state that a quorum has confirmed. */
+    updateRollouts: (list: readonly KnownRollout[]): void => {
+      routerCount = Math.max(routerCount, listRouters().length);
+      list.forEach(updateRollout);
+      hasState = true;
+    },
+    /**
+     * How a request may use the versions of a service; undefined when no roll-out is known. Requests
+     * with the same key are on the same side at all routers. A retry is not sent to the new version.
+     */
+    chooseSides: (service: ServiceId, key: string, isRetry = false): VersionSides | undefined => {
+      const rollout = rollouts.get(service);
+      if (!rollout) return undefined;
+      const { to, state } = rollout;
+      if (state === 'completed') return { to, onTo: 'preferred', onOthers: 'lastResort' };
+      if (state === 'rolledBack') return { to, onTo: 'excluded', onOthers: 'preferred' };
+      const found = inProgress.get(service)?.findUse(key) ?? 'lastResort';
+      const isOpen = found !== 'preferred' || (hasContact() && !isRetry);
+      const onTo = isOpen ? found : 'lastResort';
+      return { to, onTo, onOthers: onTo === 'preferred' ? 'fallback' : 'preferred' };
+    },
+    recordRequest: (service: ServiceId): void => inProgress.get(service)?.recordRequest(),
+    recordSend: (service: ServiceId, version: string | undefined): void => {
+      const progress = inProgress.get(service);
+      if (progress && version === progress.rollout.to) progress.recordSend();
+    },
+    /** Records an answer, which also sets what is usual for later ones. */
+    recordOutcome: (outcome: Outcome): void => {
+      const { service, route, endpoint, version, ms, mayLackCache = false } = outcome;
+      const progress = inProgress.get(service);
+      const key = `${service} ${route}`;
+      const isNew = progress !== undefined && version === progress.rollout.to;
+      const isSlow =
+        progress !== undefined && ms !== undefined && times.isSlow(key, ms, mayLackCache);
+      const isBad = outcome.isBad || isSlow;
+      if (!isNew && ms !== undefined) times.record(key, ms);
+      progress?.recordAnswer({ route, isBad, ...(isNew ? { newEndpoint: endpoint } : {}) });
+    },
+    /** This router's counts, for the others. */
+    readLocal: (): VersionReports =>
+      Object.fromEntries(
+        [...inProgress.values()]
+          .slice(0, maxReported)
+          .map((progress) => [progress.rollout.startIndex, progress.readCounts()]),
+      ),
+    /** Replaces the counts of the other routers. */
+    updateRemote: (reports: VersionReports): void => {
+      remote = reports;
+      inProgress.forEach((progress) =>
+        progress.updateRemote(reports[progress.rollout.startIndex] ?? {}),
+      );
+    },
+    /** Ends that a hub should propose; `isOldEmpty` tells whether the other versions are idle. */
+    listProposals: (isOldEmpty: (service: ServiceId, to: string) => boolean): RolloutProposal[] =>
+      [...inProgress].flatMap(([service, progress]) => {
+        const { startIndex, to } = progress.rollout;
+        const outcome = progress.findOutcome(() => isOldEmpty(service, to));
+        if (outcome === undefined) return [];
+        return [{ service, startIndex, outcome, verdict: progress.readVerdict() }];
+      }),
+    /** Figures of the roll-outs in progress, for the metrics. */
+    list: () =>
+      [...inProgress].map(([service, progress]) => ({
+        ...{ service, to: progress.rollout.to, verdict: progress.readVerdict() },
+        ...progress.read(),
+      })),
+  };
+}
