feat(routing): the last phase begins on sound evidence and the end needs all of it

The last phase, with its many answers, now begins when the service's answers are sound and no part raises doubt; evidence of each route is needed for the end only.

--- a/packages/routing/src/rollouts/compute-canary-share.ts
+++ b/packages/routing/src/rollouts/compute-canary-share.ts
@@ -1,18 +1,14 @@
-import type { RolloutBounds } from './rollout-bounds.js';
-
-interface CanaryOptions extends RolloutBounds {
-  ageMs: number;
-  /** Time from the order to the planned end. */
-  planMs: number;
-  /** Requests of the service per millisecond, at all routers. */
-  requestsPerMs: number;
-}
+import { computeExposure } from './compute-exposure.js';
+import type { TrafficFigures } from './traffic-figures.js';
 
 /** Share of the requests that the new version gets at first. */
 const firstShare = 0.03;
-/** Part of the plan after which the share grows, and the factor that it has grown by at the end. */
-const growthFrom = 0.6;
-const growthFactor = 2;
+/** Limits of the share while it grows with what the last phase leaves over. */
+const minGrowthShare = 0.01;
+const maxGrowthShare = 0.06;
+/** Time that the last phase should have, as a part of the duration. */
+const lastPart = 0.1;
+const minWantedLastMs = 1_000;
 /** Answers that the verdict needs within the first part of the plan. */
 const neededAnswers = 60;
 const neededWithin = 0.5;
@@ -22,19 +18,30 @@
 const minRateAgeMs = 500;
 
 /**
- * Computes the share of the requests that go to the new version before the last phase. It is larger
- * for services with few requests, which would otherwise have no verdict by the end, and doubles in
- * steps, so that chats change sides seldom.
+ * Computes the share of the requests that go to the new version before the last phase. Until the
+ * evidence for good is complete it is larger for services with few requests, which would otherwise
+ * have no verdict by the end, and changes by doubling only, so that chats change sides seldom. After
+ * that it is what remains when the last phase has its part of the exposure.
  */
-export function computeCanaryShare(options: CanaryOptions): number {
-  const { ageMs, planMs, requestsPerMs, exposeShare, exposeSlack } = options;
-  const progress = Math.min(1, Math.max(0, ageMs / planMs - growthFrom) / (1 - growthFrom));
-  const growth = 1 + (growthFactor - 1) * progress;
-  if (ageMs < minRateAgeMs || requestsPerMs <= 0) return firstShare * growth;
-  const expected = requestsPerMs * planMs;
+export function computeCanaryShare(figures: TrafficFigures, isEvident: boolean): number {
+  const { ageMs, planMs, requestsPerMs } = figures;
+  if (ageMs < minRateAgeMs || requestsPerMs <= 0) return firstShare;
+  return isEvident
+    ? computeGrowthShare(figures)
+    : computeFirstShare(planMs * requestsPerMs, figures);
+}
+
+function computeFirstShare(expected: number, figures: TrafficFigures): number {
   const needed = neededAnswers / (expected * neededWithin);
-  const affordable = (canaryPart * (exposeShare * expected + exposeSlack)) / expected;
-  const wanted = Math.min(needed, affordable);
-  const doublings = Math.max(0, Math.floor(Math.log2(Math.min(1, wanted) / firstShare)));
-  return Math.min(1, firstShare * 2 ** doublings * growth);
+  const affordable = (canaryPart * computeExposure(figures)) / expected;
+  const wanted = Math.min(needed, affordable, 1);
+  return firstShare * 2 ** Math.max(0, Math.floor(Math.log2(wanted / firstShare)));
+}
+
+function computeGrowthShare(figures: TrafficFigures): number {
+  const { ageMs, planMs, durationMs, requestsPerMs, newAnswers } = figures;
+  const lastMs = Math.max(minWantedLastMs, durationMs * lastPart);
+  const leftMs = Math.max(minWantedLastMs, planMs - lastMs - ageMs);
+  const leftOver = computeExposure(figures) - newAnswers - requestsPerMs * lastMs;
+  return Math.min(maxGrowthShare, Math.max(minGrowthShare, leftOver / (requestsPerMs * leftMs)));
 }
--- a/packages/routing/src/rollouts/create-exposure-quota.ts
+++ b/packages/routing/src/rollouts/create-exposure-quota.ts
@@ -15,8 +15,6 @@
 export function createExposureQuota({ exposeShare, slackPart }: QuotaOptions) {
   let requests = 0;
   let sent = 0;
-  const computeAllowed = (ofRequests: number): number =>
-    usableShare * exposeShare * ofRequests + slackPart;
   return {
     recordRequest: (): void => {
       requests += 1;
@@ -24,16 +22,7 @@
     recordSend: (): void => {
       sent += 1;
     },
-    hasRoom: (): boolean => sent + 1 <= computeAllowed(requests),
-    /**
-     * Time for which the quota lasts when every request goes to the new version, given the time that
-     * the requests so far took and the time that is left.
-     */
-    computeLastMs: (elapsedMs: number, leftMs: number): number => {
-      const perMs = requests / Math.max(1, elapsedMs);
-      if (perMs === 0) return Infinity;
-      return (computeAllowed(requests + perMs * leftMs) - sent) / perMs;
-    },
+    hasRoom: (): boolean => sent + 1 <= usableShare * exposeShare * requests + slackPart,
     read: () => ({ requests, sent }),
   };
 }
--- a/packages/routing/src/rollouts/create-rollout-progress.ts
+++ b/packages/routing/src/rollouts/create-rollout-progress.ts
@@ -1,14 +1,17 @@
-import type { Clock, Hash } from '@vanillarelay/core';
+import type { Clock, EndpointId, Hash } from '@vanillarelay/core';
 import { computeCanaryShare } from './compute-canary-share.js';
+import { computeLastMs } from './compute-last-ms.js';
 import { createVersionCounts } from './create-version-counts.js';
 import type { ExposureQuota } from './exposure-quota.js';
 import { judgeRollout } from './judge-rollout.js';
+import { mergeRouteCounts } from './merge-route-counts.js';
 import { mergeVersionReports } from './merge-version-reports.js';
 import type { Rollout } from './rollout.js';
 import type { RolloutBounds } from './rollout-bounds.js';
 import type { RolloutCounts } from './rollout-counts.js';
 import type { RolloutVerdict } from './rollout-verdict.js';
 import type { RouteCounts } from './route-counts.js';
+import type { TrafficFigures } from './traffic-figures.js';
 import type { VersionUse } from './version-use.js';
 
 interface ProgressOptions {
@@ -25,9 +28,10 @@
 
 type Phase = 'canary' | 'growth' | 'last' | 'stopped';
 
-interface SideAnswer {
+interface Answer {
   route: string;
-  newEndpoint?: Parameters<ReturnType<typeof createVersionCounts>['record']>[0]['newEndpoint'];
+  /** The endpoint, if it is of the new version. */
+  newEndpoint?: EndpointId;
   isBad: boolean;
 }
 
@@ -36,16 +40,18 @@
 const windowPart = 1 / 6;
 const minWindowMs = 1_000;
 const maxWindowMs = 10_000;
-/** Shortest last phase, and the longest as a part of the duration. */
+/** Time that old endpoints have to become empty, at least. */
 const minLastMs = 500;
-const maxLastPart = 0.25;
+/**
+ * Evidence for good that the recent answers have to give at the end; nearly all of them are of the
+ * last phase then, in which the new version has its full load.
+ */
+const lastEvidence = Math.log(20);
 /** Time before the deadline at which the end is proposed, which has to reach a majority by then. */
 const endLeadMs = 300;
 const maxEndLeadPart = 0.1;
 /** Share above which old answers have no higher weight; few of them come then. */
 const maxMatchedShare = 0.5;
-/** Part of the plan from which the phase is called growth. */
-const growthFrom = 0.6;
 
 /** Creates one router's progress of a roll-out: what it may send, what it counted, and its verdict. */
 export function createRolloutProgress(options: ProgressOptions) {
@@ -54,65 +60,79 @@
   const planMs = durationMs - Math.min(endLeadMs, durationMs * maxEndLeadPart);
   const windowMs = Math.min(maxWindowMs, Math.max(minWindowMs, durationMs * windowPart));
   const counts = createVersionCounts(clock, windowMs);
-  const knownAt = clock.monotonic();
-  let orderedAt = knownAt - options.ageMs;
+  let orderedAt = clock.monotonic() - options.ageMs;
   let remote: Record<string, RouteCounts> = {};
-  let verdict: RolloutVerdict = { good: 0, bad: 0, oldShare: 0, evidence: 0 };
+  let verdict: RolloutVerdict = noVerdict;
   let isBad = false;
+  let requestsPerMs = 0;
+  /** Answers of the new version so far, at all routers. */
+  let newAnswers = 0;
   let lastPhaseAt: number | undefined;
-  let answersPerMs = 0;
+  let lastMs = 0;
   let phase: Phase | undefined;
 
   const readAgeMs = (): number => clock.monotonic() - orderedAt;
+  const isEvident = (): boolean => verdict.isSound;
 
-  const readCanaryShare = (): number =>
-    computeCanaryShare({ ...bounds, planMs, ageMs: readAgeMs(), requestsPerMs: answersPerMs });
-
-  /** Starts or ends the last phase, for which the evidence has to be complete. */
-  const updateLastPhase = (): void => {
-    if (isBad || verdict.outcome !== 'completed') {
-      lastPhaseAt = undefined;
-      return;
-    }
-    const leftMs = planMs - readAgeMs();
-    const quotaMs = quota.computeLastMs(clock.monotonic() - knownAt, Math.max(0, leftMs));
-    const lastMs = Math.min(durationMs * maxLastPart, Math.max(minLastMs, quotaMs));
-    if (leftMs <= lastMs) lastPhaseAt ??= clock.monotonic();
+  const readFigures = (): TrafficFigures => ({
+    ...bounds,
+    ...{ durationMs, planMs, requestsPerMs, newAnswers },
+    ageMs: readAgeMs(),
+  });
+
+  const readCanaryShare = (): number => computeCanaryShare(readFigures(), isEvident());
+
+  /** Whether all requests go to the new version, for which the evidence has to be complete. */
+  const isLastPhase = (): boolean => {
+    if (!isEvident()) lastPhaseAt = undefined;
+    else if (planMs - readAgeMs() <= lastMs) lastPhaseAt ??= clock.monotonic();
+    return lastPhaseAt !== undefined;
   };
 
   const readShare = (): number => {
     if (isBad) return 0;
-    return lastPhaseAt === undefined ? readCanaryShare() : 1;
+    return isLastPhase() ? 1 : readCanaryShare();
   };
 
   const updatePhase = (): void => {
-    const canary = readAgeMs() < planMs * growthFrom ? 'canary' : 'growth';
-    const open = lastPhaseAt === undefined ? canary : 'last';
+    const canary = isEvident() ? 'growth' : 'canary';
+    const open = isLastPhase() ? 'last' : canary;
     const next = isBad ? 'stopped' : open;
     if (next === phase) return;
     phase = next;
     options.notifyStep({ phase: next, share: readShare(), ageMs: Math.round(readAgeMs()) });
   };
 
+  const mergeCounts = (): Record<string, RouteCounts> => {
+    const { all: routes = {} } = mergeVersionReports([
+      { all: counts.read(remote) },
+      { all: remote },
+    ]);
+    const sum = mergeRouteCounts(Object.values(routes));
+    newAnswers = sum.new[0] + sum.new[1];
+    requestsPerMs = (sum.old[0] + sum.old[1] + newAnswers) / Math.max(1, readAgeMs());
+    return routes;
+  };
+
+  /** A version that was found bad stays so: no more answers come that could clear it. */
   const judge = (): void => {
-    const local = counts.read(remote);
-    const { all = {} } = mergeVersionReports([{ all: local }, { all: remote }]);
-    const answers = Object.values(all).reduce(
-      (sum, { old, new: fresh }) => sum + old[0] + old[1] + fresh[0] + fresh[1],
-      0,
-    );
-    answersPerMs = answers / Math.max(1, readAgeMs());
-    const endpoints = options.listNewEndpoints();
-    const next = judgeRollout({ routes: all, endpoints }, readAgeMs(), durationMs);
+    if (isBad) return;
+    const known = { routes: mergeCounts(), endpoints: options.listNewEndpoints() };
+    const next = judgeRollout(known, readAgeMs(), durationMs);
     const isChanged = next.outcome !== undefined && next.outcome !== verdict.outcome;
-    if (!isBad) verdict = next;
-    if (isChanged && !isBad) options.notifyVerdict(next);
-    // A version that was found bad stays so: no more answers come that could clear it.
-    isBad ||= next.outcome === 'rolledBack';
-    updateLastPhase();
+    verdict = next;
+    isBad = next.outcome === 'rolledBack';
+    if (isChanged) options.notifyVerdict(next);
+    lastMs = computeLastMs(readFigures());
     updatePhase();
   };
 
+  const hasLastEvidence = (): boolean =>
+    isLastPhase() &&
+    clock.monotonic() - (lastPhaseAt ?? Infinity) >= minLastMs &&
+    verdict.outcome === 'completed' &&
+    verdict.recentEvidence <= -lastEvidence;
+
   return {
     rollout,
     recordRequest: quota.recordRequest,
@@ -123,29 +143,37 @@
       const draw = hash(`rollout ${startIndex} ${key}`) / hashRange;
       return draw < readShare() && quota.hasRoom() ? 'preferred' : 'lastResort';
     },
-    recordAnswer: (answer: SideAnswer): void => {
+    recordAnswer: (answer: Answer): void => {
       const share = Math.min(maxMatchedShare, readCanaryShare());
       counts.record({ ...answer, weight: share / (1 - share) });
-      if (answer.isBad && answer.newEndpoint !== undefined && !isBad) judge();
+      if (answer.isBad && answer.newEndpoint !== undefined) judge();
     },
     /** Takes the age that the hub states; the age known here never decreases. */
     updateAge: (ageMs: number): void => {
       orderedAt = Math.min(orderedAt, clock.monotonic() - ageMs);
-      judge();
     },
     readCounts: () => counts.read(remote),
+    /** Takes the counts of the other routers, and judges by the sum. */
     updateRemote: (routes: Record<string, RouteCounts>): void => {
       remote = routes;
       judge();
     },
-    /** The end that a hub should propose now, given whether old endpoints run requests. */
+    /** The end that a hub should propose now, given whether old endpoints are idle. */
     findOutcome: (isOldEmpty: () => boolean): 'completed' | 'rolledBack' | undefined => {
       if (isBad) return 'rolledBack';
-      if (lastPhaseAt === undefined || clock.monotonic() - lastPhaseAt < minLastMs)
-        return undefined;
+      if (!hasLastEvidence()) return undefined;
       return readAgeMs() >= planMs || isOldEmpty() ? 'completed' : undefined;
     },
     readVerdict: () => verdict,
     read: () => ({ ...quota.read(), share: readShare(), ageMs: readAgeMs(), isBad }),
   };
 }
+
+const noVerdict: RolloutVerdict = {
+  isSound: false,
+  good: 0,
+  bad: 0,
+  oldShare: 0,
+  evidence: 0,
+  recentEvidence: 0,
+};
--- a/packages/routing/src/rollouts/rollout-verdict.ts
+++ b/packages/routing/src/rollouts/rollout-verdict.ts
@@ -2,6 +2,8 @@
 export interface RolloutVerdict {
   /** Absent while the evidence decides nothing. */
   outcome?: 'completed' | 'rolledBack';
+  /** Whether the evidence for good suffices to give the version all requests, as the last test. */
+  isSound: boolean;
   /** Route whose answers decided; absent when those of the service did. */
   route?: string;
   /** Whether the answers of the recent window decided. */
@@ -12,4 +14,6 @@
   oldShare: number;
   /** Logarithm of the likelihood ratio; positive against the version. */
   evidence: number;
+  /** The same of the service's recent answers, without an endpoint or data centre that fails. */
+  recentEvidence: number;
 }
