--- a/packages/routing/src/rollouts/compute-canary-share.ts
+++ b/packages/routing/src/rollouts/compute-canary-share.ts
@@ -13,14 +13,16 @@
 const neededAnswers = 60;
 const neededWithin = 0.5;
 /** Part of the exposure that the canary may use, so that the last phase has the rest. */
-const canaryPart = 0.6;
+const canaryPart = 0.65;
+/** Factor by which the share changes at once. */
+const shareStep = 1.4;
 /** Age before which the rate is not known well enough to decide the share. */
 const minRateAgeMs = 500;
 
 /**
  * Computes the share of the requests that go to the new version before the last phase. Until the
  * evidence for good is complete it is larger for services with few requests, which would otherwise
- * have no verdict by the end, and changes by doubling only, so that chats change sides seldom. After
+ * have no verdict by the end, and changes in steps, so that chats change sides seldom. After
  * that it is what remains when the last phase has its part of the exposure.
  */
 export function computeCanaryShare(figures: TrafficFigures, isEvident: boolean): number {
@@ -35,7 +37,8 @@
   const needed = neededAnswers / (expected * neededWithin);
   const affordable = (canaryPart * computeExposure(figures)) / expected;
   const wanted = Math.min(needed, affordable, 1);
-  return firstShare * 2 ** Math.max(0, Math.floor(Math.log2(wanted / firstShare)));
+  const steps = Math.floor(Math.log(wanted / firstShare) / Math.log(shareStep));
+  return firstShare * shareStep ** Math.max(0, steps);
 }
 
 function computeGrowthShare(figures: TrafficFigures): number {
--- a/packages/routing/src/rollouts/create-rollout-progress.ts
+++ b/packages/routing/src/rollouts/create-rollout-progress.ts
@@ -47,8 +47,11 @@
  * last phase then, in which the new version has its full load.
  */
 const lastEvidence = Math.log(20);
-/** Time before the deadline at which the end is proposed, which has to reach a majority by then. */
-const endLeadMs = 300;
+/**
+ * Time before the deadline at which the plan ends. The last answers have to come and be reported, and
+ * the end has to reach a majority, by the deadline.
+ */
+const endLeadMs = 800;
 const maxEndLeadPart = 0.1;
 /** Share above which old answers have no higher weight; few of them come then. */
 const maxMatchedShare = 0.5;
@@ -69,6 +72,7 @@
   let newAnswers = 0;
   let lastPhaseAt: number | undefined;
   let lastMs = 0;
+  let hasLoadEvidence = false;
   let phase: Phase | undefined;
 
   const readAgeMs = (): number => clock.monotonic() - orderedAt;
@@ -124,14 +128,19 @@
     isBad = next.outcome === 'rolledBack';
     if (isChanged) options.notifyVerdict(next);
     lastMs = computeLastMs(readFigures());
+    hasLoadEvidence = isLastPhase() && (hasLoadEvidence || verdict.recentEvidence <= -lastEvidence);
     updatePhase();
   };
 
-  const hasLastEvidence = (): boolean =>
-    isLastPhase() &&
-    clock.monotonic() - (lastPhaseAt ?? Infinity) >= minLastMs &&
-    verdict.outcome === 'completed' &&
-    verdict.recentEvidence <= -lastEvidence;
+  /**
+   * Whether the version has been seen with its full load. Beyond the deadline the quota may be spent,
+   * so that no full load is possible; then it only must raise no doubt.
+   */
+  const hasLastEvidence = (): boolean => {
+    if (!isLastPhase() || verdict.outcome !== 'completed') return false;
+    if (clock.monotonic() - (lastPhaseAt ?? Infinity) < minLastMs) return false;
+    return hasLoadEvidence || (readAgeMs() > durationMs && verdict.recentEvidence <= 0);
+  };
 
   return {
     rollout,
