feat(router): roll-outs move the traffic and judge the answers of a version

The router filters candidates by version, keeps its quota, and records how each answer went by side; counts go to the other routers as the observation versions, which is absent without a roll-out in progress, so that daemons of an older version read the same messages as before. A hub proposes the end through functions that the state will provide. Without rollouts in the settings nothing changes. A delay below 50 ms no longer counts as slow: in the fixture, answers within 1 ms counted as slow when the event loop was late.

--- a/packages/fleet/src/messages/check-observations.ts
+++ b/packages/fleet/src/messages/check-observations.ts
@@ -16,6 +16,10 @@
   return received;
 }
 
+/** Numbers that state the answers of one side, and of the old side with its weights. */
+const sideLength = 4;
+const matchedLength = 3;
+
 const checks: Record<keyof Observations, Check> = {
   loads: hasOnly(isCount),
   outcomes: hasOnly((value) => Array.isArray(value) && value.length === 2 && value.every(isCount)),
@@ -42,8 +46,22 @@
       typeof value.isLeaving === 'boolean' &&
       isCount(value.waitMs),
   ),
+  versions: hasOnly(
+    hasOnly(
+      (value) =>
+        isObject(value) &&
+        isCounts(value.old, sideLength) &&
+        isCounts(value.new, sideLength) &&
+        isCounts(value.matched, matchedLength) &&
+        hasOnly((counts) => isCounts(counts, sideLength))(value.endpoints),
+    ),
+  ),
 };
 
+function isCounts(value: unknown, length: number): boolean {
+  return Array.isArray(value) && value.length === length && value.every(isCount);
+}
+
 /** Checks an object by its values; its keys must not be properties of every object. */
 function hasOnly(check: Check): Check {
   return (value) =>
--- a/packages/fleet/src/messages/observations.ts
+++ b/packages/fleet/src/messages/observations.ts
@@ -4,6 +4,7 @@
   EndpointNotices,
   OutcomeCounts,
   RateReports,
+  VersionReports,
 } from '@vanillarelay/routing';
 
 /**
@@ -17,4 +18,6 @@
   crashes: CrashReports;
   rates: RateReports;
   notices: EndpointNotices;
+  /** Answers by version in roll-outs that are in progress; absent without one. */
+  versions?: VersionReports;
 }
--- a/packages/fleet/src/sync/merge-observations.ts
+++ b/packages/fleet/src/sync/merge-observations.ts
@@ -1,5 +1,10 @@
 import type { EndpointId } from '@vanillarelay/core';
-import { mergeCrashReports, mergeEndpointNotices, mergeRateReports } from '@vanillarelay/routing';
+import {
+  mergeCrashReports,
+  mergeEndpointNotices,
+  mergeRateReports,
+  mergeVersionReports,
+} from '@vanillarelay/routing';
 import type { Observations } from '../messages/observations.js';
 
 /** Merges the observations of several daemons. */
@@ -8,6 +13,8 @@
   const rates = mergeRateReports(parts.map((part) => part.rates));
   const notices = mergeEndpointNotices(parts.map((part) => part.notices));
   const sum: Observations = { loads: {}, outcomes: {}, crashes, rates, notices };
+  const versions = parts.flatMap((part) => (part.versions ? [part.versions] : []));
+  if (versions.length > 0) sum.versions = mergeVersionReports(versions);
   parts.forEach(({ loads, outcomes }) => {
     Object.entries(loads).forEach(([key, count]) => {
       const id = key as EndpointId;
--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -13,6 +13,7 @@
 import {
   createEndpointTable,
   type EndpointRecord,
+  type RolloutBounds,
   type Route,
   type RoutingConfig,
 } from '@vanillarelay/routing';
@@ -131,6 +132,8 @@
   maxBodyBytes = config.bounds.maxBodyBytes,
   stopSignal = new AbortController().signal,
   features = { scheduling: false },
+  rollouts = undefined as RolloutBounds | undefined,
+  readContactAt = undefined as (() => number) | undefined,
 } = {}) {
   const clock = createSystemClock();
   const endpoints = createEndpointTable({ clock, silenceMs });
@@ -153,6 +156,8 @@
       coldMultiplier: 1.5,
       coldSlack: 5,
     },
+    ...(rollouts ? { rollouts } : {}),
+    readContactAt: readContactAt ?? clock.monotonic,
   });
   router.updateConfig({ ...config, bounds: { ...config.bounds, maxBodyBytes } });
   const front = createFrontServer({
@@ -181,14 +186,18 @@
     ...{ clock, router, memory, front, endpoints, results, events, announce },
     url: `http://127.0.0.1:${(front.address() as AddressInfo).port}`,
     /** Adds an endpoint that answers through an HTTP listener. */
-    addEndpoint: async (id: string, listener: RequestListener): Promise<void> => {
+    addEndpoint: async (
+      id: string,
+      listener: RequestListener,
+      change: Partial<EndpointRecord> = {},
+    ): Promise<void> => {
       const server = createServer(listener).listen(0, '127.0.0.1');
       await once(server, 'listening');
       closers.push(() => {
         server.close();
         server.closeAllConnections();
       });
-      announce(id, (server.address() as AddressInfo).port);
+      announce(id, (server.address() as AddressInfo).port, change);
     },
     /** Adds an endpoint that answers with raw bytes on each connection that sends a request. */
     addRawEndpoint: async (id: string, answer: (socket: Socket) => void): Promise<void> => {
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -8,8 +8,13 @@
   createLoadView,
   createRateLimiter,
   createRetryBudget,
+  createRolloutTraffic,
   createRouteTable,
   type EndpointTable,
+  type KnownRollout,
+  type RolloutBounds,
+  type RolloutProposal,
+  type RolloutTraffic,
   type RouteTable,
   type RoutingConfig,
 } from '@vanillarelay/routing';
@@ -19,6 +24,7 @@
 import type { LogEvent } from './log/log-event.js';
 import { createLoopMonitor } from './loop/create-loop-monitor.js';
 import type { MemoryBudget } from './memory/memory-budget.js';
+import { buildRolloutGauges } from './metrics/build-rollout-gauges.js';
 import type { RequestResult } from './requests/request-result.js';
 import type { RoutedRequest } from './requests/routed-request.js';
 import { runRequest } from './requests/run-request.js';
@@ -39,6 +45,10 @@
   coldMultiplier: number;
   coldSlack: number;
   features: RouterFeatures;
+  /** Bounds on roll-outs; without them versions decide nothing. */
+  rollouts?: RolloutBounds;
+  /** Monotonic time of the last exchange with a hub that had recent contact with a quorum. */
+  readContactAt?: () => number;
   /** Memory that this process may hold for others. */
   memory: MemoryBudget;
   /** Aborted when this process stops and must end the requests that still run. */
@@ -103,7 +113,9 @@
       slack: options.coldSlack,
     }),
     isDataCentreOut: (id: DataCentreId) => dataCentresOut.has(id),
+    ...(options.rollouts ? { rollouts: createRollouts(options, options.rollouts) } : {}),
   };
+  const { rollouts } = context;
   return {
     /** What this daemon observed, for the other daemons. */
     readObservations: (): Observations => ({
@@ -112,6 +124,7 @@
       crashes: context.crashes.readLocal(),
       rates: context.rateLimiter.readLocal(),
       notices: context.notices.readLocal(),
+      ...(rollouts?.isInProgress() ? { versions: rollouts.readLocal() } : {}),
     }),
     updateObservations: ({
       loads: counts,
@@ -119,12 +132,14 @@
       crashes,
       rates,
       notices,
+      versions = {},
     }: Observations): void => {
       loads.updateRemote(counts);
       context.health.updateRemote(outcomes);
       context.crashes.updateRemote(crashes);
       context.rateLimiter.updateRemote(rates);
       context.notices.updateRemote(notices);
+      rollouts?.updateRemote(versions);
     },
     readTable: () => table,
     estimateArrival: loop.estimateArrival,
@@ -140,6 +155,17 @@
           context.budget.readRemaining(id),
         ]),
       ),
+    /** Takes the last roll-out of each service, from a state that a quorum has confirmed. */
+    updateRollouts: (list: readonly KnownRollout[]): void => rollouts?.updateRollouts(list),
+    /** The ends of roll-outs that a hub should propose now. */
+    listRolloutProposals: (): RolloutProposal[] =>
+      rollouts?.listProposals((service, to) =>
+        endpoints
+          .listService(service)
+          .every(({ record: { id, version } }) => version === to || loads.estimate(id) === 0),
+      ) ?? [],
+    /** Gauges of the roll-outs in progress, by service and version. */
+    readRolloutGauges: (): Record<string, number> => buildRolloutGauges(rollouts?.list() ?? []),
     updateConfig: (config: RoutingConfig): void => {
       if (table && config.version <= table.config.version) return;
       table = createRouteTable(config);
@@ -159,3 +185,17 @@
     run: (request: RoutedRequest): Promise<RequestResult> => runRequest(context, request),
   };
 }
+
+function createRollouts(options: RouterOptions, bounds: RolloutBounds): RolloutTraffic {
+  const { clock, hash, self, endpoints, listRouters, record, readContactAt = () => 0 } = options;
+  return createRolloutTraffic({
+    ...{ clock, hash, self, bounds, listRouters, readContactAt },
+    listEndpoints: (service, version) =>
+      endpoints
+        .listService(service)
+        .filter((row) => row.record.version === version)
+        .map(({ record: { id, dataCentre } }) => ({ id, dataCentre })),
+    notifyStep: (service, to, step) => record('rollout.step', { service, to, ...step }),
+    notifyVerdict: (service, to, verdict) => record('rollout.judged', { service, to, ...verdict }),
+  });
+}
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -12,7 +12,7 @@
   type VmId,
 } from '@vanillarelay/core';
 import { listenOn, splitAddress } from '@vanillarelay/daemon';
-import { createFleetNode, type DaemonInfo } from '@vanillarelay/fleet';
+import { createFleetNode, type DaemonInfo, type FleetNode } from '@vanillarelay/fleet';
 import { createEndpointTable, type RoutingConfig } from '@vanillarelay/routing';
 import { createRouter } from '../create-router.js';
 import { createFrontServer } from '../front/create-front-server.js';
@@ -32,8 +32,10 @@
 import { createControlCalls } from './create-control-calls.js';
 import { createStopPlan } from './create-stop-plan.js';
 import { loadSettings } from './load-settings.js';
+import type { RolloutState } from './rollout-state.js';
 import type { RouterFeatures } from './router-features.js';
 import type { RouterSettings } from './router-settings.js';
+import { runRollouts } from './run-rollouts.js';
 import { runShutdown } from './run-shutdown.js';
 import { observeSettings } from './observe-settings.js';
 import { observeUnexpectedErrors } from './observe-unexpected-errors.js';
@@ -48,6 +50,8 @@
   decodeFeatures: (terms: readonly string[]) => RouterFeatures;
   /** Creates the server for operators and endpoints. */
   createControlServer: (calls: ControlCalls, settings: RouterSettings, clock: Clock) => Server;
+  /** Creates the access to the roll-outs in the replicated state; without it there are none. */
+  createRolloutState?: (node: FleetNode) => RolloutState;
   /** Creates the server for readiness checks. */
   createReadinessServer: (calls: ControlCalls) => Server;
 }
@@ -113,6 +117,8 @@
     coldMultiplier: settings.coldEndpoints.multiplier,
     coldSlack: settings.coldEndpoints.slackPerS,
     stopSignal: stop.signal,
+    ...(settings.rollouts ? { rollouts: settings.rollouts } : {}),
+    readContactAt: () => node.view.quorumContactAt,
     record: log.write,
   });
   const front = createFrontServer({
@@ -177,6 +183,7 @@
     ...buildControlGauges(node.readControlSummary()),
     ...countEndpoints(endpoints),
     ...router.readRetryGauges(),
+    ...router.readRolloutGauges(),
     relay_limited_endpoints: router.countLimitedEndpoints(),
     relay_blocked_suspects: router.countBlockedSuspects(),
     relay_log_lines_lost: log.countLost(),
@@ -202,6 +209,13 @@
     ),
   );
   node.start();
+  const rolloutState = settings.rollouts && options.createRolloutState?.(node);
+  if (rolloutState) {
+    void runRollouts({
+      ...{ clock, log, router, state: rolloutState, signal: stop.signal },
+      isHub: () => node.view.hubs.includes(self.address),
+    });
+  }
   log.write('process.started', { id, listen, peers: self.address });
   observeSettings({
     clock,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,5 +1,6 @@
 export type { ControlCalls } from './daemon/control-calls.js';
 export type { OrderResult } from './daemon/order-result.js';
+export type { RolloutState } from './daemon/rollout-state.js';
 export type { RouterFeatures } from './daemon/router-features.js';
 export type { RouterSettings } from './daemon/router-settings.js';
 export { runRouter } from './daemon/run-router.js';
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -34,6 +34,12 @@
     'requests with this content or prompt part are refused, since endpoints crashed with them',
   'suspect.probed': 'one request with a blocked content or prompt part is sent, as a test',
   'suspect.cleared': 'a content or prompt part is no longer blocked',
+  'rollout.step':
+    'this router moves another share of the requests to the version that is rolled out',
+  'rollout.judged':
+    'the answers to all routers decide a roll-out; the line has the counts that decided',
+  'rollout.proposed': 'this hub proposes the end of a roll-out',
+  'rollout.notProposed': 'the end of a roll-out could not be proposed; it is proposed again',
   'order.answered':
     "an operator's call was answered after `ms`; with `hasLeft`, its sender had given it up",
   'config.notAccepted': 'this daemon did not acknowledge a valid configuration',
--- a/packages/router/src/requests/attempt/run-attempt.ts
+++ b/packages/router/src/requests/attempt/run-attempt.ts
@@ -39,6 +39,8 @@
   recordSilence: () => void;
   /** Called when the first event of the answer has arrived. */
   notifyStart: () => void;
+  /** Called when the answer has begun: with its first event, or its head if it is no stream. */
+  notifyAnswer: () => void;
 }
 
 /**
@@ -68,11 +70,14 @@
   attempt: Attempt,
 ): Promise<AttemptOutcome> {
   const { clock, wire, loads, pool, sendQueue } = context;
-  const { request, record, deadlineAt, signal, progress, isLast, cacheSource, notifyStart } =
-    attempt;
+  const { request, record, deadlineAt, signal, progress, isLast, cacheSource } = attempt;
   const { route, account, facts, method, path, body } = request;
   const minMs = route.isStream ? minStreamSilentMs : minPlainSilentMs;
   const silentMs = Math.max(minMs, route.objectiveMs * silentFactor);
+  const notifyStart = (): void => {
+    attempt.notifyStart();
+    attempt.notifyAnswer();
+  };
   const startTimer = (ms: number, abandon: () => void): (() => void) => {
     const { hasAlternative, recordSilence } = attempt;
     return isLast
@@ -137,6 +142,7 @@
       const reason = `endpoint answered ${status} to a resumed stream`;
       return { type: 'failed', reason, isSilent: false, status };
     }
+    attempt.notifyAnswer();
     return await relayAnswer({ answer, caller, memory: context.memory, isFailureFinal: isLast });
   } catch (error) {
     return toOutcome(context, error, signal);
--- a/packages/router/src/requests/attempt/send-request.ts
+++ b/packages/router/src/requests/attempt/send-request.ts
@@ -9,6 +9,7 @@
 import { isLost } from './is-lost.js';
 import { isRepeatable } from './is-repeatable.js';
 import { logLostRequest } from './log-lost-request.js';
+import { recordVersionOutcome } from './record-version-outcome.js';
 import { runAttempt } from './run-attempt.js';
 
 /** Sends a request to an endpoint and records what the outcome says about that endpoint. */
@@ -25,9 +26,11 @@
   if (endpoint.coldUntil > clock.monotonic()) coldRateLimiter.record(id);
   rateLimiter.record(id);
   notices.recordSend(id);
+  context.rollouts?.recordSend(state.service, endpoint.record.version);
   tried.add(id);
   const isLast = !isRepeatable(request) || possibleRuns + 1 >= request.route.maxEndpoints;
   const sentRun = { sentAt: clock.monotonic(), eventsBefore: progress.events };
+  let answeredAt: number | undefined;
   const outcome = await runAttempt(context, {
     ...{ request, deadlineAt, signal, progress, isLast },
     cacheSource: readCacheSource(context, request, state, id),
@@ -35,10 +38,15 @@
     hasAlternative: () => hasAlternative(context, request, state),
     recordSilence: () => health.recordUnreachable(id),
     notifyStart: () => context.crashes.recordStart(state.partSuspects),
+    notifyAnswer: () => {
+      answeredAt = clock.monotonic();
+    },
   });
   recordCrash(context, request, state, endpoint.record, outcome, sentRun);
   if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   recordOutcome(context, state, id, outcome);
+  const answerMs = answeredAt === undefined ? undefined : answeredAt - sentRun.sentAt;
+  recordVersionOutcome(context, request, state, endpoint.record, outcome, answerMs);
   return outcome;
 }
 
--- a/packages/router/src/requests/placing/has-alternative.ts
+++ b/packages/router/src/requests/placing/has-alternative.ts
@@ -10,12 +10,18 @@
  */
 export function hasAlternative(
   context: RouterContext,
-  { table }: RoutedRequest,
-  { service, tried, result }: Pick<RunState, 'service' | 'tried' | 'result'>,
+  { table, facts }: RoutedRequest,
+  {
+    service,
+    tried,
+    result,
+    affinityKey,
+  }: Pick<RunState, 'service' | 'tried' | 'result' | 'affinityKey'>,
 ): boolean {
   // The running attempt is not among the sends yet.
   if (result.sends.length + 1 >= maxSends) return false;
   if (context.budget.readRemaining(service) < 1) return false;
-  const { open } = listCandidates(context, service, table.findService(service));
+  const key = affinityKey ?? facts.id;
+  const { open } = listCandidates(context, service, table.findService(service), key, tried);
   return open.some(({ id, healthIssue }) => healthIssue === undefined && !tried.has(id));
 }
--- a/packages/router/src/requests/placing/list-candidates.ts
+++ b/packages/router/src/requests/placing/list-candidates.ts
@@ -1,11 +1,13 @@
-import type { ServiceId } from '@vanillarelay/core';
+import type { EndpointId, ServiceId } from '@vanillarelay/core';
 import type { Candidate, EndpointTableRow, RoutedService } from '@vanillarelay/routing';
 import type { RouterContext } from '../router-context.js';
+import { selectVersions } from './select-versions.js';
 
 /** Number of endpoints of a service that were excluded or have a health issue, by reason. */
 type PassedOver = Partial<
   Record<
     | 'out'
+    | 'version'
     | 'leaving'
     | 'cold'
     | 'limited'
@@ -26,7 +28,10 @@
 interface CandidateList {
   /** Endpoints that may receive a request now. */
   open: Candidate[];
-  /** Number of endpoints of the service that accept requests, even if they have no capacity now. */
+  /**
+   * Number of endpoints of the service that accept the request, even if they have no capacity now, and
+   * of those that were tried although a retry may not use their version.
+   */
   total: number;
   /**
    * Mean load of the endpoints of the service, including those that accept no requests now, but not
@@ -47,11 +52,16 @@
  */
 const maxRequestsPerSlot = 3;
 
-/** Lists the endpoints of a service that may receive one more request. */
+/**
+ * Lists the endpoints of a service that may receive one more request. While a version is rolled out,
+ * `key` and `tried` of the request decide which version it uses.
+ */
 export function listCandidates(
   context: RouterContext,
   id: ServiceId,
   service: RoutedService | undefined,
+  key = '',
+  tried: ReadonlySet<EndpointId> = noEndpoints,
 ): CandidateList {
   const { endpoints, health, loads } = context;
   const passedOver: PassedOver = {};
@@ -63,13 +73,16 @@
     load: loads.estimate(row.record.id),
     isRefusing: health.isRefusing(row.record.id, row.firstSeenAt),
   }));
-  const accepting = all.filter((row) => {
+  const inService = all.filter((row) => {
     const reason = findExclusion(context, row);
     if (reason) countReason(reason);
     return !reason;
   });
+  const { rows: accepting, preferred } = selectVersions(context, id, inService, { key, tried });
+  const otherVersions = inService.length - accepting.length;
+  if (otherVersions > 0) passedOver.version = otherVersions;
   const failing = health.listFailing(accepting.map(({ record }) => record.id));
-  const open = accepting.flatMap((row): Candidate[] => {
+  const withCapacity = accepting.flatMap((row): Candidate[] => {
     const { record, load } = row;
     const reason = findLimit(context, row, service);
     if (reason) {
@@ -88,6 +101,8 @@
       },
     ];
   });
+  const first = preferred ? withCapacity.filter((one) => preferred.has(one.id)) : withCapacity;
+  const open = first.length > 0 ? first : withCapacity;
   const listening = all.filter((row) => !row.isRefusing);
   const totalLoad = listening.reduce((sum, { load }) => sum + load, 0);
   const meanLoad = totalLoad / Math.max(1, listening.length);
@@ -95,7 +110,20 @@
   const areTimesKnown =
     accepting.length > 0 && open.length === 0 && limited + waiting === accepting.length;
   const waitMs = areTimesKnown ? computeShortestWait(context, accepting) : 0;
-  return { open, total: accepting.length, meanLoad, waitMs, passedOver };
+  const total =
+    accepting.length + (otherVersions > 0 ? countTried(inService, accepting, tried) : 0);
+  return { open, total, meanLoad, waitMs, passedOver };
+}
+
+const noEndpoints: ReadonlySet<EndpointId> = new Set();
+
+function countTried(
+  rows: readonly EndpointTableRow[],
+  accepting: readonly EndpointTableRow[],
+  tried: ReadonlySet<EndpointId>,
+): number {
+  const accepted = new Set(accepting.map(({ record }) => record.id));
+  return rows.filter(({ record: { id } }) => tried.has(id) && !accepted.has(id)).length;
 }
 
 function computeShortestWait(
--- a/packages/router/src/requests/placing/select-endpoint.ts
+++ b/packages/router/src/requests/placing/select-endpoint.ts
@@ -13,7 +13,7 @@
  */
 export function selectEndpoint(
   context: RouterContext,
-  { table }: RoutedRequest,
+  { table, facts }: RoutedRequest,
   { service, tried, signal, affinityKey }: RunState,
   waitUntil: number,
 ): Choice | undefined {
@@ -22,6 +22,8 @@
     context,
     service,
     table.findService(service),
+    affinityKey ?? facts.id,
+    tried,
   );
   const placement = chooseEndpoint(
     open,
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -9,6 +9,7 @@
   NoticeTracker,
   RateLimiter,
   RetryBudget,
+  RolloutTraffic,
 } from '@vanillarelay/routing';
 import type { RouterFeatures } from '../daemon/router-features.js';
 import type { SendQueue } from '../dispatch/send-queue.js';
@@ -36,6 +37,8 @@
   rateLimiter: RateLimiter;
   notices: NoticeTracker;
   coldRateLimiter: ColdRateLimiter;
+  /** Absent when the settings have no bounds on roll-outs. */
+  rollouts?: RolloutTraffic;
   /** Aborted when this process stops and must end the requests that still run. */
   stopSignal: AbortSignal;
   /** Functions that abort the requests which are running. */
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -37,6 +37,7 @@
   }
   budget.recordRequest(service);
   context.rateLimiter.recordDemand(service);
+  context.rollouts?.recordRequest(service);
   const deadlineAt = computeDeadline(request);
   const abortController = new AbortController();
   const abort = () => abortController.abort();
--- a/packages/routing/src/rollouts/create-answer-times.ts
+++ b/packages/routing/src/rollouts/create-answer-times.ts
@@ -13,6 +13,8 @@
 /** Multiple of the usual time beyond which an answer is slow. */
 const slowFactor = 3;
 const highQuantile = 0.9;
+/** Delay beyond the median below which no answer is slow: a busy router itself is late by as much. */
+const minDelayMs = 50;
 /** Routes that are kept, at most. */
 const maxRoutes = 256;
 
@@ -30,8 +32,8 @@
       delete times.summary;
     },
     /**
-     * Whether an answer was several times slower than usual: than the median, and at least than the
-     * 90th percentile. An answer for which the endpoint may have had to read a prompt that no cache
+     * Whether an answer was several times slower than usual: than the median, and also slower than
+     * the 90th percentile. An answer for which the endpoint may have had to read a prompt that no cache
      * held is compared with the percentile alone, as caches of new endpoints are empty at first.
      */
     isSlow: (key: string, ms: number, mayLackCache: boolean): boolean => {
@@ -39,6 +41,7 @@
       if (!times || times.last.length < minAnswers) return false;
       times.summary ??= buildSummary(times.last);
       const { median, high } = times.summary;
+      if (ms < median + minDelayMs) return false;
       return ms > (mayLackCache ? slowFactor * high : Math.max(slowFactor * median, high));
     },
   };
--- a/packages/routing/src/rollouts/create-rollout-progress.ts
+++ b/packages/routing/src/rollouts/create-rollout-progress.ts
@@ -36,6 +36,8 @@
 }
 
 const hashRange = 2 ** 32;
+/** Prompts of the new version that are remembered, which bounds the memory. */
+const maxAnsweredPrompts = 1_000;
 /** Part of the duration that the recent window covers, and its limits. */
 const windowPart = 1 / 6;
 const minWindowMs = 1_000;
@@ -74,6 +76,7 @@
   let lastMs = 0;
   let hasLoadEvidence = false;
   let phase: Phase | undefined;
+  const answeredPrompts = new Set<string>();
 
   const readAgeMs = (): number => clock.monotonic() - orderedAt;
   const isEvident = (): boolean => verdict.isSound;
@@ -157,6 +160,12 @@
       counts.record({ ...answer, weight: share / (1 - share) });
       if (answer.isBad && answer.newEndpoint !== undefined) judge();
     },
+    /** Whether no prompt with this key was answered by the new version before, as known here. */
+    takeFirst: (promptKey: string): boolean => {
+      const isFirst = !answeredPrompts.has(promptKey);
+      if (isFirst && answeredPrompts.size < maxAnsweredPrompts) answeredPrompts.add(promptKey);
+      return isFirst;
+    },
     /** Takes the age that the hub states; the age known here never decreases. */
     updateAge: (ageMs: number): void => {
       orderedAt = Math.min(orderedAt, clock.monotonic() - ageMs);
--- a/packages/routing/src/rollouts/create-rollout-traffic.ts
+++ b/packages/routing/src/rollouts/create-rollout-traffic.ts
@@ -36,8 +36,8 @@
   isBad: boolean;
   /** Time to the first byte or event; absent when there was none. */
   ms?: number;
-  /** Whether the endpoint may have had to read a prompt that no cache of its side held. */
-  mayLackCache?: boolean;
+  /** Key of the request's prompt; absent without one. */
+  promptKey?: string;
 }
 
 /** Time after the last contact with a hub from which the new version gets nothing. */
@@ -126,16 +126,18 @@
     },
     /** Records an answer, which also sets what is usual for later ones. */
     recordOutcome: (outcome: Outcome): void => {
-      const { service, route, endpoint, version, ms, mayLackCache = false } = outcome;
+      const { service, route, endpoint, version, ms, promptKey } = outcome;
       const progress = inProgress.get(service);
       const key = `${service} ${route}`;
       const isNew = progress !== undefined && version === progress.rollout.to;
+      const mayLackCache = isNew && promptKey !== undefined && progress.takeFirst(promptKey);
       const isSlow =
         progress !== undefined && ms !== undefined && times.isSlow(key, ms, mayLackCache);
       const isBad = outcome.isBad || isSlow;
       if (!isNew && ms !== undefined) times.record(key, ms);
       progress?.recordAnswer({ route, isBad, ...(isNew ? { newEndpoint: endpoint } : {}) });
     },
+    isInProgress: (): boolean => inProgress.size > 0,
     /** This router's counts, for the others. */
     readLocal: (): VersionReports =>
       Object.fromEntries(
