--- a/packages/routing/__tests__/simulate-rollout.ts
+++ b/packages/routing/__tests__/simulate-rollout.ts
@@ -70,6 +70,8 @@
 const maxMessageMs = 60;
 const commitMs = 40;
 const msPerS = 1_000;
+/** Time for which placement uses the same list of failing endpoints. */
+const failingMs = 50;
 /** Time for which a roll-out is played on after its end. */
 const newsMs = 500;
 /** Share of the running requests from which the new side counts as loaded. */
@@ -131,6 +133,9 @@
   let sentAfterEnd = 0;
 
   const health = createHealthTracker({ monotonic: () => now });
+  const allIds = [...oldEndpoints, ...newEndpoints].map(({ id }) => id);
+  let failing: ReadonlySet<EndpointId> = new Set();
+  let failingUntil = 0;
   const rows = new Map<DaemonId, { reports: VersionReports; at: number }>();
   const routers = new Map<DaemonId, SimulatedRouter>();
 
@@ -218,7 +223,10 @@
 
   /** Leaves out failing endpoints as placement does, now and then with a wrong choice. */
   const selectHealthy = (among: Endpoint[]): Endpoint[] => {
-    const failing = health.listFailing([...oldEndpoints, ...newEndpoints].map(({ id }) => id));
+    if (now >= failingUntil) {
+      failing = health.listFailing(allIds);
+      failingUntil = now + failingMs;
+    }
     const healthy = among.filter(({ id }) => !failing.has(id));
     return healthy.length === 0 || random() < 0.1 ? among : healthy;
   };
