--- a/packages/fleet/src/messages/observations.ts
+++ b/packages/fleet/src/messages/observations.ts
@@ -4,6 +4,7 @@
   EndpointNotices,
   OutcomeCounts,
   RateReports,
+  VersionReports,
 } from '@vanillarelay/routing';
 
 /**
@@ -19,4 +20,6 @@
   notices: EndpointNotices;
   /** Number of these daemons that are late; absent for none, and in messages of earlier versions. */
   lateRouters?: number;
+  /** Answers by version in roll-outs that are in progress; absent without one. */
+  versions?: VersionReports;
 }
--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -13,6 +13,7 @@
 import {
   createEndpointTable,
   type EndpointRecord,
+  type RolloutBounds,
   type Route,
   type RoutingConfig,
 } from '@vanillarelay/routing';
@@ -135,6 +136,8 @@
   requiresKey = config.requiresKey,
   isPublic = true,
   isConfigured = true,
+  rollouts = undefined as RolloutBounds | undefined,
+  readContactAt = undefined as (() => number) | undefined,
 } = {}) {
   const clock = createSystemClock();
   const endpoints = createEndpointTable({ clock, silenceMs });
@@ -159,6 +162,8 @@
       coldMultiplier: 1.5,
       coldSlack: 5,
     },
+    ...(rollouts ? { rollouts } : {}),
+    readContactAt: readContactAt ?? clock.monotonic,
   });
   const front = createFrontServer({
     ...{ clock, wire, memory, readTable: router.readTable, run: router.run },
@@ -197,14 +202,18 @@
     ...{ clock, router, memory, front, endpoints, results, events, announce, configure, delays },
     url: `http://127.0.0.1:${(front.address() as AddressInfo).port}`,
     /** Adds an endpoint that answers through an HTTP listener. */
-    addEndpoint: async (id: string, listener: RequestListener): Promise<void> => {
+    addEndpoint: async (
+      id: string,
+      listener: RequestListener,
+      change: Partial<EndpointRecord> = {},
+    ): Promise<void> => {
       const server = createServer(listener).listen(0, '127.0.0.1');
       await once(server, 'listening');
       closers.push(() => {
         server.close();
         server.closeAllConnections();
       });
-      announce(id, (server.address() as AddressInfo).port);
+      announce(id, (server.address() as AddressInfo).port, change);
     },
     /** Adds an endpoint that answers with raw bytes on each connection that sends a request. */
     addRawEndpoint: async (id: string, answer: (socket: Socket) => void): Promise<void> => {
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -36,8 +36,10 @@
 import { createRolloutLog } from './create-rollout-log.js';
 import { createStopPlan } from './create-stop-plan.js';
 import { loadSettings } from './load-settings.js';
+import { createRolloutState } from './create-rollout-state.js';
 import type { RouterFeatures } from './router-features.js';
 import type { RouterSettings } from './router-settings.js';
+import { runRollouts } from './run-rollouts.js';
 import { runShutdown } from './run-shutdown.js';
 import { observeSettings } from './observe-settings.js';
 import { observeUnexpectedErrors } from './observe-unexpected-errors.js';
@@ -130,6 +132,8 @@
       metrics.recordSendDelay(ms);
       lateness.record(ms);
     },
+    ...(settings.rollouts ? { rollouts: settings.rollouts } : {}),
+    readContactAt: () => node.view.quorumContactAt,
     record: log.write,
   });
   const front = createFrontServer({
@@ -221,6 +225,7 @@
     ...router.readRetryGauges(),
     relay_is_late: Number(lateness.isOut()),
     relay_late_routers: lateRouters,
+    ...router.readRolloutGauges(),
     relay_limited_endpoints: router.countLimitedEndpoints(),
     relay_blocked_suspects: router.countBlockedSuspects(),
     relay_log_lines_lost: log.countLost(),
@@ -248,6 +253,13 @@
       log.write('server.failed', { address, reason: message }, true),
     ),
   );
+  const rolloutState = settings.rollouts && createRolloutState(node);
+  if (rolloutState) {
+    void runRollouts({
+      ...{ clock, log, router, state: rolloutState, signal: stop.signal },
+      isHub: node.isHub,
+    });
+  }
   log.write('process.started', { id, listen, peers: self.address });
   observeSettings({
     clock,
