feat(scheduling): place requests by when their first event is expected

Requests in flight were the only measure of load, so a prompt with 9,200 tokens to read and a lookup counted the same. Services of which an endpoint reports the fourth figure of Server-Load are now placed by the expected time to the first event: what this router has sent and what the others report (new observation work), which prompt parts an endpoint probably holds, and how long work takes there. All other services are placed by the same code as before; the check is one map lookup.

The pieces of chooseEndpoint that both choices use (load bounds, prompt share, tried endpoints) have their own files.

--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -123,7 +123,14 @@
       ...(snapshotBytes === undefined ? {} : { snapshotBytes }),
       openPeer: openPeer(process),
       listSeeds: () => seeds,
-      readObservations: () => ({ loads: {}, outcomes: {}, crashes: {}, rates: {}, notices: {} }),
+      readObservations: () => ({
+        loads: {},
+        outcomes: {},
+        crashes: {},
+        rates: {},
+        notices: {},
+        work: {},
+      }),
       notifyObservations: () => {},
       notifyState: ({ version }) => versions.push(version),
     });
--- a/packages/fleet/__tests__/daemon-table.test.ts
+++ b/packages/fleet/__tests__/daemon-table.test.ts
@@ -41,6 +41,6 @@
   const info = { id: 'a' as DaemonId, incarnation: '1', address: 'x', dataCentre: 'd' as never };
   table.receive(info, { loads: { ['e1' as never]: 2 }, outcomes: {} });
   expect(table.sumDirect()).toEqual({
-    ...{ loads: { e1: 2 }, outcomes: {}, crashes: {}, rates: {}, notices: {} },
+    ...{ loads: { e1: 2 }, outcomes: {}, crashes: {}, rates: {}, notices: {}, work: {} },
   });
 });
--- a/packages/fleet/__tests__/observations.test.ts
+++ b/packages/fleet/__tests__/observations.test.ts
@@ -12,6 +12,7 @@
   crashes: { s1: { c1: { ageMs: 5 } } },
   rates: { e1: { limitPerS: 4, ageMs: 5, demandPerS: 6 } },
   notices: { e1: { bornAt: 1, isLeaving: false, waitMs: 7 } },
+  work: { e1: 12 },
 };
 
 const isAccepted = (received: unknown): boolean => {
@@ -32,6 +33,8 @@
     ['crashes', { s1: { c1: null } }],
     ['rates', { e1: { ageMs: 5, demandPerS: '6' } }],
     ['notices', { e1: { bornAt: 1, waitMs: 7 } }],
+    ['work', { e1: '12' }],
+    ['work', { e1: -1 }],
     ['loads', []],
   ];
   const isOddAccepted = odd.map(([name, part]) => isAccepted({ ...sound, [name]: part }));
--- a/packages/fleet/src/messages/check-observations.ts
+++ b/packages/fleet/src/messages/check-observations.ts
@@ -42,6 +42,7 @@
       typeof value.isLeaving === 'boolean' &&
       isCount(value.waitMs),
   ),
+  work: hasOnly(isCount),
 };
 
 /** Checks an object by its values; its keys must not be properties of every object. */
--- a/packages/fleet/src/messages/observations.ts
+++ b/packages/fleet/src/messages/observations.ts
@@ -5,10 +5,11 @@
   OutcomeCounts,
   RateReports,
 } from '@vanillarelay/routing';
+import type { WorkReports } from '@vanillarelay/scheduling';
 
 /**
- * Loads, outcomes, crashes, request rates and what endpoints said, as one or more daemons observed
- * them on the requests they routed.
+ * Loads, outcomes, crashes, request rates, unread prompts and what endpoints said, as one or more
+ * daemons observed them on the requests they routed.
  */
 export interface Observations {
   /** Requests in flight at each endpoint. */
@@ -17,4 +18,6 @@
   crashes: CrashReports;
   rates: RateReports;
   notices: EndpointNotices;
+  /** Reading that was sent to each endpoint and has not begun there. */
+  work: WorkReports;
 }
--- a/packages/fleet/src/sync/add-observation-age.ts
+++ b/packages/fleet/src/sync/add-observation-age.ts
@@ -1,7 +1,13 @@
 import type { CrashId, EndpointId, SuspectId } from '@vanillarelay/core';
 import type { Observations } from '../messages/observations.js';
 
-/** Adds the time since observations were received to the ages in them, and takes it off the waits. */
+/** Time in which the work that a report names counts half, because endpoints do it meanwhile. */
+const workHalfLifeMs = 300;
+
+/**
+ * Adds the time since observations were received to the ages in them, and takes it off the waits and
+ * the work.
+ */
 export function addObservationAge(observations: Observations, addedMs: number): Observations {
   const crashes: Observations['crashes'] = {};
   Object.entries(observations.crashes).forEach(([suspect, reports]) => {
@@ -24,5 +30,10 @@
     const waitMs = Math.max(0, notice.waitMs - addedMs);
     notices[endpoint as EndpointId] = { ...notice, waitMs };
   });
-  return { ...observations, crashes, rates, notices };
+  const work: Observations['work'] = {};
+  Object.entries(observations.work).forEach(([endpoint, ms]) => {
+    const leftMs = Math.round(ms * 0.5 ** (addedMs / workHalfLifeMs));
+    if (leftMs > 0) work[endpoint as EndpointId] = leftMs;
+  });
+  return { ...observations, crashes, rates, notices, work };
 }
--- a/packages/fleet/src/sync/merge-observations.ts
+++ b/packages/fleet/src/sync/merge-observations.ts
@@ -7,8 +7,8 @@
   const crashes = mergeCrashReports(parts.map((part) => part.crashes));
   const rates = mergeRateReports(parts.map((part) => part.rates));
   const notices = mergeEndpointNotices(parts.map((part) => part.notices));
-  const sum: Observations = { loads: {}, outcomes: {}, crashes, rates, notices };
-  parts.forEach(({ loads, outcomes }) => {
+  const sum: Observations = { loads: {}, outcomes: {}, crashes, rates, notices, work: {} };
+  parts.forEach(({ loads, outcomes, work }) => {
     Object.entries(loads).forEach(([key, count]) => {
       const id = key as EndpointId;
       sum.loads[id] = (sum.loads[id] ?? 0) + count;
@@ -18,6 +18,10 @@
       const [knownGood, knownBad] = sum.outcomes[id] ?? [0, 0];
       sum.outcomes[id] = [knownGood + good, knownBad + bad];
     });
+    Object.entries(work).forEach(([key, ms]) => {
+      const id = key as EndpointId;
+      sum.work[id] = (sum.work[id] ?? 0) + ms;
+    });
   });
   return sum;
 }
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -19,6 +19,7 @@
 import type { LogEvent } from './log/log-event.js';
 import { createLoopMonitor } from './loop/create-loop-monitor.js';
 import type { MemoryBudget } from './memory/memory-budget.js';
+import { createWorkPlacement } from './requests/placing/create-work-placement.js';
 import type { RequestResult } from './requests/request-result.js';
 import type { RoutedRequest } from './requests/routed-request.js';
 import { runRequest } from './requests/run-request.js';
@@ -74,6 +75,10 @@
     },
     pool: createConnectionPool(),
     sendQueue: createSendQueue(loop),
+    workPlacement: createWorkPlacement({
+      ...{ clock, random, hash, dataCentre, endpoints },
+      countRouters: () => listRouters().length,
+    }),
     health: createHealthTracker(clock),
     crashes: createCrashRecord({
       ...{ clock, hash, self, listRouters },
@@ -112,6 +117,7 @@
       crashes: context.crashes.readLocal(),
       rates: context.rateLimiter.readLocal(),
       notices: context.notices.readLocal(),
+      work: context.workPlacement.readLocal(),
     }),
     updateObservations: ({
       loads: counts,
@@ -119,12 +125,14 @@
       crashes,
       rates,
       notices,
+      work,
     }: Observations): void => {
       loads.updateRemote(counts);
       context.health.updateRemote(outcomes);
       context.crashes.updateRemote(crashes);
       context.rateLimiter.updateRemote(rates);
       context.notices.updateRemote(notices);
+      context.workPlacement.updateRemote(work);
     },
     readTable: () => table,
     estimateArrival: loop.estimateArrival,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -14,6 +14,7 @@
 export { openFleetPeer } from './transport/open-fleet-peer.js';
 export { hopHeaders } from './wire/hop-headers.js';
 export type { AnswerFacts } from './wire/answer-facts.js';
+export type { EndpointLoad } from './wire/endpoint-load.js';
 export type { EventField } from './wire/event-field.js';
 export type { ForwardingInfo } from './wire/forwarding-info.js';
 export type { ParsedEvent } from './wire/parsed-event.js';
--- a/packages/router/src/metrics/create-metrics.ts
+++ b/packages/router/src/metrics/create-metrics.ts
@@ -26,7 +26,12 @@
       add('relay_requests_total', { outcome, status });
       if (refusal) add('relay_refusals_total', { code: refusal.code });
       if (sends.length > 1) add('relay_repeated_requests_total', { outcome });
-      sends.forEach(({ reason }) => add('relay_sends_total', { reason }));
+      sends.forEach(({ reason, expectedMs, seenMs }) => {
+        add('relay_sends_total', { reason });
+        if (expectedMs === undefined || seenMs === undefined) return;
+        const ratio = seenMs / Math.max(1, expectedMs);
+        histograms.record('relay_first_event_ratio', route, ratio);
+      });
       histograms.record('relay_request_ms', route, ms);
       if (waitedMs !== undefined) histograms.record('relay_wait_ms', route, waitedMs);
     },
--- a/packages/router/src/requests/attempt/run-attempt.ts
+++ b/packages/router/src/requests/attempt/run-attempt.ts
@@ -5,6 +5,7 @@
 import { callEndpoint } from '../../dispatch/call-endpoint.js';
 import { releaseAnswer } from '../../dispatch/release-answer.js';
 import type { AnswerFacts } from '../../wire/answer-facts.js';
+import type { EndpointLoad } from '../../wire/endpoint-load.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { Caller } from '../caller.js';
 import { isOwnAnswer } from './is-own-answer.js';
@@ -39,6 +40,10 @@
   recordSilence: () => void;
   /** Called when the first event of the answer has arrived. */
   notifyStart: () => void;
+  /** Called when the first event, or the head of an answer that is no stream, has arrived. */
+  recordFirstEvent: () => void;
+  /** Called with what the endpoint says of its load. */
+  recordLoad: (load: EndpointLoad) => void;
 }
 
 /**
@@ -68,8 +73,8 @@
   attempt: Attempt,
 ): Promise<AttemptOutcome> {
   const { clock, wire, loads, pool, sendQueue } = context;
-  const { request, record, deadlineAt, signal, progress, isLast, cacheSource, notifyStart } =
-    attempt;
+  const { request, record, deadlineAt, signal, progress, isLast, cacheSource } = attempt;
+  const { notifyStart, recordFirstEvent } = attempt;
   const { route, account, facts, method, path, body } = request;
   const minMs = route.isStream ? minStreamSilentMs : minPlainSilentMs;
   const silentMs = Math.max(minMs, route.objectiveMs * silentFactor);
@@ -109,6 +114,7 @@
     }
     recordLimit(context, record.id, answerFacts);
     recordNotice(context, record, answerFacts);
+    if (answerFacts.load) attempt.recordLoad(answerFacts.load);
     if (answerFacts.isNotRun) {
       releaseAnswer(answer, clock);
       return { type: 'notRun', reason: `endpoint answered ${status}`, cause: 'rejected' };
@@ -127,11 +133,16 @@
     if (route.isStream && isStream) {
       const pauseMs = Math.max(minStreamSilentMs, route.maxPauseMs * pauseFactor);
       return await relayEvents({
-        ...{ answer, caller, progress, pauseMs, notifyStart, startSilenceTimer: startTimer },
+        ...{ answer, caller, progress, pauseMs, startSilenceTimer: startTimer },
+        notifyStart: () => {
+          notifyStart();
+          recordFirstEvent();
+        },
         ...{ firstEventMs: silentMs, parseEvent: wire.parseEvent },
         reportFault: (found) => logSpoiltStream(context, request, record, progress, found),
       });
     }
+    recordFirstEvent();
     if (request.caller.hasSentHead()) {
       answer.destroy();
       const reason = `endpoint answered ${status} to a resumed stream`;
--- a/packages/router/src/requests/attempt/send-request.ts
+++ b/packages/router/src/requests/attempt/send-request.ts
@@ -1,7 +1,9 @@
 import type { EndpointId } from '@vanillarelay/core';
 import { recordCrash } from '../crashes/record-crash.js';
 import { findCacheSource } from '../placing/find-cache-source.js';
+import type { Choice } from '../placing/choice.js';
 import { hasAlternative } from '../placing/has-alternative.js';
+import type { RunningWork } from '../placing/running-work.js';
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
@@ -11,22 +13,30 @@
 import { logLostRequest } from './log-lost-request.js';
 import { runAttempt } from './run-attempt.js';
 
+interface SendResult {
+  outcome: AttemptOutcome;
+  /** Expected and seen time to the first event, where known. */
+  times?: ReturnType<RunningWork['readTimes']>;
+}
+
 /** Sends a request to an endpoint and records what the outcome says about that endpoint. */
 export async function sendRequest(
   context: RouterContext,
   request: RoutedRequest,
   state: RunState,
-  id: EndpointId,
-): Promise<AttemptOutcome> {
+  { id, expectation }: Extract<Choice, { id: EndpointId }>,
+): Promise<SendResult> {
   const { clock, endpoints, health, coldRateLimiter, rateLimiter, notices } = context;
   const endpoint = endpoints.find(id);
-  if (!endpoint) return { type: 'notRun', reason: 'endpoint has left', cause: 'departed' };
+  if (!endpoint)
+    return { outcome: { type: 'notRun', reason: 'endpoint has left', cause: 'departed' } };
   const { tried, deadlineAt, signal, progress, possibleRuns } = state;
   if (endpoint.coldUntil > clock.monotonic()) coldRateLimiter.record(id);
   rateLimiter.record(id);
   notices.recordSend(id);
   tried.add(id);
   const isLast = !isRepeatable(request) || possibleRuns + 1 >= request.route.maxEndpoints;
+  const work = expectation && context.workPlacement.startWork(id, expectation, state.affinityKey);
   const sentRun = { sentAt: clock.monotonic(), eventsBefore: progress.events };
   const outcome = await runAttempt(context, {
     ...{ request, deadlineAt, signal, progress, isLast },
@@ -35,11 +45,16 @@
     hasAlternative: () => hasAlternative(context, request, state),
     recordSilence: () => health.recordUnreachable(id),
     notifyStart: () => context.crashes.recordStart(state.partSuspects),
+    recordFirstEvent: () => work?.recordFirstEvent(),
+    recordLoad: (load) => context.workPlacement.recordLoad(state.service, id, load),
   });
   recordCrash(context, request, state, endpoint.record, outcome, sentRun);
   if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   recordOutcome(context, state, id, outcome);
-  return outcome;
+  if (!work) return { outcome };
+  const events = progress.events - sentRun.eventsBefore;
+  work.recordEnd(outcome.type === 'notRun', outcome.type === 'answered' ? events : undefined);
+  return { outcome, times: work.readTimes() };
 }
 
 function recordOutcome(
--- a/packages/router/src/requests/placing/select-endpoint.ts
+++ b/packages/router/src/requests/placing/select-endpoint.ts
@@ -1,7 +1,7 @@
 import { ResultCode } from '@vanillarelay/core';
-import { chooseEndpoint } from '@vanillarelay/routing';
 import type { Choice } from './choice.js';
 import { listCandidates } from './list-candidates.js';
+import { placeRequest } from './place-request.js';
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
@@ -13,21 +13,18 @@
  */
 export function selectEndpoint(
   context: RouterContext,
-  { table }: RoutedRequest,
-  { service, tried, signal, affinityKey }: RunState,
+  request: RoutedRequest,
+  state: RunState,
   waitUntil: number,
 ): Choice | undefined {
-  const { clock, hash, random, dataCentre } = context;
+  const { clock } = context;
+  const { service, tried, signal } = state;
   const { open, total, meanLoad, waitMs, passedOver } = listCandidates(
     context,
     service,
-    table.findService(service),
-  );
-  const placement = chooseEndpoint(
-    open,
-    { tried, meanLoad, ...(affinityKey === undefined ? {} : { affinityKey }) },
-    { hash, random, dataCentre },
+    request.table.findService(service),
   );
+  const placement = placeRequest(context, request, state, open, meanLoad);
   if (placement) return { ...placement, passedOver };
   if (total === 0)
     return { code: ResultCode.noEndpoint, reason: 'no endpoint takes work', passedOver };
--- a/packages/router/src/requests/request-result.ts
+++ b/packages/router/src/requests/request-result.ts
@@ -11,6 +11,10 @@
   afterMs: number;
   /** Duration of the attempt, in milliseconds. */
   ms: number;
+  /** Expected time to the first event, where requests are placed by their expected cost. */
+  expectedMs?: number;
+  /** Time to the first event, where one arrived and a time was expected. */
+  seenMs?: number;
 }
 
 /** How a request ended, for the log and the metrics. */
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -15,6 +15,7 @@
 import type { LogEvent } from '../log/log-event.js';
 import type { MemoryBudget } from '../memory/memory-budget.js';
 import type { RouterWire } from '../wire/router-wire.js';
+import type { WorkPlacement } from './placing/work-placement.js';
 
 /** Dependencies and state that all requests of one router share. */
 export interface RouterContext {
@@ -29,6 +30,7 @@
   endpoints: EndpointTable;
   health: HealthTracker;
   loads: LoadView;
+  workPlacement: WorkPlacement;
   budget: RetryBudget;
   /** Memory that this process may hold for others. */
   memory: MemoryBudget;
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -107,7 +107,7 @@
   }
   const { clock } = context;
   const sentAt = clock.monotonic();
-  const outcome = await sendRequest(context, request, state, choice.id);
+  const { outcome, times } = await sendRequest(context, request, state, choice);
   if (hasArrived(outcome)) Object.assign(state, { hasArrived: true, isRetryPaid: false });
   state.lastReason = 'reason' in outcome ? outcome.reason : outcome.type;
   state.result.sends.push({
@@ -117,6 +117,7 @@
     outcome: state.lastReason,
     afterMs: Math.round(sentAt - request.startedAt),
     ms: Math.round(clock.monotonic() - sentAt),
+    ...times,
   });
   if (outcome.type === 'answered') return outcome;
   if (request.caller.signal.aborted) return { type: 'callerLeft' };
--- a/packages/router/src/wire/answer-facts.ts
+++ b/packages/router/src/wire/answer-facts.ts
@@ -1,3 +1,5 @@
+import type { EndpointLoad } from './endpoint-load.js';
+
 /** Information from the status and headers of an endpoint's answer. */
 export interface AnswerFacts {
   /** Id of the request that was answered. */
@@ -19,4 +21,6 @@
    * milliseconds, or the text that names none.
    */
   wait?: number | { unreadable: string };
+  /** What the endpoint says of its load. */
+  load?: EndpointLoad;
 }
--- a/packages/router/src/wire/request-facts.ts
+++ b/packages/router/src/wire/request-facts.ts
@@ -14,6 +14,10 @@
   promptParts: PromptPart[];
   /** Number of tokens in the prompt; 0 when unknown. */
   promptTokens: number;
+  /** Maximum number of tokens in the answer. */
+  maxOutputTokens?: number;
+  /** The caller's estimate of the tokens in the answer, which is often far off. */
+  outputTokensHint?: number;
   /** Headers that are forwarded unchanged; names and values alternate. */
   forwardedHeaders: string[];
 }
--- a/packages/routing/src/placement/choose-endpoint.ts
+++ b/packages/routing/src/placement/choose-endpoint.ts
@@ -5,7 +5,11 @@
   type Hash,
 } from '@vanillarelay/core';
 import type { Candidate } from './candidate.js';
+import { computeLoadBounds } from './compute-load-bounds.js';
+import { computePromptDraw } from './compute-prompt-draw.js';
+import { isPromptAccepted } from './is-prompt-accepted.js';
 import type { PlacementRequest } from './placement-request.js';
+import { selectUntried } from './select-untried.js';
 
 interface PlacementOptions {
   hash: Hash;
@@ -19,19 +23,6 @@
   reason: 'home' | 'nextHome' | 'leastLoaded' | 'doubted';
 }
 
-/**
- * Bounds on the load of an endpoint: a factor times the mean load, plus an allowance. Below the
- * lower bound the endpoint accepts every prompt, above the upper bound it accepts none. In between,
- * the share of accepted prompts falls with its load: routers receive loads with a delay, and with a
- * single bound all of them would skip the endpoint, and return to it, at the same time. The share
- * counts prompts, not requests, because a prompt whose requests alternated between two endpoints
- * would be processed at both.
- */
-const lowerFactor = 1.6;
-const lowerAllowance = 2.4;
-const upperFactor = 1.85;
-const upperAllowance = 2.8;
-const hashRange = 2 ** 32;
 /** Subtracted from the load per slot of endpoints in the router's data centre, to prefer them. */
 const localDiscount = 0.15;
 
@@ -50,17 +41,13 @@
   options: PlacementOptions,
 ): Placement | undefined {
   const { meanLoad, affinityKey } = request;
-  const untried = selectForPrompt(
-    candidates.filter(({ id }) => !request.tried.has(id)),
-    affinityKey,
-    options,
-  );
+  const untried = selectUntried(candidates, request, options.hash);
   const healthy = untried.filter(({ healthIssue }) => healthIssue === undefined);
   if (affinityKey !== undefined) {
     const home = chooseHome(healthy, affinityKey, meanLoad, options);
     if (home) return home;
   }
-  const bound = computeUpperBound(meanLoad);
+  const bound = computeLoadBounds(meanLoad).upper;
   const listening = untried.filter(({ healthIssue }) => healthIssue !== 'refusing');
   const belowBound = listening.filter(({ load }) => load < bound);
   const healthyBelowBound = belowBound.filter(({ healthIssue }) => healthIssue === undefined);
@@ -83,23 +70,6 @@
   return { id, reason: hasHealthIssue ? 'doubted' : 'leastLoaded' };
 }
 
-/** Leaves out endpoints whose request rate is limited if the prompt is beyond the share they accept. */
-function selectForPrompt(
-  candidates: readonly Candidate[],
-  key: string | undefined,
-  { hash }: PlacementOptions,
-): readonly Candidate[] {
-  if (key === undefined) return candidates;
-  const draw = computeDraw(hash, key);
-  const accepting = candidates.filter(({ promptShare = 1 }) => promptShare > draw);
-  return accepting.length > 0 ? accepting : candidates;
-}
-
-/** A number from 0 to below 1 for a prompt, which is the same at every router. */
-function computeDraw(hash: Hash, key: string): number {
-  return hash(`share ${key}`) / hashRange;
-}
-
 function computeMeanLoad(candidates: readonly Candidate[]): number {
   const total = candidates.reduce((sum, { load }) => sum + load, 0);
   return total / Math.max(1, candidates.length);
@@ -111,23 +81,15 @@
   meanLoad: number,
   { hash }: PlacementOptions,
 ): Placement | undefined {
-  const lower = lowerFactor * meanLoad + lowerAllowance;
-  const upper = computeUpperBound(meanLoad);
+  const bounds = computeLoadBounds(meanLoad);
   const loads = new Map(healthy.map(({ id, load }) => [id, load]));
   const order = sortByRendezvous(hash, key, healthy.map(toId));
-  const draw = computeDraw(hash, key);
-  const id = order.find((candidate) => {
-    const share = (upper - (loads.get(candidate) ?? 0)) / (upper - lower);
-    return share > draw;
-  });
+  const draw = computePromptDraw(hash, key);
+  const id = order.find((candidate) => isPromptAccepted(loads.get(candidate) ?? 0, bounds, draw));
   if (id === undefined) return undefined;
   return { id, reason: id === order[0] ? 'home' : 'nextHome' };
 }
 
-function computeUpperBound(meanLoad: number): number {
-  return upperFactor * meanLoad + upperAllowance;
-}
-
 function toId({ id }: Candidate): EndpointId {
   return id;
 }
--- /dev/null
+++ b/packages/scheduling/src/cost/create-cache-view.ts
@@ -0,0 +1,68 @@
+import type { EndpointId } from '@vanillarelay/core';
+import { createRecentMap } from './create-recent-map.js';
+import type { WorkRequest } from './work-request.js';
+
+type PromptParts = WorkRequest['promptParts'];
+
+/** Bounds the memory of a router that sees many prompts. */
+const maxParts = 8_192;
+const maxPrompts = 2_048;
+/** Time after its last send for which an endpoint is assumed to hold a part. */
+const heldMs = 120_000;
+
+/** What an endpoint has probably to read of a prompt, in tokens. */
+interface UnreadTokens {
+  /** Tokens of the parts that other requests share. */
+  shared: number;
+  /** Tokens of the part that belongs to the request itself. */
+  own: number;
+}
+
+/** Creates the view of the prompt parts that endpoints hold, from this router's own sends. */
+export function createCacheView() {
+  const partsSentAt = createRecentMap<string, number>(maxParts);
+  const placements = createRecentMap<string, { id: EndpointId; at: number }>(maxPrompts);
+  const buildKey = (endpoint: EndpointId, part: string): string => `${endpoint}\n${part}`;
+
+  return {
+    recordSend: (endpoint: EndpointId, parts: PromptParts, now: number): void =>
+      parts.forEach(({ id }) => partsSentAt.set(buildKey(endpoint, id), now)),
+    /** Forgets the parts of a request that did not run at the endpoint. */
+    removeSend: (endpoint: EndpointId, parts: PromptParts, sentAt: number): void =>
+      parts.forEach(({ id }) => {
+        const key = buildKey(endpoint, id);
+        if (partsSentAt.get(key) === sentAt) partsSentAt.remove(key);
+      }),
+    /** Counts the tokens after the parts that were sent to the endpoint since its start at `since`. */
+    countUnread: (
+      endpoint: EndpointId,
+      { promptParts, promptTokens }: Pick<WorkRequest, 'promptParts' | 'promptTokens'>,
+      since: number,
+      now: number,
+    ): UnreadTokens => {
+      const oldest = Math.max(since, now - heldMs);
+      const firstUnread = promptParts.findIndex(({ id }) => {
+        const sentAt = partsSentAt.get(buildKey(endpoint, id));
+        return sentAt === undefined || sentAt < oldest;
+      });
+      const unread = firstUnread < 0 ? [] : promptParts.slice(firstUnread);
+      const namedTokens = countTokens(promptParts);
+      const unnamedTokens = Math.max(0, promptTokens - namedTokens);
+      const hasOwnPart = promptParts.length > 1 && unread.length > 0;
+      const ownPart = hasOwnPart ? (unread.at(-1)?.tokens ?? 0) : 0;
+      return { shared: countTokens(unread) - ownPart, own: ownPart + unnamedTokens };
+    },
+    /** Remembers where this router sent a prompt. */
+    recordPlacement: (key: string, id: EndpointId, now: number): void =>
+      placements.set(key, { id, at: now }),
+    /** Finds where this router sent a prompt after `since`. */
+    findPlacement: (key: string, since: number): EndpointId | undefined => {
+      const placement = placements.get(key);
+      return placement && placement.at >= since ? placement.id : undefined;
+    },
+  };
+}
+
+function countTokens(parts: PromptParts): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,1 +1,17 @@
+export type { BacklogView } from './backlog/backlog-view.js';
+export { createBacklogView } from './backlog/create-backlog-view.js';
+export { createSpeedView } from './backlog/create-speed-view.js';
+export type { SentWork } from './backlog/sent-work.js';
+export type { SpeedView } from './backlog/speed-view.js';
 export type { WorkReports } from './backlog/work-reports.js';
+export type { CacheView } from './cost/cache-view.js';
+export { createCacheView } from './cost/create-cache-view.js';
+export { createHeldShare } from './cost/create-held-share.js';
+export { createWorkEstimator } from './cost/create-work-estimator.js';
+export type { FirstEvent } from './cost/first-event.js';
+export type { WorkEstimate } from './cost/work-estimate.js';
+export type { WorkRequest } from './cost/work-request.js';
+export { chooseByFinish } from './placement/choose-by-finish.js';
+export type { FinishPlacement } from './placement/finish-placement.js';
+export type { FinishRequest } from './placement/finish-request.js';
+export type { Finish } from './placement/finish.js';
