fix(scheduling): keep prompts at their homes unless the gain pays for reading them twice

Now a prompt stays at its home while its request is likely to be in time there, the gain of another endpoint must exceed most of the time to read the prompt again, and the first endpoint of the order that is likely to be in time is preferred, so that routers agree. How many new prompts their homes hold is also estimated from how often prompts return. Own requests count as unread by half until their first event.

--- a/packages/fleet/src/sync/add-observation-age.ts
+++ b/packages/fleet/src/sync/add-observation-age.ts
@@ -2,7 +2,7 @@
 import type { Observations } from '../messages/observations.js';
 
 /** Time in which the work that a report names counts half, because endpoints do it meanwhile. */
-const workHalfLifeMs = 300;
+const workHalfLifeMs = 800;
 
 /**
  * Adds the time since observations were received to the ages in them, and takes it off the waits and
--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -19,6 +19,17 @@
 
 const silenceMs = 60_000;
 
+/** Parses a part like `a` or, with its number of tokens, `a:900`. */
+const parsePart = (text: string) => {
+  const [id = '', tokens = '1'] = text.split(':');
+  return { id, tokens: Number(tokens) };
+};
+
+const parseLoad = (text: string) => {
+  const [running = 0, waiting = 0, slots = 0, workTimePercent] = text.split(',').map(Number);
+  return { running, waiting, slots, ...(workTimePercent === undefined ? {} : { workTimePercent }) };
+};
+
 /** A `RouterWire` with its own header names, so that these tests depend on no deployment. */
 const wire: RouterWire = {
   parseRequest: ({ rawHeaders }) => {
@@ -31,7 +42,7 @@
     const parts = find('x-parts');
     return {
       id: toId<RequestId>(find('x-id') ?? ''),
-      promptParts: parts === undefined ? [] : parts.split(',').map((id) => ({ id, tokens: 1 })),
+      promptParts: parts === undefined ? [] : parts.split(',').map(parsePart),
       promptTokens: 0,
       forwardedHeaders: ['x-id', find('x-id') ?? '', 'x-parts', parts ?? '', 'host', 'test'],
       ...(deadline === undefined ? {} : { deadlineMs: Number(deadline) }),
@@ -51,6 +62,7 @@
     isBodyModified: false,
     isLeaving: headers['x-leaving'] !== undefined,
     ...(headers['x-wait-ms'] === undefined ? {} : { wait: Number(headers['x-wait-ms']) }),
+    ...(typeof headers['x-load'] === 'string' ? { load: parseLoad(headers['x-load']) } : {}),
     ...(typeof headers['x-limit'] === 'string'
       ? { rateLimitPerS: Number(headers['x-limit']) }
       : {}),
--- a/packages/router/src/requests/placing/create-work-placement.ts
+++ b/packages/router/src/requests/placing/create-work-placement.ts
@@ -49,7 +49,7 @@
     const { shared, own } = caches.countUnread(id, request, since, now);
     const bornAt = row?.record.bornAt ?? 0;
     const ageMs = bornAt > 0 ? clock.now() - bornAt : now - since;
-    const homeShare = isHome ? heldShare.estimate(request.service, ageMs) : 0;
+    const homeShare = isHome ? heldShare.estimate(request.service, ageMs, countRouters()) : 0;
     const share = shared === 0 ? 1 : homeShare;
     return { readTokens: shared * (1 - share) + own, heldShare: share };
   };
@@ -110,8 +110,7 @@
     ): WorkChoice | undefined => {
       const { affinityKey } = request;
       const since = clock.monotonic() - keptMs;
-      const keptAt =
-        affinityKey === undefined ? undefined : caches.findPlacement(affinityKey, since);
+      const keptAt = affinityKey === undefined ? undefined : caches.findMoved(affinityKey, since);
       const kept = keptAt === undefined ? {} : { keptAt };
       const placement = choosePlacement(open, { ...request, ...kept }, work);
       if (!placement) return undefined;
@@ -130,19 +129,22 @@
       const sentAt = clock.monotonic();
       const sent = backlogs.recordSend(id, finish.estimate.readMs, sentAt);
       caches.recordSend(id, request.promptParts, sentAt);
-      if (affinityKey !== undefined && expectation.isMoved)
-        caches.recordPlacement(affinityKey, id, sentAt);
+      if (affinityKey !== undefined) {
+        const { isMoved } = expectation;
+        const isReturning = caches.recordPlacement(affinityKey, id, isMoved, sentAt);
+        heldShare.recordSend(request.service, isReturning);
+      }
       let seenMs: number | undefined;
       return {
         recordFirstEvent: () => {
           if (seenMs !== undefined) return;
           const now = clock.monotonic();
           seenMs = now - sentAt;
-          backlogs.recordFirstEvent(sent, now);
+          backlogs.recordFirstEvent(sent);
           recordFirstEvent(id, expectation, seenMs);
         },
         recordEnd: (isNotRun, outputTokens) => {
-          backlogs.recordEnd(sent, clock.monotonic());
+          backlogs.recordEnd(sent);
           if (isNotRun) caches.removeSend(id, request.promptParts, sentAt);
           if (outputTokens !== undefined) estimator.recordEnd(request, outputTokens);
         },
--- a/packages/scheduling/src/backlog/create-backlog-view.ts
+++ b/packages/scheduling/src/backlog/create-backlog-view.ts
@@ -7,86 +7,68 @@
   readFactor: (id: EndpointId, now: number) => number;
 }
 
-interface Backlog {
-  /** Requests whose first event has not arrived, in the order of their sends. */
-  works: SentWork[];
-  /** Reading of these requests that the endpoint has done since, as estimated. */
-  doneMs: number;
-  /** Time to which `doneMs` is computed. */
-  at: number;
-}
-
+/**
+ * Share of its reading that a request counts at least until its first event. Others may have sent
+ * requests before it that this router does not know of, so it is probably later than expected.
+ */
+const minLeftShare = 0.5;
 /** Time in which the trust in a report of the others halves. */
-const reportHalfLifeMs = 300;
+const reportHalfLifeMs = 800;
 /** Age from which the reports of the others count as missing. */
 const maxReportAgeMs = 2_000;
-/** Share of its work that an endpoint is assumed to have done at most before an event shows it. */
-const maxDoneShare = 0.9;
-
 /**
  * Creates the view of what endpoints still have to read. An engine reads prompts in the order in
  * which they arrive, so the first event of a request shows that all earlier ones were read.
  */
 export function createBacklogView({ readFactor }: BacklogViewOptions) {
-  const backlogs = new Map<EndpointId, Backlog>();
+  /** Requests whose first event has not arrived, in the order of their sends. */
+  const works = new Map<EndpointId, SentWork[]>();
   let remote: Partial<WorkReports> = {};
   let reportedAt = -Infinity;
 
-  const updateDone = (id: EndpointId, backlog: Backlog, now: number): number => {
-    const total = backlog.works.reduce((sum, { readMs }) => sum + readMs, 0);
-    const doneMs = backlog.doneMs + (now - backlog.at) / readFactor(id, now);
-    Object.assign(backlog, { doneMs: Math.min(total * maxDoneShare, doneMs), at: now });
-    return total - backlog.doneMs;
-  };
-
   const readOwn = (id: EndpointId, now: number): number => {
-    const backlog = backlogs.get(id);
-    return backlog ? updateDone(id, backlog, now) : 0;
+    const sent = works.get(id);
+    if (!sent) return 0;
+    const factor = readFactor(id, now);
+    return sent.reduce((sum, { readMs, beginsAt }) => {
+      const doneMs = Math.max(0, now - beginsAt) / factor;
+      return sum + Math.max(readMs * minLeftShare, readMs - doneMs);
+    }, 0);
   };
 
-  const removeWorks = (work: SentWork, first: number, count: number, now: number): void => {
-    const backlog = backlogs.get(work.endpoint);
-    if (!backlog) return;
-    updateDone(work.endpoint, backlog, now);
-    const removed = backlog.works.splice(first, count);
-    if (backlog.works.length === 0) backlogs.delete(work.endpoint);
-    const removedMs = removed.reduce((sum, { readMs }) => sum + readMs, 0);
-    backlog.doneMs = first === 0 ? Math.max(0, backlog.doneMs - removedMs) : backlog.doneMs;
+  const estimate = (id: EndpointId, now: number): number => {
+    const ageMs = now - reportedAt;
+    const trust = ageMs < maxReportAgeMs ? 0.5 ** (ageMs / reportHalfLifeMs) : 0;
+    return readOwn(id, now) + (remote[id] ?? 0) * trust;
   };
 
-  const findPosition = (work: SentWork): number =>
-    backlogs.get(work.endpoint)?.works.indexOf(work) ?? -1;
+  const removeWorks = (work: SentWork, isEarlierRead: boolean): void => {
+    const sent = works.get(work.endpoint) ?? [];
+    const position = sent.indexOf(work);
+    if (position < 0) return;
+    if (isEarlierRead) sent.splice(0, position + 1);
+    else sent.splice(position, 1);
+    if (sent.length === 0) works.delete(work.endpoint);
+  };
 
   return {
     recordSend: (endpoint: EndpointId, readMs: number, now: number): SentWork => {
-      const work = { endpoint, readMs };
-      const backlog = backlogs.get(endpoint) ?? { works: [], doneMs: 0, at: now };
-      updateDone(endpoint, backlog, now);
-      backlog.works.push(work);
-      backlogs.set(endpoint, backlog);
+      const beginsAt = now + estimate(endpoint, now) * readFactor(endpoint, now);
+      const work = { endpoint, readMs, beginsAt };
+      works.set(endpoint, [...(works.get(endpoint) ?? []), work]);
       return work;
     },
     /** Records the first event of a request: it and all that were sent before it are read. */
-    recordFirstEvent: (work: SentWork, now: number): void => {
-      const position = findPosition(work);
-      if (position >= 0) removeWorks(work, 0, position + 1, now);
-    },
+    recordFirstEvent: (work: SentWork): void => removeWorks(work, true),
     /** Records that a request ended, also without a first event. */
-    recordEnd: (work: SentWork, now: number): void => {
-      const position = findPosition(work);
-      if (position >= 0) removeWorks(work, position, 1, now);
-    },
+    recordEnd: (work: SentWork): void => removeWorks(work, false),
     /** Reading before a new request at an endpoint, in milliseconds of usual speed. */
-    estimate: (id: EndpointId, now: number): number => {
-      const ageMs = now - reportedAt;
-      const trust = ageMs < maxReportAgeMs ? 0.5 ** (ageMs / reportHalfLifeMs) : 0;
-      return readOwn(id, now) + (remote[id] ?? 0) * trust;
-    },
+    estimate,
     /** Whether the reports of the others are recent enough to decide by them. */
     isCurrent: (now: number): boolean => now - reportedAt < maxReportAgeMs,
     readLocal: (now: number): WorkReports => {
       const reports: WorkReports = {};
-      backlogs.forEach((_, id) => {
+      works.forEach((_, id) => {
         const ms = Math.round(readOwn(id, now));
         if (ms > 0) reports[id] = ms;
       });
--- a/packages/scheduling/src/backlog/sent-work.ts
+++ b/packages/scheduling/src/backlog/sent-work.ts
@@ -5,4 +5,6 @@
   endpoint: EndpointId;
   /** Milliseconds of an endpoint of usual speed. */
   readMs: number;
+  /** Monotonic time at which the endpoint is expected to begin with it. */
+  beginsAt: number;
 }
--- a/packages/scheduling/src/cost/create-cache-view.ts
+++ b/packages/scheduling/src/cost/create-cache-view.ts
@@ -21,7 +21,9 @@
 /** Creates the view of the prompt parts that endpoints hold, from this router's own sends. */
 export function createCacheView() {
   const partsSentAt = createRecentMap<string, number>(maxParts);
-  const placements = createRecentMap<string, { id: EndpointId; at: number }>(maxPrompts);
+  const placements = createRecentMap<string, { id: EndpointId; at: number; isMoved: boolean }>(
+    maxPrompts,
+  );
   const buildKey = (endpoint: EndpointId, part: string): string => `${endpoint}\n${part}`;
 
   return {
@@ -52,13 +54,18 @@
       const ownPart = hasOwnPart ? (unread.at(-1)?.tokens ?? 0) : 0;
       return { shared: countTokens(unread) - ownPart, own: ownPart + unnamedTokens };
     },
-    /** Remembers where this router sent a prompt. */
-    recordPlacement: (key: string, id: EndpointId, now: number): void =>
-      placements.set(key, { id, at: now }),
-    /** Finds where this router sent a prompt after `since`. */
-    findPlacement: (key: string, since: number): EndpointId | undefined => {
+    /** Remembers where this router sent a prompt; returns whether it had sent it before. */
+    recordPlacement: (key: string, id: EndpointId, isMoved: boolean, now: number): boolean => {
+      const known = placements.get(key);
+      const isKept = known !== undefined && known.isMoved && known.id === id;
+      placements.set(key, isKept ? known : { id, at: now, isMoved });
+      return known !== undefined;
+    },
+    /** Finds where this router sent a prompt after `since`, if that was instead of its home. */
+    findMoved: (key: string, since: number): EndpointId | undefined => {
       const placement = placements.get(key);
-      return placement && placement.at >= since ? placement.id : undefined;
+      const isRecent = placement !== undefined && placement.isMoved && placement.at >= since;
+      return isRecent ? placement.id : undefined;
     },
   };
 }
--- a/packages/scheduling/src/placement/choose-for-prompt.ts
+++ b/packages/scheduling/src/placement/choose-for-prompt.ts
@@ -20,15 +20,17 @@
 
 /** Number of endpoints in the order of a prompt that are compared. */
 const comparedCount = 4;
-/** Probability from which a prompt counts as held, so that it is not read elsewhere without need. */
+/** Probability from which a prompt counts as held, for the reason that is logged. */
 const minHeldShare = 0.5;
-/** What reading a prompt once more costs the fleet, as a share of the time that it takes. */
-const rereadShare = 0.5;
+/**
+ * What reading a prompt away from its home costs the fleet, as a share of the time that it takes:
+ * other routers, which do not know of it, send the prompt to its home, where it is read as well.
+ */
+const rereadShare = 0.6;
 /** What reading costs the streams of an endpoint whose load is twice the mean, as a share. */
 const disturbanceShare = 0.3;
 /** Shares of the expected time and times by which another endpoint must be better. */
 const moveGain = { share: 0.3, ms: 30 };
-const firstReadGain = { share: 0.1, ms: 5 };
 /** An endpoint in another data centre than a failed one is preferred up to this difference. */
 const independenceGain = { share: 0.25, ms: 20 };
 
@@ -56,13 +58,13 @@
   const usualFinish = options.estimateFinish(usual.id, isHome);
   const isHeld = usualFinish.estimate.heldShare >= minHeldShare;
   const isRetry = request.triedDataCentres.size > 0;
-  if (isHeld && !isRetry && isLikelyInTime(usualFinish, request))
+  if (!isRetry && isLikelyInTime(usualFinish, request))
     return { id: usual.id, reason: usualReason, isHome };
   const compared = [
     usual,
     ...first.filter(({ id }) => id !== usual.id).slice(0, comparedCount - 1),
   ].map((candidate) => buildOption(candidate, usual, usualFinish, home, request, options));
-  const best = chooseBest(compared, isHeld ? moveGain : firstReadGain);
+  const best = chooseBest(compared, request);
   const { candidate } = isRetry ? chooseIndependent(best, compared, request) : best;
   if (candidate.id === usual.id) return { id: usual.id, reason: usualReason, isHome };
   const reason = isHeld ? 'sooner' : 'firstRead';
@@ -92,8 +94,7 @@
   const isUsual = candidate.id === usual.id;
   const finish = isUsual ? usualFinish : estimateFinish(candidate.id, candidate.id === home);
   const { readMs } = finish.estimate;
-  const rereadMs =
-    Math.max(0, readMs - usualFinish.estimate.readMs) * usualFinish.estimate.heldShare;
+  const rereadMs = isUsual ? 0 : readMs;
   const excessLoad = Math.min(1, Math.max(0, candidate.load - meanLoad) / (meanLoad + 1));
   const costMs =
     finish.ms +
@@ -102,10 +103,17 @@
   return { candidate, finish, costMs };
 }
 
-/** The option of least cost, or the first one unless the gain is clear. */
-function chooseBest(options: readonly Option[], gain: { share: number; ms: number }): Option {
+/**
+ * The first option, unless the gain of another is clear: then the first in the order that probably
+ * meets the objective, so that routers with slightly different views agree, or that of least cost.
+ */
+function chooseBest(options: readonly Option[], request: FinishRequest): Option {
   const [usual, ...others] = options as [Option, ...Option[]];
-  const limitMs = usual.costMs * (1 - gain.share) - gain.ms;
+  const limitMs = usual.costMs * (1 - moveGain.share) - moveGain.ms;
+  const soon = others.find(
+    ({ costMs, finish }) => costMs < limitMs && isLikelyInTime(finish, request),
+  );
+  if (soon) return soon;
   return others.reduce(
     (best, option) => (option.costMs < Math.min(limitMs, best.costMs) ? option : best),
     usual,
