perf(scheduling): keep the first endpoints of a prompt's order and compare a sample without a prompt

The choice hashed and ranked every endpoint for each request. The order of a prompt is now kept until an endpoint joins or a weight changes, and a request without a prompt compares 48 endpoints at equal distances.

--- a/packages/router/src/requests/placing/create-work-placement.ts
+++ b/packages/router/src/requests/placing/create-work-placement.ts
@@ -5,11 +5,14 @@
   createBacklogView,
   createCacheView,
   createHeldShare,
+  createHomeOrder,
   createSpeedView,
   createWorkEstimator,
   type Finish,
   type FinishPlacement,
   type FinishRequest,
+  type HomeOrder,
+  type WorkEstimate,
   type WorkReports,
   type WorkRequest,
 } from '@vanillarelay/scheduling';
@@ -42,6 +45,16 @@
   const heldShare = createHeldShare();
   const backlogs = createBacklogView({ readFactor: speeds.readFactor });
 
+  const orders = new Map<ServiceId, HomeOrder>();
+
+  const findOrder = (service: ServiceId): HomeOrder => {
+    const known = orders.get(service);
+    if (known) return known;
+    const created = createHomeOrder({ hash, readWeight: speeds.readWeight });
+    orders.set(service, created);
+    return created;
+  };
+
   const readUnread = (request: WorkRequest, id: EndpointId, isHome: boolean) => {
     const now = clock.monotonic();
     const row = endpoints.find(id);
@@ -55,15 +68,28 @@
   };
   const estimator = createWorkEstimator({ readUnread });
 
-  const estimateFinish = (request: WorkRequest, id: EndpointId, isHome: boolean): Finish => {
+  const buildFinish = (estimate: WorkEstimate, id: EndpointId): Finish => {
     const now = clock.monotonic();
-    const estimate = estimator.estimate(request, id, isHome);
     const waitMs = backlogs.estimate(id, now);
     const factor = speeds.readFactor(id, now);
     const ms = (estimate.baseMs + waitMs + estimate.readMs) * factor;
     return { estimate, waitMs, factor, ms };
   };
 
+  const estimateFinish = (request: WorkRequest, id: EndpointId, isHome: boolean): Finish =>
+    buildFinish(estimator.estimate(request, id, isHome), id);
+
+  /** Without prompt parts the estimate is the same at all endpoints. */
+  const createFinishEstimate = (work: WorkRequest) => {
+    if (work.promptParts.length > 0)
+      return (id: EndpointId, isHome: boolean) => estimateFinish(work, id, isHome);
+    let estimate: WorkEstimate | undefined;
+    return (id: EndpointId) => {
+      estimate ??= estimator.estimate(work, id, false);
+      return buildFinish(estimate, id);
+    };
+  };
+
   const choosePlacement = (
     open: readonly Candidate[],
     request: FinishRequest,
@@ -75,8 +101,8 @@
       return placement && { ...placement, isHome: placement.reason === 'home' };
     }
     return chooseByFinish(open, request, {
-      ...{ hash, random, dataCentre, readWeight: speeds.readWeight },
-      estimateFinish: (id, isHome) => estimateFinish(work, id, isHome),
+      ...{ hash, random, dataCentre, order: findOrder(work.service) },
+      estimateFinish: createFinishEstimate(work),
     });
   };
 
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -12,6 +12,8 @@
 export type { WorkEstimate } from './cost/work-estimate.js';
 export type { WorkRequest } from './cost/work-request.js';
 export { chooseByFinish } from './placement/choose-by-finish.js';
+export { createHomeOrder } from './placement/create-home-order.js';
 export type { FinishPlacement } from './placement/finish-placement.js';
 export type { FinishRequest } from './placement/finish-request.js';
 export type { Finish } from './placement/finish.js';
+export type { HomeOrder } from './placement/home-order.js';
--- a/packages/scheduling/src/placement/choose-for-prompt.ts
+++ b/packages/scheduling/src/placement/choose-for-prompt.ts
@@ -9,7 +9,6 @@
 import type { FinishOptions } from './finish-options.js';
 import type { FinishPlacement } from './finish-placement.js';
 import type { FinishRequest } from './finish-request.js';
-import { selectFirst } from './select-first.js';
 
 interface Option {
   candidate: Candidate;
@@ -44,12 +43,13 @@
   request: FinishRequest,
   options: FinishOptions,
 ): FinishPlacement | undefined {
-  const { hash, readWeight } = options;
+  const { hash, order } = options;
   const bounds = computeLoadBounds(request.meanLoad);
   const draw = computePromptDraw(hash, key);
   const isAccepting = ({ load }: Candidate) => isPromptAccepted(load, bounds, draw);
-  const selection = { hash, readWeight, isAccepting, count: comparedCount };
-  const { home, first } = selectFirst(healthy, key, selection);
+  const ordered = listOrdered(healthy, order.listFirst(key, healthy.map(toId)));
+  const home = ordered[0]?.id;
+  const first = ordered.filter(isAccepting).slice(0, comparedCount);
   const kept = healthy.find((candidate) => candidate.id === request.keptAt);
   const usual = kept && isAccepting(kept) ? kept : first[0];
   if (!usual) return undefined;
@@ -71,6 +71,21 @@
   return { id: candidate.id, reason, isHome: candidate.id === home };
 }
 
+/** The endpoints of an order that are healthy. */
+function listOrdered(healthy: readonly Candidate[], order: readonly EndpointId[]): Candidate[] {
+  const places = new Map(order.map((id, index) => [id, index]));
+  const ordered: Candidate[] = [];
+  healthy.forEach((candidate) => {
+    const place = places.get(candidate.id);
+    if (place !== undefined) ordered[place] = candidate;
+  });
+  return ordered.filter((candidate) => candidate !== undefined);
+}
+
+function toId({ id }: Candidate): EndpointId {
+  return id;
+}
+
 function findUsualReason(isKept: boolean, isHome: boolean): FinishPlacement['reason'] {
   if (isHome) return 'home';
   return isKept ? 'kept' : 'nextHome';
--- a/packages/scheduling/src/placement/choose-least-finish.ts
+++ b/packages/scheduling/src/placement/choose-least-finish.ts
@@ -11,6 +11,8 @@
 /** Endpoints whose cost differs by less count as equal: a share of the least cost and a time. */
 const equalShare = 0.1;
 const equalMs = 1;
+/** Number of endpoints that are compared; of more, a random sample is nearly as good. */
+const comparedCount = 48;
 /** Taken off the load per slot of endpoints in the router's data centre, to prefer them. */
 const localDiscount = 0.15;
 
@@ -27,7 +29,7 @@
   if (candidates.length === 0) return undefined;
   const computeShare = ({ load, slots, dataCentre: own }: Candidate): number =>
     load / Math.max(1, slots) - (own === dataCentre ? localDiscount : 0);
-  const options = candidates.map((candidate): Option => {
+  const options = selectSample(candidates, random).map((candidate): Option => {
     const { ms } = estimateFinish(candidate.id, false);
     return { candidate, costMs: ms * (1 + computeShare(candidate)) };
   });
@@ -44,3 +46,13 @@
   const { id } = computeShare(other) < computeShare(one) ? other : one;
   return { id, reason: 'leastFinish', isHome: false };
 }
+
+/** Selects endpoints at equal distances from a random start, so that all data centres are in it. */
+function selectSample(candidates: readonly Candidate[], random: () => number): Candidate[] {
+  const count = Math.min(comparedCount, candidates.length);
+  const start = Math.floor(random() * candidates.length);
+  return Array.from({ length: count }, (_, index) => {
+    const offset = Math.floor((index * candidates.length) / count);
+    return candidates[(start + offset) % candidates.length];
+  }).filter((candidate) => candidate !== undefined);
+}
--- a/packages/scheduling/src/placement/finish-options.ts
+++ b/packages/scheduling/src/placement/finish-options.ts
@@ -1,4 +1,5 @@
 import type { DataCentreId, EndpointId, Hash } from '@vanillarelay/core';
+import type { HomeOrder } from './home-order.js';
 import type { Finish } from './finish.js';
 
 /** What a choice by the expected finish depends on. */
@@ -8,6 +9,6 @@
   dataCentre: DataCentreId;
   /** Estimates the finish at an endpoint, which may be the home of the prompt. */
   estimateFinish: (id: EndpointId, isHome: boolean) => Finish;
-  /** Weight of an endpoint in the rendezvous order. */
-  readWeight: (id: EndpointId) => number;
+  /** Order of the endpoints of the request's service for a prompt. */
+  order: HomeOrder;
 }
