--- a/packages/scheduling/src/placement/choose-least-finish.ts
+++ b/packages/scheduling/src/placement/choose-least-finish.ts
@@ -8,9 +8,8 @@
   costMs: number;
 }
 
-/** Endpoints whose cost differs by less count as equal: a share of the least cost and a time. */
-const equalShare = 0.1;
-const equalMs = 1;
+/** Endpoints whose cost is higher than the least by less than this share count as equal. */
+const equalShare = 0.05;
 /** Number of endpoints that are compared; of more, a random sample is nearly as good. */
 const comparedCount = 48;
 /** Taken off the load per slot of endpoints in the router's data centre, to prefer them. */
@@ -34,7 +33,7 @@
     return { candidate, costMs: ms * (1 + computeShare(candidate)) };
   });
   const leastMs = options.reduce((least, { costMs }) => Math.min(least, costMs), Infinity);
-  const limitMs = leastMs * (1 + equalShare) + equalMs;
+  const limitMs = leastMs * (1 + equalShare);
   const equal = options.flatMap(({ candidate, costMs }) => (costMs <= limitMs ? [candidate] : []));
   const independent = equal.filter((candidate) => !triedDataCentres.has(candidate.dataCentre));
   const drawn = independent.length > 0 ? independent : equal;
