--- a/packages/fleet/__tests__/observations.test.ts
+++ b/packages/fleet/__tests__/observations.test.ts
@@ -20,6 +20,7 @@
       },
     },
   },
+  work: { e1: 12 },
 };
 
 const isAccepted = (received: unknown): boolean => {
@@ -43,6 +44,8 @@
     ['versions', { 7: { chat: { old: [1, 2, 3], new: [1, 2, 3, 4], matched: [0, 0, 0] } } }],
     ['versions', { 7: { chat: { ...sound.versions[7].chat, endpoints: { e1: [1, -1, 0, 0] } } } }],
     ['versions', { 7: null }],
+    ['work', { e1: '12' }],
+    ['work', { e1: -1 }],
     ['loads', []],
     ['lateRouters', '1'],
     ['lateRouters', -1],
--- a/packages/fleet/src/messages/check-observations.ts
+++ b/packages/fleet/src/messages/check-observations.ts
@@ -57,6 +57,7 @@
         hasOnly((counts) => isCounts(counts, sideLength))(value.endpoints),
     ),
   ),
+  work: hasOnly(isCount),
 };
 
 function isCounts(value: unknown, length: number): boolean {
--- a/packages/fleet/src/messages/observations.ts
+++ b/packages/fleet/src/messages/observations.ts
@@ -6,10 +6,11 @@
   RateReports,
   VersionReports,
 } from '@vanillarelay/routing';
+import type { WorkReports } from '@vanillarelay/scheduling';
 
 /**
- * Loads, outcomes, crashes, request rates and what endpoints said, as one or more daemons observed
- * them on the requests they routed.
+ * Loads, outcomes, crashes, request rates, unread prompts and what endpoints said, as one or more
+ * daemons observed them on the requests they routed.
  */
 export interface Observations {
   /** Requests in flight at each endpoint. */
@@ -18,6 +19,8 @@
   crashes: CrashReports;
   rates: RateReports;
   notices: EndpointNotices;
+  /** Reading that was sent to each endpoint and has not begun there. */
+  work: WorkReports;
   /** Number of these daemons that are late; absent for none, and in messages of earlier versions. */
   lateRouters?: number;
   /** Answers by version in roll-outs that are in progress; absent without one. */
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -25,6 +25,7 @@
 import { createLoopMonitor } from './loop/create-loop-monitor.js';
 import type { MemoryBudget } from './memory/memory-budget.js';
 import { buildRolloutGauges } from './metrics/build-rollout-gauges.js';
+import { createWorkPlacement } from './requests/placing/create-work-placement.js';
 import type { RequestResult } from './requests/request-result.js';
 import type { RoutedRequest } from './requests/routed-request.js';
 import { runRequest } from './requests/run-request.js';
@@ -87,6 +88,10 @@
     },
     pool: createConnectionPool(),
     sendQueue: createSendQueue(loop),
+    workPlacement: createWorkPlacement({
+      ...{ clock, random, hash, dataCentre, endpoints },
+      countRouters: () => listRouters().length,
+    }),
     health: createHealthTracker(clock),
     crashes: createCrashRecord({
       ...{ clock, hash, self, listRouters },
@@ -128,6 +133,7 @@
       rates: context.rateLimiter.readLocal(),
       notices: context.notices.readLocal(),
       ...(rollouts?.isInProgress() ? { versions: rollouts.readLocal() } : {}),
+      work: context.workPlacement.readLocal(),
     }),
     updateObservations: ({
       loads: counts,
@@ -135,6 +141,7 @@
       crashes,
       rates,
       notices,
+      work,
       versions = {},
     }: Observations): void => {
       loads.updateRemote(counts);
@@ -142,6 +149,7 @@
       context.crashes.updateRemote(crashes);
       context.rateLimiter.updateRemote(rates);
       context.notices.updateRemote(notices);
+      context.workPlacement.updateRemote(work);
       rollouts?.updateRemote(versions);
     },
     readTable: () => table,
--- a/packages/router/src/requests/attempt/run-attempt.ts
+++ b/packages/router/src/requests/attempt/run-attempt.ts
@@ -5,6 +5,7 @@
 import { callEndpoint } from '../../dispatch/call-endpoint.js';
 import { releaseAnswer } from '../../dispatch/release-answer.js';
 import type { AnswerFacts } from '../../wire/answer-facts.js';
+import type { EndpointLoad } from '../../wire/endpoint-load.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { Caller } from '../caller.js';
 import { isOwnAnswer } from './is-own-answer.js';
@@ -41,6 +42,8 @@
   notifyStart: () => void;
   /** Called when the answer has begun: with its first event, or its head if it is no stream. */
   notifyAnswer: () => void;
+  /** Called with what the endpoint says of its load. */
+  recordLoad: (load: EndpointLoad) => void;
 }
 
 /**
@@ -115,6 +118,7 @@
     }
     recordLimit(context, record.id, answerFacts);
     recordNotice(context, record, answerFacts);
+    if (answerFacts.load) attempt.recordLoad(answerFacts.load);
     if (answerFacts.isNotRun) {
       releaseAnswer(answer, clock);
       return { type: 'notRun', reason: `endpoint answered ${status}`, cause: 'rejected' };
@@ -133,7 +137,8 @@
     if (route.isStream && isStream) {
       const pauseMs = Math.max(minStreamSilentMs, route.maxPauseMs * pauseFactor);
       return await relayEvents({
-        ...{ answer, caller, progress, pauseMs, notifyStart, startSilenceTimer: startTimer },
+        ...{ answer, caller, progress, pauseMs, startSilenceTimer: startTimer },
+        notifyStart,
         ...{ firstEventMs: silentMs, parseEvent: wire.parseEvent },
         reportFault: (found) => logSpoiltStream(context, request, record, progress, found),
       });
--- a/packages/router/src/requests/attempt/send-request.ts
+++ b/packages/router/src/requests/attempt/send-request.ts
@@ -1,7 +1,9 @@
 import type { EndpointId } from '@vanillarelay/core';
 import { recordCrash } from '../crashes/record-crash.js';
 import { findCacheSource } from '../placing/find-cache-source.js';
+import type { Choice } from '../placing/choice.js';
 import { hasAlternative } from '../placing/has-alternative.js';
+import type { RunningWork } from '../placing/running-work.js';
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
@@ -12,16 +14,23 @@
 import { recordVersionOutcome } from './record-version-outcome.js';
 import { runAttempt } from './run-attempt.js';
 
+interface SendResult {
+  outcome: AttemptOutcome;
+  /** Expected and seen time to the first event, where known. */
+  times?: ReturnType<RunningWork['readTimes']>;
+}
+
 /** Sends a request to an endpoint and records what the outcome says about that endpoint. */
 export async function sendRequest(
   context: RouterContext,
   request: RoutedRequest,
   state: RunState,
-  id: EndpointId,
-): Promise<AttemptOutcome> {
+  { id, expectation }: Extract<Choice, { id: EndpointId }>,
+): Promise<SendResult> {
   const { clock, endpoints, health, coldRateLimiter, rateLimiter, notices } = context;
   const endpoint = endpoints.find(id);
-  if (!endpoint) return { type: 'notRun', reason: 'endpoint has left', cause: 'departed' };
+  if (!endpoint)
+    return { outcome: { type: 'notRun', reason: 'endpoint has left', cause: 'departed' } };
   const { tried, deadlineAt, signal, progress, possibleRuns } = state;
   if (endpoint.coldUntil > clock.monotonic()) coldRateLimiter.record(id);
   rateLimiter.record(id);
@@ -29,6 +38,7 @@
   context.rollouts?.recordSend(state.service, endpoint.record.version);
   tried.add(id);
   const isLast = !isRepeatable(request) || possibleRuns + 1 >= request.route.maxEndpoints;
+  const work = expectation && context.workPlacement.startWork(id, expectation, state.affinityKey);
   const sentRun = { sentAt: clock.monotonic(), eventsBefore: progress.events };
   let answeredAt: number | undefined;
   const outcome = await runAttempt(context, {
@@ -40,14 +50,19 @@
     notifyStart: () => context.crashes.recordStart(state.partSuspects),
     notifyAnswer: () => {
       answeredAt = clock.monotonic();
+      work?.recordFirstEvent();
     },
+    recordLoad: (load) => context.workPlacement.recordLoad(state.service, id, load),
   });
   recordCrash(context, request, state, endpoint.record, outcome, sentRun);
   if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   recordOutcome(context, state, id, outcome);
   const answerMs = answeredAt === undefined ? undefined : answeredAt - sentRun.sentAt;
   recordVersionOutcome(context, request, state, endpoint.record, outcome, answerMs);
-  return outcome;
+  if (!work) return { outcome };
+  const events = progress.events - sentRun.eventsBefore;
+  work.recordEnd(outcome.type === 'notRun', outcome.type === 'answered' ? events : undefined);
+  return { outcome, times: work.readTimes() };
 }
 
 function recordOutcome(
