feat(router): requests without a place wait in order of urgency, share and time left

Cause: a request that found no place looked again every 15 ms, and whichever looked first was served, whatever its urgency, account or deadline. Callers refused together came back together.

Change: packages/scheduling gains the queue of a service (urgency with ageing, deficit round robin by account and work, latest start, admission, bounded length), the time after which a refused caller returns, and the memory of refused callers. With features.scheduling a router keeps one queue for each service and offers places in its order when a request ends here or news of the endpoints arrives. Without it requests wait as before.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -94,6 +94,15 @@
     ...{ name: 'once', pathPrefix: '/once/', repeat: 'nonIdempotent' as const, maxEndpoints: 1 },
     ...{ isStream: true, timeoutMs: 8_000 },
   },
+  {
+    ...plainRoute,
+    ...{ name: 'slow', pathPrefix: '/slow/', priority: 2 },
+    ...{ timeoutMs: 8_000, objectiveMs: 2_000 },
+  },
+  {
+    ...plainRoute,
+    ...{ name: 'urgent', pathPrefix: '/urgent/', timeoutMs: 8_000, objectiveMs: 2_000 },
+  },
   {
     ...plainRoute,
     ...{ name: 'patient', pathPrefix: '/patient/', repeat: 'nonIdempotent' as const },
--- /dev/null
+++ b/packages/router/__tests__/waiting-requests.test.ts
@@ -0,0 +1,156 @@
+import type { RequestListener, ServerResponse } from 'node:http';
+import { ResultCode } from '@vanillarelay/core';
+import { afterEach, describe, expect, it } from 'vitest';
+import { createRouterFixture } from './create-router-fixture.js';
+
+let fixture: Awaited<ReturnType<typeof createRouterFixture>>;
+afterEach(() => fixture.close());
+
+/** Requests that the endpoint of a test holds at most: 4 slots, 3 for each. */
+const places = 12;
+
+/** Adds an endpoint that holds its requests until the test answers them. */
+async function addHoldingEndpoint() {
+  const held: { path: string; response: ServerResponse }[] = [];
+  const arrivals: string[] = [];
+  const hold: RequestListener = (message, response) => {
+    const path = message.url ?? '';
+    message.resume();
+    arrivals.push(path);
+    held.push({ path, response });
+  };
+  await fixture.addEndpoint('e1', hold);
+  const answerNext = (): void => {
+    const next = held.shift();
+    next?.response.writeHead(200, { 'x-signed': '1', 'x-id': 'r1' });
+    next?.response.end('ok');
+  };
+  return { arrivals, held, answerNext };
+}
+
+const send = async (path: string, signal?: AbortSignal) => {
+  const answer = await fetch(`${fixture.url}${path}`, {
+    method: 'POST',
+    headers: { 'x-id': 'r1' },
+    body: path,
+    ...(signal ? { signal } : {}),
+  });
+  await answer.text();
+  const { status, headers } = answer;
+  return { status, retryAfterMs: Number(headers.get('retry-after') ?? 0) * 1_000 };
+};
+
+const waitUntil = async (condition: () => boolean): Promise<void> => {
+  while (!condition()) await fixture.clock.wait(2);
+};
+
+const readWaiting = (): number =>
+  Object.entries(fixture.router.readWaitGauges())
+    .filter(([name]) => name.startsWith('relay_waiting{'))
+    .reduce((sum, [, count]) => sum + count, 0);
+
+/** Fills the endpoint; returns what it holds. */
+async function startFull() {
+  fixture = await createRouterFixture({ features: { scheduling: true } });
+  const endpoint = await addHoldingEndpoint();
+  const answers = Array.from({ length: places }, (_, index) => send(`/slow/${index}`));
+  await waitUntil(() => endpoint.arrivals.length === places);
+  return { ...endpoint, answers };
+}
+
+describe('requests that find no place', () => {
+  // Guards against places that go to whichever request looks first: with a poll, the last one here.
+  it('are served by urgency when places become free', async () => {
+    const { arrivals, held, answerNext, answers } = await startFull();
+    answers.push(send('/slow/background/a'));
+    await waitUntil(() => readWaiting() === 1);
+    answers.push(send('/slow/plain/b'));
+    await waitUntil(() => readWaiting() === 2);
+    answers.push(send('/urgent/c'));
+    await waitUntil(() => readWaiting() === 3);
+    for (let count = 1; count <= 3; count += 1) {
+      answerNext();
+      await waitUntil(() => arrivals.length === places + count);
+    }
+    const order = arrivals.slice(places);
+    while (held.length > 0) answerNext();
+    const statuses = (await Promise.all(answers)).map(({ status }) => status);
+    expect([order, new Set(statuses)]).toEqual([
+      ['/urgent/c', '/slow/background/a', '/slow/plain/b'],
+      new Set([200]),
+    ]);
+  });
+
+  // Guards against more requests at an endpoint than it may hold when several are woken together.
+  it('never exceed the bound of an endpoint', async () => {
+    const { arrivals, held, answerNext, answers } = await startFull();
+    answers.push(...Array.from({ length: 6 }, (_, index) => send(`/slow/w${index}`)));
+    await waitUntil(() => readWaiting() === 6);
+    fixture.router.updateObservations(fixture.router.readObservations());
+    fixture.router.updateObservations({
+      ...fixture.router.readObservations(),
+      loads: {},
+    });
+    answerNext();
+    answerNext();
+    await waitUntil(() => arrivals.length === places + 2);
+    await fixture.clock.wait(60);
+    expect([held.length, arrivals.length]).toEqual([places, places + 2]);
+    while (readWaiting() > 0 || held.length > 0) {
+      answerNext();
+      await fixture.clock.wait(2);
+    }
+    await Promise.all(answers);
+  });
+
+  // Guards against a refusal that is not true, and against callers that return at one instant.
+  it('are refused as not run at the end of their wait, with a time to return', async () => {
+    const { arrivals, held, answerNext, answers } = await startFull();
+    const refused = await send('/slow/x');
+    const { refusal, waits } = fixture.results.at(-1) ?? {};
+    while (held.length > 0) answerNext();
+    await Promise.all(answers);
+    expect([refused.status, refusal?.code, refusal?.notRun, arrivals.length, waits]).toEqual([
+      ...[503, ResultCode.endpointBusy, true, places, [{ urgency: 2, ahead: 0 }]],
+    ]);
+    expect(refused.retryAfterMs).toBeGreaterThan(50);
+    expect(refused.retryAfterMs).toBeLessThanOrEqual(1_000);
+  });
+
+  // Guards against a place that is given to a caller who has left.
+  it('leave the queue when their caller leaves', async () => {
+    const { arrivals, held, answerNext, answers } = await startFull();
+    const leaving = new AbortController();
+    const left = send('/slow/left', leaving.signal).catch(() => undefined);
+    await waitUntil(() => readWaiting() === 1);
+    leaving.abort();
+    await left;
+    await waitUntil(() => readWaiting() === 0);
+    answerNext();
+    await fixture.clock.wait(60);
+    while (held.length > 0) answerNext();
+    await Promise.all(answers);
+    expect([arrivals.length, fixture.results.map(({ outcome }) => outcome)]).toEqual([
+      places,
+      expect.arrayContaining(['callerLeft']),
+    ]);
+  });
+});
+
+describe('a router that stops', () => {
+  // Guards against requests that are held beyond the end of their process.
+  it('refuses the requests that wait', async () => {
+    const stop = new AbortController();
+    fixture = await createRouterFixture({
+      features: { scheduling: true },
+      stopSignal: stop.signal,
+    });
+    const { arrivals } = await addHoldingEndpoint();
+    const answers = Array.from({ length: places + 1 }, (_, index) => send(`/slow/${index}`));
+    await waitUntil(() => arrivals.length === places && readWaiting() === 1);
+    stop.abort();
+    await Promise.all(answers);
+    const refused = fixture.results.filter(({ outcome }) => outcome === 'refused');
+    expect(refused.map(({ refusal }) => refusal?.code)).toEqual([ResultCode.notReady]);
+  });
+});
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -22,6 +22,7 @@
 import type { RequestResult } from './requests/request-result.js';
 import type { RoutedRequest } from './requests/routed-request.js';
 import { runRequest } from './requests/run-request.js';
+import { createServiceQueues } from './requests/waiting/create-service-queues.js';
 import type { RouterWire } from './wire/router-wire.js';
 
 interface RouterOptions {
@@ -57,6 +58,7 @@
   const running = new Set<() => void>();
   stopSignal.addEventListener('abort', () => running.forEach((abort) => abort()), { once: true });
   const loop = createLoopMonitor({ clock, scheduleTurn: setImmediate });
+  const sendQueue = createSendQueue(loop);
   const context = {
     ...{
       clock,
@@ -73,7 +75,8 @@
       features,
     },
     pool: createConnectionPool(),
-    sendQueue: createSendQueue(loop),
+    sendQueue,
+    queues: createServiceQueues({ clock, waitForTurn: sendQueue.waitForTurn }),
     health: createHealthTracker(clock),
     crashes: createCrashRecord({
       ...{ clock, hash, self, listRouters },
@@ -125,6 +128,7 @@
       context.crashes.updateRemote(crashes);
       context.rateLimiter.updateRemote(rates);
       context.notices.updateRemote(notices);
+      context.queues.wakeAll();
     },
     readTable: () => table,
     estimateArrival: loop.estimateArrival,
@@ -132,6 +136,8 @@
     countBlockedSuspects: () => context.crashes.countBlocked(),
     /** Number of endpoints that name a limit of requests per second. */
     countLimitedEndpoints: () => context.rateLimiter.countLimited(),
+    /** Gauges of the requests that wait for a place. */
+    readWaitGauges: (): Record<string, number> => context.queues.readGauges(),
     /** Gauges of the remaining retry budget of each service. */
     readRetryGauges: (): Record<string, number> =>
       Object.fromEntries(
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -135,6 +135,7 @@
           ? {}
           : { leftAfterMs: Math.round(request.leftAt - request.startedAt) }),
         ...(result.waitedMs === undefined ? {} : { waitedMs: result.waitedMs }),
+        ...(result.waits === undefined ? {} : { waits: result.waits }),
       });
     },
   });
@@ -177,6 +178,7 @@
     ...buildControlGauges(node.readControlSummary()),
     ...countEndpoints(endpoints),
     ...router.readRetryGauges(),
+    ...router.readWaitGauges(),
     relay_limited_endpoints: router.countLimitedEndpoints(),
     relay_blocked_suspects: router.countBlockedSuspects(),
     relay_log_lines_lost: log.countLost(),
--- a/packages/router/src/requests/attempt/send-request.ts
+++ b/packages/router/src/requests/attempt/send-request.ts
@@ -5,6 +5,7 @@
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
+import { isScheduled } from '../waiting/is-scheduled.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { isLost } from './is-lost.js';
 import { isRepeatable } from './is-repeatable.js';
@@ -36,6 +37,7 @@
     recordSilence: () => health.recordUnreachable(id),
     notifyStart: () => context.crashes.recordStart(state.partSuspects),
   });
+  if (isScheduled(context)) context.queues.find(state.service).recordEnd();
   recordCrash(context, request, state, endpoint.record, outcome, sentRun);
   if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   recordOutcome(context, state, id, outcome);
--- a/packages/router/src/requests/request-result.ts
+++ b/packages/router/src/requests/request-result.ts
@@ -13,6 +13,14 @@
   ms: number;
 }
 
+interface Wait {
+  urgency: number;
+  /** Waiting requests that were served before it. */
+  ahead: number;
+  /** Expected time until its turn, in milliseconds; absent when it was not known. */
+  expectedMs?: number;
+}
+
 /** How a request ended, for the log and the metrics. */
 export interface RequestResult {
   outcome: 'answered' | 'refused' | 'failed' | 'callerLeft' | 'brokenOff';
@@ -21,4 +29,6 @@
   sends: Send[];
   /** Time spent waiting for capacity at an endpoint; absent when there was no wait. */
   waitedMs?: number;
+  /** Waits in the queue of the service, each with what was known at its start. */
+  waits?: Wait[];
 }
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -15,6 +15,7 @@
 import type { LogEvent } from '../log/log-event.js';
 import type { MemoryBudget } from '../memory/memory-budget.js';
 import type { RouterWire } from '../wire/router-wire.js';
+import type { ServiceQueues } from './waiting/service-queues.js';
 
 /** Dependencies and state that all requests of one router share. */
 export interface RouterContext {
@@ -26,6 +27,8 @@
   wire: RouterWire;
   pool: Agent;
   sendQueue: SendQueue;
+  /** Requests that wait for a place; used only with `features.scheduling`. */
+  queues: ServiceQueues;
   endpoints: EndpointTable;
   health: HealthTracker;
   loads: LoadView;
--- /dev/null
+++ b/packages/router/src/requests/waiting/create-service-queues.ts
@@ -0,0 +1,40 @@
+import type { Clock, ServiceId } from '@vanillarelay/core';
+import { createServiceQueue } from './create-service-queue.js';
+import type { ServiceQueue } from './service-queue.js';
+
+interface ServiceQueuesOptions {
+  clock: Pick<Clock, 'monotonic' | 'startTimer'>;
+  /** Resolves when a request may be sent. */
+  waitForTurn: () => Promise<void>;
+}
+
+/** Creates the queues of the requests that wait at this router, one for each service. */
+export function createServiceQueues(options: ServiceQueuesOptions) {
+  const { clock } = options;
+  const queues = new Map<ServiceId, ServiceQueue>();
+
+  return {
+    find: (service: ServiceId): ServiceQueue => {
+      const known = queues.get(service) ?? createServiceQueue(options);
+      queues.set(service, known);
+      return known;
+    },
+    /** Offers places to the waiting requests of all services after news of the endpoints. */
+    wakeAll: (): void => queues.forEach((queue) => queue.wake()),
+    /** Gauges of the waiting requests by service and urgency, and of the oldest one. */
+    readGauges: (): Record<string, number> => {
+      const gauges: Record<string, number> = {};
+      queues.forEach((queue, service) => {
+        const waiting = queue.list();
+        waiting.forEach(({ urgency }) => {
+          const name = `relay_waiting{service="${service}",urgency="${urgency}"}`;
+          gauges[name] = (gauges[name] ?? 0) + 1;
+        });
+        const now = clock.monotonic();
+        const oldestAt = Math.min(now, ...waiting.map(({ arrivedAt }) => arrivedAt));
+        gauges[`relay_waiting_oldest_ms{service="${service}"}`] = Math.round(now - oldestAt);
+      });
+      return gauges;
+    },
+  };
+}
--- a/packages/router/src/requests/waiting/wait-for-endpoint.ts
+++ b/packages/router/src/requests/waiting/wait-for-endpoint.ts
@@ -3,6 +3,8 @@
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
+import { isScheduled } from './is-scheduled.js';
+import { waitInQueue } from './wait-in-queue.js';
 
 /**
  * Share of the route's target response time (`objectiveMs`) for which a request waits for capacity
@@ -21,6 +23,7 @@
   state: RunState,
   proceed: (choice: Choice) => Promise<T>,
 ): Promise<T> {
+  if (isScheduled(context)) return waitInQueue(context, request, state, proceed);
   const { clock, sendQueue } = context;
   const { result, signal } = state;
   const waitUntil = clock.monotonic() + request.route.objectiveMs * waitShare;
--- /dev/null
+++ b/packages/router/src/requests/waiting/wait-in-queue.ts
@@ -0,0 +1,78 @@
+import { ResultCode } from '@vanillarelay/core';
+import type { Offer, WaitingRequest } from '@vanillarelay/scheduling';
+import type { Choice } from '../placing/choice.js';
+import { selectEndpoint } from '../placing/select-endpoint.js';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
+import type { RunState } from '../run-state.js';
+import { addRetryAfter } from './add-retry-after.js';
+import { buildWait } from './build-wait.js';
+import type { QueuedRequest } from './queued-request.js';
+import type { WaitRefusal } from './wait-refusal.js';
+
+/**
+ * Calls `proceed` with the endpoint for a request, in the order of the queue of its service, or with
+ * why none takes it. It is called in the same step as the choice, before anything is awaited.
+ */
+export async function waitInQueue<T>(
+  context: RouterContext,
+  request: RoutedRequest,
+  state: RunState,
+  proceed: (choice: Choice) => Promise<T>,
+): Promise<T> {
+  await context.sendQueue.waitForTurn();
+  const wait = buildWait(context, request, state);
+  const queue = context.queues.find(state.service);
+  if (!queue.hasBefore(wait.urgency)) {
+    const choice = selectEndpoint(context, request, state, wait.latestStartAt);
+    if (choice) return proceed(addRetryAfter(context, request, state, wait, choice));
+  }
+  return new Promise((resolve, reject) => {
+    startWait(context, request, state, wait, (choice) => {
+      proceed(choice).then(resolve, reject);
+    });
+  });
+}
+
+/** Puts a request in the queue; calls `end` once, when it gets a place or is refused. */
+function startWait(
+  context: RouterContext,
+  request: RoutedRequest,
+  state: RunState,
+  wait: WaitingRequest,
+  end: (choice: Choice) => void,
+): void {
+  const { clock, queues } = context;
+  const { result, signal } = state;
+  const queue = queues.find(state.service);
+  const startedAt = clock.monotonic();
+  const endWait = (choice: Choice): void => {
+    signal.removeEventListener('abort', cancelWait);
+    queue.remove(queued);
+    const waitedMs = Math.round(clock.monotonic() - startedAt);
+    result.waitedMs = (result.waitedMs ?? 0) + waitedMs;
+    // A request that was interrupted is not refused for want of a place.
+    end(signal.aborted ? choice : addRetryAfter(context, request, state, queued, choice));
+  };
+  const start = (): Offer => {
+    const choice = selectEndpoint(context, request, state, wait.latestStartAt);
+    if (!choice) return state.tried.size > 0 ? 'unsuited' : 'noPlace';
+    endWait(choice);
+    return 'taken';
+  };
+  const refuse = (refusal: WaitRefusal): void => endWait(toChoice(refusal));
+  // Why it was interrupted is found before anything is done with the choice.
+  const cancelWait = (): void => refuse({ rule: 'waitOver', ahead: 0 });
+  const queued: QueuedRequest = { ...wait, start, refuse };
+  signal.addEventListener('abort', cancelWait, { once: true });
+  const { refusal, ahead, expectedMs } = queue.admit(queued);
+  const expected = expectedMs === undefined ? {} : { expectedMs: Math.round(expectedMs) };
+  result.waits = [...(result.waits ?? []), { urgency: wait.urgency, ahead, ...expected }];
+  if (refusal) refuse({ rule: refusal, ahead, ...expected });
+  else if (signal.aborted) cancelWait();
+}
+
+function toChoice(refusal: WaitRefusal): Choice {
+  const reason = `no place in time ${JSON.stringify(refusal)}`;
+  return { code: ResultCode.endpointBusy, reason, passedOver: {} };
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,1 +1,13 @@
 export type { WorkReports } from './backlog/work-reports.js';
+export type { Admission } from './waiting/admission.js';
+export { computeLatestStart } from './waiting/compute-latest-start.js';
+export { computeRequestWork } from './waiting/compute-request-work.js';
+export { computeRetryAfter } from './waiting/compute-retry-after.js';
+export { createPlaceRate } from './waiting/create-place-rate.js';
+export { createRefusalMemory } from './waiting/create-refusal-memory.js';
+export { createWaitingQueue } from './waiting/create-waiting-queue.js';
+export type { Offer } from './waiting/offer.js';
+export type { PlaceRate } from './waiting/place-rate.js';
+export type { RefusalMemory } from './waiting/refusal-memory.js';
+export type { WaitingQueue } from './waiting/waiting-queue.js';
+export type { WaitingRequest } from './waiting/waiting-request.js';
--- /dev/null
+++ b/packages/scheduling/src/waiting/offer.ts
@@ -0,0 +1,5 @@
+/**
+ * What became of a request that was offered a place: it took one, this request can use none of the
+ * free ones, or none is free.
+ */
+export type Offer = 'taken' | 'unsuited' | 'noPlace';
