feat(router): shares of full services, a reserve for urgent work and a bound by engine memory

Cause: routers that found the last places of a service took them as they came, so an account that surged at many routers got more than its share, a burst of the least urgent kind took every place, and a router that was cut off went on as if nobody else sent. Engines that state their memory were bounded by the number of requests only.

While less than a tenth of a service's places is free, a request is sent only within the share of its group at this router; without news for 1 s the router keeps to its equal part of each endpoint. KvTokens of a service's Engine bounds the tokens of the requests in flight (observation heldTokens, only near the bound).

--- a/packages/fleet/__tests__/observations.test.ts
+++ b/packages/fleet/__tests__/observations.test.ts
@@ -12,6 +12,8 @@
   crashes: { s1: { c1: { ageMs: 5 } } },
   rates: { e1: { limitPerS: 4, ageMs: 5, demandPerS: 6 } },
   notices: { e1: { bornAt: 1, isLeaving: false, waitMs: 7 } },
+  demand: { desk: { '1 a': [2, 3] } },
+  heldTokens: { e1: 900 },
 };
 
 const isAccepted = (received: unknown): boolean => {
@@ -33,6 +35,9 @@
     ['rates', { e1: { ageMs: 5, demandPerS: '6' } }],
     ['notices', { e1: { bornAt: 1, waitMs: 7 } }],
     ['loads', []],
+    ['demand', { desk: { '1 a': [2] } }],
+    ['demand', { desk: null }],
+    ['heldTokens', { e1: '900' }],
   ];
   const isOddAccepted = odd.map(([name, part]) => isAccepted({ ...sound, [name]: part }));
   expect([isAccepted(sound), isAccepted({}), isAccepted(null), isOddAccepted]).toEqual([
@@ -57,3 +62,13 @@
     { seed, numRuns: 3_000 },
   );
 });
+
+// Guards against a share in places that is computed from demand which has long gone, and against an
+// exchange that fails between daemons of different versions.
+it('drops demand that is 1 s old, and sends none when nothing waits', () => {
+  const { demand, heldTokens, ...older } = buildObservations(sound);
+  const sum = mergeObservations([buildObservations(older), buildObservations(sound)]);
+  const aged = [1_000, 1_001].map((ms) => addObservationAge(sum, ms).demand);
+  expect([sum.demand, sum.heldTokens, aged]).toEqual([demand, heldTokens, [demand, undefined]]);
+  expect(Object.keys(mergeObservations([buildObservations(older)]))).not.toContain('demand');
+});
--- a/packages/fleet/src/messages/check-observations.ts
+++ b/packages/fleet/src/messages/check-observations.ts
@@ -18,7 +18,7 @@
 
 const checks: Record<keyof Observations, Check> = {
   loads: hasOnly(isCount),
-  outcomes: hasOnly((value) => Array.isArray(value) && value.length === 2 && value.every(isCount)),
+  outcomes: hasOnly(isPairOfCounts),
   crashes: hasOnly(
     hasOnly(
       (value) =>
@@ -42,6 +42,8 @@
       typeof value.isLeaving === 'boolean' &&
       isCount(value.waitMs),
   ),
+  demand: hasOnly(hasOnly(isPairOfCounts)),
+  heldTokens: hasOnly(isCount),
 };
 
 /** Checks an object by its values; its keys must not be properties of every object. */
@@ -59,6 +61,10 @@
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
 
+function isPairOfCounts(value: unknown): boolean {
+  return Array.isArray(value) && value.length === 2 && value.every(isCount);
+}
+
 function isOptionalCount(value: unknown): boolean {
   return value === undefined || isCount(value);
 }
--- a/packages/fleet/src/messages/observations.ts
+++ b/packages/fleet/src/messages/observations.ts
@@ -5,6 +5,7 @@
   OutcomeCounts,
   RateReports,
 } from '@vanillarelay/routing';
+import type { DemandReports, HeldTokens } from '@vanillarelay/scheduling';
 
 /**
  * Loads, outcomes, crashes, request rates and what endpoints said, as one or more daemons observed
@@ -17,4 +18,8 @@
   crashes: CrashReports;
   rates: RateReports;
   notices: EndpointNotices;
+  /** Demand for services for which requests wait; absent while none waits. */
+  demand?: DemandReports;
+  /** Tokens held at engines that are not far from their memory; absent while there are none. */
+  heldTokens?: HeldTokens;
 }
--- a/packages/fleet/src/sync/add-observation-age.ts
+++ b/packages/fleet/src/sync/add-observation-age.ts
@@ -1,6 +1,9 @@
 import type { CrashId, EndpointId, SuspectId } from '@vanillarelay/core';
 import type { Observations } from '../messages/observations.js';
 
+/** Time after which the demand that a daemon reported is no longer used. */
+const demandTtlMs = 1_000;
+
 /** Adds the time since observations were received to the ages in them, and takes it off the waits. */
 export function addObservationAge(observations: Observations, addedMs: number): Observations {
   const crashes: Observations['crashes'] = {};
@@ -24,5 +27,7 @@
     const waitMs = Math.max(0, notice.waitMs - addedMs);
     notices[endpoint as EndpointId] = { ...notice, waitMs };
   });
-  return { ...observations, crashes, rates, notices };
+  const { demand, ...others } = observations;
+  const isDemandFresh = demand !== undefined && addedMs <= demandTtlMs;
+  return { ...others, crashes, rates, notices, ...(isDemandFresh ? { demand } : {}) };
 }
--- a/packages/fleet/src/sync/merge-observations.ts
+++ b/packages/fleet/src/sync/merge-observations.ts
@@ -1,5 +1,6 @@
 import type { EndpointId } from '@vanillarelay/core';
 import { mergeCrashReports, mergeEndpointNotices, mergeRateReports } from '@vanillarelay/routing';
+import { mergeDemandReports, mergeHeldTokens } from '@vanillarelay/scheduling';
 import type { Observations } from '../messages/observations.js';
 
 /** Merges the observations of several daemons. */
@@ -7,7 +8,13 @@
   const crashes = mergeCrashReports(parts.map((part) => part.crashes));
   const rates = mergeRateReports(parts.map((part) => part.rates));
   const notices = mergeEndpointNotices(parts.map((part) => part.notices));
-  const sum: Observations = { loads: {}, outcomes: {}, crashes, rates, notices };
+  const demand = mergeDemandReports(parts.map((part) => part.demand ?? {}));
+  const heldTokens = mergeHeldTokens(parts.map((part) => part.heldTokens ?? {}));
+  const sum: Observations = {
+    ...{ loads: {}, outcomes: {}, crashes, rates, notices },
+    ...(Object.keys(demand).length === 0 ? {} : { demand }),
+    ...(Object.keys(heldTokens).length === 0 ? {} : { heldTokens }),
+  };
   parts.forEach(({ loads, outcomes }) => {
     Object.entries(loads).forEach(([key, count]) => {
       const id = key as EndpointId;
--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -140,6 +140,7 @@
   maxBodyBytes = config.bounds.maxBodyBytes,
   stopSignal = new AbortController().signal,
   features = { scheduling: false },
+  engineMemoryTokens = 0,
 } = {}) {
   const clock = createSystemClock();
   const endpoints = createEndpointTable({ clock, silenceMs });
@@ -163,7 +164,11 @@
       coldSlack: 5,
     },
   });
-  router.updateConfig({ ...config, bounds: { ...config.bounds, maxBodyBytes } });
+  const services = config.services.map((service) => ({
+    ...service,
+    ...(engineMemoryTokens > 0 ? { engineMemoryTokens } : {}),
+  }));
+  router.updateConfig({ ...config, services, bounds: { ...config.bounds, maxBodyBytes } });
   const front = createFrontServer({
     ...{ clock, wire, memory, readTable: router.readTable, run: router.run },
     estimateArrival: router.estimateArrival,
--- a/packages/router/__tests__/waiting-requests.test.ts
+++ b/packages/router/__tests__/waiting-requests.test.ts
@@ -10,7 +10,7 @@
 const places = 12;
 
 /** Adds an endpoint that holds its requests until the test answers them. */
-async function addHoldingEndpoint() {
+async function addHoldingEndpoint(id = 'e1') {
   const held: { path: string; response: ServerResponse }[] = [];
   const arrivals: string[] = [];
   const hold: RequestListener = (message, response) => {
@@ -19,7 +19,7 @@
     arrivals.push(path);
     held.push({ path, response });
   };
-  await fixture.addEndpoint('e1', hold);
+  await fixture.addEndpoint(id, hold);
   const answerNext = (): void => {
     const next = held.shift();
     next?.response.writeHead(200, { 'x-signed': '1', 'x-id': 'r1' });
@@ -28,20 +28,22 @@
   return { arrivals, held, answerNext };
 }
 
-const send = async (path: string, signal?: AbortSignal) => {
+const send = async (path: string, signal?: AbortSignal, headers = {}) => {
   const answer = await fetch(`${fixture.url}${path}`, {
     method: 'POST',
-    headers: { 'x-id': 'r1' },
+    headers: { 'x-id': 'r1', ...headers },
     body: path,
     ...(signal ? { signal } : {}),
   });
   await answer.text();
-  const { status, headers } = answer;
-  return { status, retryAfterMs: Number(headers.get('retry-after') ?? 0) * 1_000 };
+  const retryAfterMs = Number(answer.headers.get('retry-after') ?? 0) * 1_000;
+  return { status: answer.status, retryAfterMs };
 };
 
+/** Looks for a condition that must come true; the number of looks is bounded. */
 const waitUntil = async (condition: () => boolean): Promise<void> => {
-  while (!condition()) await fixture.clock.wait(2);
+  for (let looks = 0; looks < 2_000 && !condition(); looks += 1) await fixture.clock.wait(2);
+  expect(condition()).toBe(true);
 };
 
 const readWaiting = (): number =>
@@ -68,7 +70,13 @@
     await waitUntil(() => readWaiting() === 2);
     answers.push(send('/urgent/c'));
     await waitUntil(() => readWaiting() === 3);
-    for (let count = 1; count <= 3; count += 1) {
+    answerNext();
+    await waitUntil(() => arrivals.length === places + 1);
+    // The last place is kept for urgent requests, one of which has just come in.
+    answerNext();
+    await fixture.clock.wait(60);
+    expect(arrivals.length).toBe(places + 1);
+    for (let count = 2; count <= 3; count += 1) {
       answerNext();
       await waitUntil(() => arrivals.length === places + count);
     }
@@ -89,7 +97,7 @@
     fixture.router.updateObservations(fixture.router.readObservations());
     fixture.router.updateObservations({
       ...fixture.router.readObservations(),
-      loads: {},
+      ...{ loads: {}, demand: {} },
     });
     answerNext();
     answerNext();
@@ -154,3 +162,42 @@
     expect(refused.map(({ refusal }) => refusal?.code)).toEqual([ResultCode.notReady]);
   });
 });
+
+describe('engines that state their memory', () => {
+  // Guards against a crash of an engine whose requests exceed its memory although it has places.
+  it('get no request beyond it; the request waits until another one ends', async () => {
+    const features = { scheduling: true };
+    fixture = await createRouterFixture({ features, engineMemoryTokens: 500 });
+    const engines = [await addHoldingEndpoint('e1'), await addHoldingEndpoint('e2')];
+    const answers = ['a', 'b', 'c'].map((part) =>
+      send(`/slow/${part}`, undefined, { 'x-parts': part }),
+    );
+    await waitUntil(() => readWaiting() === 1);
+    const before = engines.map(({ arrivals }) => arrivals.length);
+    engines[1]?.answerNext();
+    await waitUntil(() => readWaiting() === 0);
+    engines.forEach(({ answerNext }) => answerNext());
+    await waitUntil(() => engines[1]?.arrivals.length === 2);
+    engines[1]?.answerNext();
+    const statuses = (await Promise.all(answers)).map(({ status }) => status);
+    expect([before, statuses]).toEqual([
+      [1, 1],
+      [200, 200, 200],
+    ]);
+  });
+
+  // Guards against a bound that is in force where the deployment does not ask for it.
+  it('are not bounded by it without the feature', async () => {
+    fixture = await createRouterFixture({ engineMemoryTokens: 500 });
+    const engine = await addHoldingEndpoint();
+    const answers = ['a', 'b', 'c'].map((part) =>
+      send(`/slow/${part}`, undefined, { 'x-parts': part }),
+    );
+    await waitUntil(() => engine.arrivals.length === 3);
+    engine.held.splice(0).forEach(({ response }) => {
+      response.writeHead(200, { 'x-signed': '1', 'x-id': 'r1' });
+      response.end('ok');
+    });
+    await Promise.all(answers);
+  });
+});
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -13,6 +13,11 @@
   type RouteTable,
   type RoutingConfig,
 } from '@vanillarelay/routing';
+import {
+  createEngineMemory,
+  createEqualParts,
+  createServiceShares,
+} from '@vanillarelay/scheduling';
 import { createConnectionPool } from './dispatch/create-connection-pool.js';
 import { createSendQueue } from './dispatch/create-send-queue.js';
 import type { RouterFeatures } from './daemon/router-features.js';
@@ -22,6 +27,7 @@
 import type { RequestResult } from './requests/request-result.js';
 import type { RoutedRequest } from './requests/routed-request.js';
 import { runRequest } from './requests/run-request.js';
+import { readSchedulingReports } from './requests/waiting/read-scheduling-reports.js';
 import { createServiceQueues } from './requests/waiting/create-service-queues.js';
 import type { RouterWire } from './wire/router-wire.js';
 
@@ -77,6 +83,9 @@
     pool: createConnectionPool(),
     sendQueue,
     queues: createServiceQueues({ clock, waitForTurn: sendQueue.waitForTurn }),
+    shares: createServiceShares({ random }),
+    equalParts: createEqualParts({ hash, self, listRouters }),
+    engineMemory: createEngineMemory(),
     health: createHealthTracker(clock),
     crashes: createCrashRecord({
       ...{ clock, hash, self, listRouters },
@@ -115,6 +124,7 @@
       crashes: context.crashes.readLocal(),
       rates: context.rateLimiter.readLocal(),
       notices: context.notices.readLocal(),
+      ...(features.scheduling ? readSchedulingReports(context, table) : {}),
     }),
     updateObservations: ({
       loads: counts,
@@ -122,12 +132,16 @@
       crashes,
       rates,
       notices,
+      demand = {},
+      heldTokens = {},
     }: Observations): void => {
       loads.updateRemote(counts);
       context.health.updateRemote(outcomes);
       context.crashes.updateRemote(crashes);
       context.rateLimiter.updateRemote(rates);
       context.notices.updateRemote(notices);
+      context.shares.updateRemote(demand, clock.monotonic());
+      context.engineMemory.updateRemote(heldTokens);
       context.queues.wakeAll();
     },
     readTable: () => table,
--- a/packages/router/src/requests/attempt/send-request.ts
+++ b/packages/router/src/requests/attempt/send-request.ts
@@ -5,7 +5,7 @@
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
-import { isScheduled } from '../waiting/is-scheduled.js';
+import { startUse } from '../waiting/start-use.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { isLost } from './is-lost.js';
 import { isRepeatable } from './is-repeatable.js';
@@ -29,6 +29,7 @@
   tried.add(id);
   const isLast = !isRepeatable(request) || possibleRuns + 1 >= request.route.maxEndpoints;
   const sentRun = { sentAt: clock.monotonic(), eventsBefore: progress.events };
+  const endUse = startUse(context, request, state, id);
   const outcome = await runAttempt(context, {
     ...{ request, deadlineAt, signal, progress, isLast },
     cacheSource: readCacheSource(context, request, state, id),
@@ -37,7 +38,7 @@
     recordSilence: () => health.recordUnreachable(id),
     notifyStart: () => context.crashes.recordStart(state.partSuspects),
   });
-  if (isScheduled(context)) context.queues.find(state.service).recordEnd();
+  endUse();
   recordCrash(context, request, state, endpoint.record, outcome, sentRun);
   if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   recordOutcome(context, state, id, outcome);
--- a/packages/router/src/requests/placing/has-alternative.ts
+++ b/packages/router/src/requests/placing/has-alternative.ts
@@ -11,11 +11,16 @@
 export function hasAlternative(
   context: RouterContext,
   { table }: RoutedRequest,
-  { service, tried, result }: Pick<RunState, 'service' | 'tried' | 'result'>,
+  {
+    service,
+    tried,
+    result,
+    memoryNeed,
+  }: Pick<RunState, 'service' | 'tried' | 'result' | 'memoryNeed'>,
 ): boolean {
   // The running attempt is not among the sends yet.
   if (result.sends.length + 1 >= maxSends) return false;
   if (context.budget.readRemaining(service) < 1) return false;
-  const { open } = listCandidates(context, service, table.findService(service));
+  const { open } = listCandidates(context, service, table.findService(service), memoryNeed);
   return open.some(({ id, healthIssue }) => healthIssue === undefined && !tried.has(id));
 }
--- a/packages/router/src/requests/placing/list-candidates.ts
+++ b/packages/router/src/requests/placing/list-candidates.ts
@@ -1,20 +1,9 @@
 import type { ServiceId } from '@vanillarelay/core';
 import type { Candidate, EndpointTableRow, RoutedService } from '@vanillarelay/routing';
+import type { EngineMemory, MemoryNeed } from '@vanillarelay/scheduling';
 import type { RouterContext } from '../router-context.js';
-
-/** Number of endpoints of a service that were excluded or have a health issue, by reason. */
-type PassedOver = Partial<
-  Record<
-    | 'out'
-    | 'leaving'
-    | 'cold'
-    | 'limited'
-    | 'waiting'
-    | 'full'
-    | NonNullable<Candidate['healthIssue']>,
-    number
-  >
->;
+import type { CandidateList } from './candidate-list.js';
+import { maxRequestsPerSlot } from './max-requests-per-slot.js';
 
 /** An endpoint with what is decided by more than once. */
 interface LoadedRow extends EndpointTableRow {
@@ -23,39 +12,16 @@
   isRefusing: boolean;
 }
 
-interface CandidateList {
-  /** Endpoints that may receive a request now. */
-  open: Candidate[];
-  /** Number of endpoints of the service that accept requests, even if they have no capacity now. */
-  total: number;
-  /**
-   * Mean load of the endpoints of the service, including those that accept no requests now, but not
-   * those that refuse connections.
-   */
-  meanLoad: number;
-  /**
-   * Time until one of the endpoints has capacity, in milliseconds; 0 when that is unknown, as a
-   * request may end at any time.
-   */
-  waitMs: number;
-  passedOver: PassedOver;
-}
-
-/**
- * Maximum number of requests in flight per slot of an endpoint; with more, a request would wait too
- * long there.
- */
-const maxRequestsPerSlot = 3;
-
 /** Lists the endpoints of a service that may receive one more request. */
 export function listCandidates(
   context: RouterContext,
   id: ServiceId,
   service: RoutedService | undefined,
+  need?: MemoryNeed,
 ): CandidateList {
   const { endpoints, health, loads } = context;
-  const passedOver: PassedOver = {};
-  const countReason = (reason: keyof PassedOver): void => {
+  const passedOver: CandidateList['passedOver'] = {};
+  const countReason = (reason: keyof CandidateList['passedOver']): void => {
     passedOver[reason] = (passedOver[reason] ?? 0) + 1;
   };
   const all = endpoints.listService(id).map((row): LoadedRow => ({
@@ -69,14 +35,18 @@
     return !reason;
   });
   const failing = health.listFailing(accepting.map(({ record }) => record.id));
+  const memory = checkMemory(context, accepting, service?.engineMemoryTokens, need);
+  // Without an endpoint with more memory, prompts are better off where they are cached.
+  const isMemoryPreferred = [...memory.values()].includes('free');
   const open = accepting.flatMap((row): Candidate[] => {
     const { record, load } = row;
-    const reason = findLimit(context, row, service);
+    const reason = findLimit(context, row, service, memory.get(record.id));
     if (reason) {
       countReason(reason);
       return [];
     }
-    const healthIssue = findHealthIssue(context, row, failing);
+    const isShort = isMemoryPreferred && memory.get(record.id) === 'short';
+    const healthIssue = findHealthIssue(context, row, failing) ?? (isShort ? 'memory' : undefined);
     if (healthIssue) countReason(healthIssue);
     const { dataCentre, slots } = record;
     const promptShare = context.rateLimiter.computePromptShare(record.id, accepting.length);
@@ -95,7 +65,31 @@
   const areTimesKnown =
     accepting.length > 0 && open.length === 0 && limited + waiting === accepting.length;
   const waitMs = areTimesKnown ? computeShortestWait(context, accepting) : 0;
-  return { open, total: accepting.length, meanLoad, waitMs, passedOver };
+  return {
+    ...{ open, total: accepting.length, meanLoad, waitMs, passedOver },
+    places: accepting.reduce((sum, { record }) => sum + record.slots * maxRequestsPerSlot, 0),
+    load: accepting.reduce((sum, row) => sum + row.load, 0),
+    freePlaces: accepting.reduce(
+      (sum, { record, load }) => sum + Math.max(0, record.slots * maxRequestsPerSlot - load),
+      0,
+    ),
+  };
+}
+
+/** Checks the memory of engines for a request; empty without a bound or a prompt. */
+function checkMemory(
+  { engineMemory, loads }: RouterContext,
+  rows: readonly LoadedRow[],
+  memoryTokens: number | undefined,
+  need: MemoryNeed | undefined,
+): Map<string, ReturnType<EngineMemory['check']>> {
+  if (memoryTokens === undefined || !need) return new Map();
+  return new Map(
+    rows.map(({ record: { id }, load }) => {
+      const remoteLoad = load - loads.readOwn(id);
+      return [id, engineMemory.check(id, { need, memoryTokens, remoteLoad })];
+    }),
+  );
 }
 
 function computeShortestWait(
@@ -121,13 +115,15 @@
   { clock, coldRateLimiter, rateLimiter, notices }: RouterContext,
   { record, coldUntil, load }: LoadedRow,
   service: RoutedService | undefined,
-): 'cold' | 'limited' | 'waiting' | 'full' | undefined {
+  memory: ReturnType<EngineMemory['check']> | undefined,
+): 'cold' | 'limited' | 'waiting' | 'full' | 'memory' | undefined {
   const coldRate = service?.coldRatePerS ?? 0;
   const isCold = coldUntil > clock.monotonic() && coldRate > 0;
   if (isCold && !coldRateLimiter.hasCapacity(record.id, coldRate)) return 'cold';
   if (notices.computeWaitMs(record.id) > 0) return 'waiting';
   if (!rateLimiter.hasCapacity(record.id)) return 'limited';
-  return load >= record.slots * maxRequestsPerSlot ? 'full' : undefined;
+  if (load >= record.slots * maxRequestsPerSlot) return 'full';
+  return memory === 'none' ? 'memory' : undefined;
 }
 
 function findHealthIssue(
--- a/packages/router/src/requests/placing/select-endpoint.ts
+++ b/packages/router/src/requests/placing/select-endpoint.ts
@@ -5,6 +5,8 @@
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
+import { isScheduled } from '../waiting/is-scheduled.js';
+import { selectAllowed } from '../waiting/select-allowed.js';
 
 /**
  * Selects the endpoint for a request. Returns undefined when the request should wait, because all
@@ -13,16 +15,18 @@
  */
 export function selectEndpoint(
   context: RouterContext,
-  { table }: RoutedRequest,
-  { service, tried, signal, affinityKey }: RunState,
+  request: RoutedRequest,
+  state: RunState,
   waitUntil: number,
 ): Choice | undefined {
   const { clock, hash, random, dataCentre } = context;
-  const { open, total, meanLoad, waitMs, passedOver } = listCandidates(
-    context,
-    service,
-    table.findService(service),
-  );
+  const { service, tried, signal, affinityKey, memoryNeed } = state;
+  const routed = request.table.findService(service);
+  const candidates = listCandidates(context, service, routed, memoryNeed);
+  const { total, meanLoad, waitMs, passedOver } = candidates;
+  const open = isScheduled(context)
+    ? selectAllowed(context, request, state, candidates)
+    : candidates.open;
   const placement = chooseEndpoint(
     open,
     { tried, meanLoad, ...(affinityKey === undefined ? {} : { affinityKey }) },
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -10,6 +10,7 @@
   RateLimiter,
   RetryBudget,
 } from '@vanillarelay/routing';
+import type { EngineMemory, EqualParts, ServiceShares } from '@vanillarelay/scheduling';
 import type { RouterFeatures } from '../daemon/router-features.js';
 import type { SendQueue } from '../dispatch/send-queue.js';
 import type { LogEvent } from '../log/log-event.js';
@@ -29,6 +30,9 @@
   sendQueue: SendQueue;
   /** Requests that wait for a place; used only with `features.scheduling`. */
   queues: ServiceQueues;
+  shares: ServiceShares;
+  equalParts: EqualParts;
+  engineMemory: EngineMemory;
   endpoints: EndpointTable;
   health: HealthTracker;
   loads: LoadView;
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -1,5 +1,6 @@
 import { ResultCode } from '@vanillarelay/core';
 import { chooseService } from '@vanillarelay/routing';
+import { buildMemoryNeed } from '@vanillarelay/scheduling';
 import { hasArrived } from './attempt/has-arrived.js';
 import { isRetryAllowed } from './attempt/is-retry-allowed.js';
 import { sendRequest } from './attempt/send-request.js';
@@ -15,6 +16,7 @@
 import type { RoutedRequest } from './routed-request.js';
 import type { RouterContext } from './router-context.js';
 import type { RunState } from './run-state.js';
+import { isScheduled } from './waiting/is-scheduled.js';
 import { waitForEndpoint } from './waiting/wait-for-endpoint.js';
 
 /**
@@ -44,6 +46,7 @@
   caller.signal.addEventListener('abort', abort, { once: true });
   context.running.add(abort);
   if (stopSignal.aborted) abort();
+  const memoryNeed = isScheduled(context) ? buildMemoryNeed(facts) : undefined;
   const state: RunState = {
     ...{ service, result, deadlineAt },
     signal: abortController.signal,
@@ -55,6 +58,7 @@
     lastReason: '',
     affinityKey: route.hasPrompt ? buildAffinityKey(facts) : undefined,
     partSuspects: listPartSuspects(facts),
+    ...(memoryNeed ? { memoryNeed } : {}),
   };
   try {
     const cause = await runAttempts(context, request, state);
--- a/packages/router/src/requests/run-state.ts
+++ b/packages/router/src/requests/run-state.ts
@@ -1,4 +1,5 @@
 import type { EndpointId, ServiceId, SuspectId } from '@vanillarelay/core';
+import type { MemoryNeed } from '@vanillarelay/scheduling';
 import type { RequestResult } from './request-result.js';
 import type { StreamProgress } from './attempt/stream-progress.js';
 
@@ -21,6 +22,10 @@
   affinityKey: string | undefined;
   /** Prompt parts that may crash endpoints. */
   partSuspects: SuspectId[];
+  /** What it needs of an engine's memory; undefined without a prompt. */
+  memoryNeed?: MemoryNeed;
+  /** Whether the last choice left out endpoints that may take other requests. */
+  isHeldBack?: boolean;
   /** Hash of the request's content; computed on first use. */
   contentSuspect?: SuspectId;
 }
--- a/packages/router/src/requests/waiting/build-wait.ts
+++ b/packages/router/src/requests/waiting/build-wait.ts
@@ -6,6 +6,7 @@
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
+import { findUrgency } from './find-urgency.js';
 import { buildReturnKey } from './build-return-key.js';
 
 /** Builds what the queue of a service knows of a request. */
@@ -23,7 +24,7 @@
     : undefined;
   const wait: WaitingRequest = {
     account: account?.id ?? '',
-    urgency: account?.priority ?? route.priority,
+    urgency: findUrgency(request),
     work: computeRequestWork(facts.promptParts),
     arrivedAt: refusedAt ?? request.startedAt,
     latestStartAt: now,
--- a/packages/router/src/requests/waiting/create-service-queue.ts
+++ b/packages/router/src/requests/waiting/create-service-queue.ts
@@ -2,8 +2,10 @@
 import {
   createPlaceRate,
   createRefusalMemory,
+  createUrgentReserve,
   createWaitingQueue,
   type Admission,
+  type DemandGroup,
   type WaitingRequest,
 } from '@vanillarelay/scheduling';
 import type { QueuedRequest } from './queued-request.js';
@@ -27,6 +29,7 @@
   const queue = createWaitingQueue<QueuedRequest>({ maxLength });
   const placeRate = createPlaceRate();
   const refusals = createRefusalMemory();
+  const reserve = createUrgentReserve();
   let isDispatching = false;
   let isWoken = false;
   let cancelTimer: (() => void) | undefined;
@@ -93,6 +96,19 @@
       placeRate.record(clock.monotonic());
       wake();
     },
+    recordArrival: (urgency: number): void => reserve.record(urgency, clock.monotonic()),
+    /** Number of free places that a request of this urgency must leave to more urgent ones. */
+    computeReserve: (urgency: number, places: number): number =>
+      reserve.compute(urgency, places, clock.monotonic()),
+    /** Number of waiting requests by urgency and account. */
+    countGroups: (): Map<DemandGroup, number> => {
+      const counts = new Map<DemandGroup, number>();
+      queue.list().forEach(({ urgency, account }) => {
+        const group: DemandGroup = `${urgency} ${account}`;
+        counts.set(group, (counts.get(group) ?? 0) + 1);
+      });
+      return counts;
+    },
     /** Offers places to the waiting requests after news of the endpoints. */
     wake,
     hasBefore: (urgency: number): boolean => queue.hasBefore(urgency, clock.monotonic()),
--- a/packages/router/src/requests/waiting/create-service-queues.ts
+++ b/packages/router/src/requests/waiting/create-service-queues.ts
@@ -1,4 +1,5 @@
 import type { Clock, ServiceId } from '@vanillarelay/core';
+import type { DemandGroup } from '@vanillarelay/scheduling';
 import { createServiceQueue } from './create-service-queue.js';
 import type { ServiceQueue } from './service-queue.js';
 
@@ -21,6 +22,9 @@
     },
     /** Offers places to the waiting requests of all services after news of the endpoints. */
     wakeAll: (): void => queues.forEach((queue) => queue.wake()),
+    /** Number of waiting requests by service, urgency and account. */
+    countGroups: (): Map<ServiceId, ReadonlyMap<DemandGroup, number>> =>
+      new Map([...queues].map(([service, queue]) => [service, queue.countGroups()])),
     /** Gauges of the waiting requests by service and urgency, and of the oldest one. */
     readGauges: (): Record<string, number> => {
       const gauges: Record<string, number> = {};
--- /dev/null
+++ b/packages/router/src/requests/waiting/select-allowed.ts
@@ -0,0 +1,56 @@
+import type { CandidateList } from '../placing/candidate-list.js';
+import { maxRequestsPerSlot } from '../placing/max-requests-per-slot.js';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
+import type { RunState } from '../run-state.js';
+import { buildDemandGroup } from './build-demand-group.js';
+import { findUrgency } from './find-urgency.js';
+
+/** Part of a service's places; with fewer of them free, routers keep to their shares. */
+const scarceShare = 0.1;
+
+/**
+ * Selects the endpoints that a request may take: none of the last places, which are reserved for
+ * more urgent requests, and while places are scarce none beyond this router's share.
+ */
+export function selectAllowed(
+  context: RouterContext,
+  request: RoutedRequest,
+  state: RunState,
+  candidates: CandidateList,
+): CandidateList['open'] {
+  const { open, passedOver } = candidates;
+  const { isAllowed, reason } = findRule(context, request, state, candidates);
+  const allowed = open.filter(isAllowed);
+  const heldBack = open.length - allowed.length;
+  if (heldBack > 0) passedOver[reason] = heldBack;
+  state.isHeldBack = heldBack > 0 || (passedOver.memory ?? 0) > 0;
+  return allowed;
+}
+
+interface Rule {
+  isAllowed: (endpoint: CandidateList['open'][number]) => boolean;
+  reason: 'reserved' | 'share';
+}
+
+function findRule(
+  context: RouterContext,
+  request: RoutedRequest,
+  { service }: RunState,
+  { places, load, freePlaces }: CandidateList,
+): Rule {
+  const { clock, queues, shares, equalParts, loads } = context;
+  const now = clock.monotonic();
+  const queue = queues.find(service);
+  const reserved = queue.computeReserve(findUrgency(request), places);
+  if (freePlaces <= reserved) return { isAllowed: () => false, reason: 'reserved' };
+  if (freePlaces >= places * scarceShare) return { isAllowed: () => true, reason: 'share' };
+  if (shares.isOutdated(now)) {
+    const hasPart: Rule['isAllowed'] = ({ id, slots }) =>
+      loads.readOwn(id) < equalParts.read(id, slots * maxRequestsPerSlot, now);
+    return { isAllowed: hasPart, reason: 'share' };
+  }
+  const group = buildDemandGroup(request);
+  const mayTake = shares.mayTake({ service, group, waiting: queue.countGroups(), places, load });
+  return { isAllowed: () => mayTake, reason: 'share' };
+}
--- /dev/null
+++ b/packages/router/src/requests/waiting/start-use.ts
@@ -0,0 +1,28 @@
+import type { EndpointId } from '@vanillarelay/core';
+import type { RoutedRequest } from '../routed-request.js';
+import type { RouterContext } from '../router-context.js';
+import type { RunState } from '../run-state.js';
+import { buildDemandGroup } from './build-demand-group.js';
+import { isScheduled } from './is-scheduled.js';
+
+/**
+ * Records that a request takes a place and memory at an endpoint; returns a function that records
+ * its end and offers the place to the requests that wait.
+ */
+export function startUse(
+  context: RouterContext,
+  request: RoutedRequest,
+  { service, memoryNeed }: RunState,
+  id: EndpointId,
+): () => void {
+  if (!isScheduled(context)) return () => {};
+  const { queues, shares, engineMemory } = context;
+  const group = buildDemandGroup(request);
+  shares.start(service, group);
+  if (memoryNeed) engineMemory.start(id, memoryNeed);
+  return () => {
+    shares.stop(service, group);
+    if (memoryNeed) engineMemory.stop(id, memoryNeed);
+    queues.find(service).recordEnd();
+  };
+}
--- a/packages/router/src/requests/waiting/wait-in-queue.ts
+++ b/packages/router/src/requests/waiting/wait-in-queue.ts
@@ -23,6 +23,7 @@
   await context.sendQueue.waitForTurn();
   const wait = buildWait(context, request, state);
   const queue = context.queues.find(state.service);
+  queue.recordArrival(wait.urgency);
   if (!queue.hasBefore(wait.urgency)) {
     const choice = selectEndpoint(context, request, state, wait.latestStartAt);
     if (choice) return proceed(addRetryAfter(context, request, state, wait, choice));
@@ -56,7 +57,8 @@
   };
   const start = (): Offer => {
     const choice = selectEndpoint(context, request, state, wait.latestStartAt);
-    if (!choice) return state.tried.size > 0 ? 'unsuited' : 'noPlace';
+    const isParticular = state.tried.size > 0 || state.isHeldBack === true;
+    if (!choice) return isParticular ? 'unsuited' : 'noPlace';
     endWait(choice);
     return 'taken';
   };
--- a/packages/router/src/wire/request-facts.ts
+++ b/packages/router/src/wire/request-facts.ts
@@ -14,6 +14,8 @@
   promptParts: PromptPart[];
   /** Number of tokens in the prompt; 0 when unknown. */
   promptTokens: number;
+  /** Maximum number of output tokens; undefined when unknown. */
+  maxOutputTokens?: number;
   /** Headers that are forwarded unchanged; names and values alternate. */
   forwardedHeaders: string[];
 }
--- a/packages/routing/src/config/routed-service.ts
+++ b/packages/routing/src/config/routed-service.ts
@@ -12,4 +12,6 @@
   coldRatePerS: number;
   /** Whether its endpoints copy cached prompts from each other. */
   canCopyCache: boolean;
+  /** Tokens that the memory of each endpoint holds; absent for services that run no engines. */
+  engineMemoryTokens?: number;
 }
--- a/packages/routing/src/placement/candidate.ts
+++ b/packages/routing/src/placement/candidate.ts
@@ -13,5 +13,5 @@
    * Why the endpoint is used only when healthy ones are overloaded, or, if it refuses connections,
    * only when there is no other; absent when it is healthy.
    */
-  healthIssue?: 'silent' | 'unreachable' | 'failing' | 'waiting' | 'refusing';
+  healthIssue?: 'silent' | 'unreachable' | 'failing' | 'waiting' | 'memory' | 'refusing';
 }
--- a/packages/routing/src/placement/create-load-view.ts
+++ b/packages/routing/src/placement/create-load-view.ts
@@ -18,6 +18,8 @@
     },
     /** Requests in flight: the current count of this process plus the last counts of the others. */
     estimate: (id: EndpointId): number => (local.get(id) ?? 0) + (remote[id] ?? 0),
+    /** Requests in flight from this process. */
+    readOwn: (id: EndpointId): number => local.get(id) ?? 0,
     readLocal: (): LoadCounts => Object.fromEntries<number>(local),
     /** Replaces the counts of the other processes. */
     updateRemote: (counts: Partial<LoadCounts>): void => {
