--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -15,7 +15,7 @@
 } from '@vanillarelay/routing';
 import {
   createEngineMemory,
-  createEqualParts,
+  createPlaceLimits,
   createServiceShares,
 } from '@vanillarelay/scheduling';
 import { createConnectionPool } from './dispatch/create-connection-pool.js';
@@ -84,7 +84,7 @@
     sendQueue,
     queues: createServiceQueues({ clock, waitForTurn: sendQueue.waitForTurn }),
     shares: createServiceShares({ random }),
-    equalParts: createEqualParts({ hash, self, listRouters }),
+    placeLimits: createPlaceLimits({ hash, self, listRouters }),
     engineMemory: createEngineMemory(),
     health: createHealthTracker(clock),
     crashes: createCrashRecord({
@@ -140,6 +140,7 @@
       context.crashes.updateRemote(crashes);
       context.rateLimiter.updateRemote(rates);
       context.notices.updateRemote(notices);
+      context.placeLimits.reset();
       context.shares.updateRemote(demand, clock.monotonic());
       context.engineMemory.updateRemote(heldTokens);
       context.queues.wakeAll();
--- a/packages/router/src/requests/attempt/send-request.ts
+++ b/packages/router/src/requests/attempt/send-request.ts
@@ -38,7 +38,7 @@
     recordSilence: () => health.recordUnreachable(id),
     notifyStart: () => context.crashes.recordStart(state.partSuspects),
   });
-  endUse();
+  endUse(outcome.type !== 'notRun');
   recordCrash(context, request, state, endpoint.record, outcome, sentRun);
   if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   recordOutcome(context, state, id, outcome);
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -10,7 +10,7 @@
   RateLimiter,
   RetryBudget,
 } from '@vanillarelay/routing';
-import type { EngineMemory, EqualParts, ServiceShares } from '@vanillarelay/scheduling';
+import type { EngineMemory, PlaceLimits, ServiceShares } from '@vanillarelay/scheduling';
 import type { RouterFeatures } from '../daemon/router-features.js';
 import type { SendQueue } from '../dispatch/send-queue.js';
 import type { LogEvent } from '../log/log-event.js';
@@ -31,7 +31,7 @@
   /** Requests that wait for a place; used only with `features.scheduling`. */
   queues: ServiceQueues;
   shares: ServiceShares;
-  equalParts: EqualParts;
+  placeLimits: PlaceLimits;
   engineMemory: EngineMemory;
   endpoints: EndpointTable;
   health: HealthTracker;
--- a/packages/router/src/requests/waiting/select-allowed.ts
+++ b/packages/router/src/requests/waiting/select-allowed.ts
@@ -6,8 +6,11 @@
 import { buildDemandGroup } from './build-demand-group.js';
 import { findUrgency } from './find-urgency.js';
 
-/** Part of a service's places; with fewer of them free, routers keep to their shares. */
-const scarceShare = 0.1;
+/**
+ * Part of a service's places; with fewer of them free, routers keep to their shares. All slots are in
+ * use then, and what is sent waits at an endpoint instead of here.
+ */
+const scarceShare = 0.5;
 
 /**
  * Selects the endpoints that a request may take: none of the last places, which are reserved for
@@ -39,18 +42,26 @@
   { service }: RunState,
   { places, load, freePlaces }: CandidateList,
 ): Rule {
-  const { clock, queues, shares, equalParts, loads } = context;
+  const { clock, queues, shares, placeLimits, loads } = context;
   const now = clock.monotonic();
   const queue = queues.find(service);
   const reserved = queue.computeReserve(findUrgency(request), places);
   if (freePlaces <= reserved) return { isAllowed: () => false, reason: 'reserved' };
   if (freePlaces >= places * scarceShare) return { isAllowed: () => true, reason: 'share' };
-  if (shares.isOutdated(now)) {
-    const hasPart: Rule['isAllowed'] = ({ id, slots }) =>
-      loads.readOwn(id) < equalParts.read(id, slots * maxRequestsPerSlot, now);
-    return { isAllowed: hasPart, reason: 'share' };
-  }
+  const isOutdated = shares.isOutdated(now);
   const group = buildDemandGroup(request);
-  const mayTake = shares.mayTake({ service, group, waiting: queue.countGroups(), places, load });
-  return { isAllowed: () => mayTake, reason: 'share' };
+  const waiting = queue.countGroups();
+  const hasShare = isOutdated || shares.mayTake({ service, group, waiting, places, load });
+  const isAllowed: Rule['isAllowed'] = (endpoint) =>
+    hasShare &&
+    placeLimits.mayTake(
+      {
+        endpoint: endpoint.id,
+        places: endpoint.slots * maxRequestsPerSlot,
+        load: endpoint.load,
+        own: loads.readOwn(endpoint.id),
+      },
+      isOutdated,
+    );
+  return { isAllowed, reason: 'share' };
 }
--- a/packages/router/src/requests/waiting/start-use.ts
+++ b/packages/router/src/requests/waiting/start-use.ts
@@ -14,15 +14,17 @@
   request: RoutedRequest,
   { service, memoryNeed }: RunState,
   id: EndpointId,
-): () => void {
+): (hasRun: boolean) => void {
   if (!isScheduled(context)) return () => {};
   const { queues, shares, engineMemory } = context;
   const group = buildDemandGroup(request);
   shares.start(service, group);
   if (memoryNeed) engineMemory.start(id, memoryNeed);
-  return () => {
+  return (hasRun) => {
     shares.stop(service, group);
     if (memoryNeed) engineMemory.stop(id, memoryNeed);
-    queues.find(service).recordEnd();
+    // A refusal of the endpoint says nothing of how often a place becomes free.
+    if (hasRun) queues.find(service).recordEnd();
+    else queues.find(service).wake();
   };
 }
--- a/packages/router/src/requests/waiting/wait-in-queue.ts
+++ b/packages/router/src/requests/waiting/wait-in-queue.ts
@@ -29,34 +29,53 @@
     if (choice) return proceed(addRetryAfter(context, request, state, wait, choice));
   }
   return new Promise((resolve, reject) => {
-    startWait(context, request, state, wait, (choice) => {
+    const end = (choice: Choice): void => {
       proceed(choice).then(resolve, reject);
-    });
+    };
+    startWait(context, request, state, wait, { end, fail: reject });
   });
 }
 
-/** Puts a request in the queue; calls `end` once, when it gets a place or is refused. */
+interface WaitCallbacks {
+  /** Called once, when the request gets a place or is refused. */
+  end: (choice: Choice) => void;
+  /** Called instead with an unexpected error. */
+  fail: (error: unknown) => void;
+}
+
+/** Puts a request in the queue of its service. */
 function startWait(
   context: RouterContext,
   request: RoutedRequest,
   state: RunState,
   wait: WaitingRequest,
-  end: (choice: Choice) => void,
+  { end, fail }: WaitCallbacks,
 ): void {
   const { clock, queues } = context;
   const { result, signal } = state;
   const queue = queues.find(state.service);
   const startedAt = clock.monotonic();
-  const endWait = (choice: Choice): void => {
+  const removeQueued = (): void => {
     signal.removeEventListener('abort', cancelWait);
     queue.remove(queued);
+  };
+  const endWait = (choice: Choice): void => {
+    removeQueued();
     const waitedMs = Math.round(clock.monotonic() - startedAt);
     result.waitedMs = (result.waitedMs ?? 0) + waitedMs;
     // A request that was interrupted is not refused for want of a place.
     end(signal.aborted ? choice : addRetryAfter(context, request, state, queued, choice));
   };
   const start = (): Offer => {
-    const choice = selectEndpoint(context, request, state, wait.latestStartAt);
+    let choice: Choice | undefined;
+    try {
+      choice = selectEndpoint(context, request, state, wait.latestStartAt);
+    } catch (error) {
+      // An error of one request must not stop the queue for the others.
+      removeQueued();
+      fail(error);
+      return 'taken';
+    }
     const isParticular = state.tried.size > 0 || state.isHeldBack === true;
     if (!choice) return isParticular ? 'unsuited' : 'noPlace';
     endWait(choice);
--- a/packages/scheduling/src/shares/compute-equal-part.ts
+++ b/packages/scheduling/src/shares/compute-equal-part.ts
@@ -1,24 +1,24 @@
-import { sortByRendezvous, type DaemonId, type EndpointId, type Hash } from '@vanillarelay/core';
+import type { DaemonId, Hash } from '@vanillarelay/core';
 
 interface EqualPartInput {
   hash: Hash;
-  endpoint: EndpointId;
-  /** Requests that the endpoint may hold. */
+  /** Decides which routers get one of the places that cannot be divided; the same at all of them. */
+  key: string;
   places: number;
   self: DaemonId;
+  /** Routers that may send, including this one, in the same order at all of them. */
   routers: readonly DaemonId[];
 }
 
 /**
- * Part of an endpoint's places that a router may use without knowing of the others. The parts of all
- * routers add up to the places; which of them get one of the remaining places depends on the endpoint.
+ * Part of some places that a router may use without knowing of the others. The parts of all routers
+ * add up to the places.
  */
-export function computeEqualPart(input: EqualPartInput): number {
-  const { hash, endpoint, places, self, routers } = input;
+export function computeEqualPart({ hash, key, places, self, routers }: EqualPartInput): number {
   const count = Math.max(1, routers.length);
   const whole = Math.floor(places / count);
   const remainder = Math.floor(places) - whole * count;
-  if (remainder === 0) return whole;
-  const first = sortByRendezvous(hash, endpoint, routers).slice(0, remainder);
-  return whole + (first.includes(self) ? 1 : 0);
+  const index = routers.indexOf(self);
+  if (remainder === 0 || index < 0) return whole;
+  return whole + ((index + hash(key)) % count < remainder ? 1 : 0);
 }
--- a/packages/scheduling/src/waiting/compute-retry-after.ts
+++ b/packages/scheduling/src/waiting/compute-retry-after.ts
@@ -14,6 +14,11 @@
 const maxShareOfLeft = 1 / 3;
 /** Time until there is room, when nothing is known of it, as a part of the time left. */
 const unknownShareOfLeft = 1 / 6;
+/**
+ * Lower bound of the drawn time as a part of the time left. Callers come back only once or twice,
+ * and an estimate from before a loss of endpoints would use these attempts up before there is room.
+ */
+const minShareOfLeft = 1 / 8;
 /** Bounds of the drawn time, as factors of the time until there is room. */
 const lowestFactor = 0.75;
 const highestFactor = 1.5;
@@ -31,7 +36,8 @@
   const queueMs = isKnown ? (ahead + 1) / placesPerMs : leftMs * unknownShareOfLeft;
   const roomMs = Math.max(roomInMs, queueMs);
   // A range that begins at the limit would send all callers back at the same instant.
-  const lowest = Math.min(roomMs * lowestFactor, maxMs / 2);
+  const soonest = Math.max(roomMs * lowestFactor, leftMs * minShareOfLeft);
+  const lowest = Math.max(0, Math.min(soonest, maxMs / 2));
   const highest = Math.min(Math.max(roomMs * highestFactor, lowest + minSpreadMs), maxMs);
   return lowest + random() * Math.max(0, highest - lowest);
 }
