feat(router): counts of refusals and of places held back; what was passed over in a refusal's line

Cause: the line of a request that was refused after its wait did not say which endpoints were passed over, and no metric told why requests were held back. A wait that ran out between the look through the queue and the choice was refused by another rule.

--- a/packages/router/__tests__/waiting-requests.test.ts
+++ b/packages/router/__tests__/waiting-requests.test.ts
@@ -1,8 +1,9 @@
 import type { RequestListener, ServerResponse } from 'node:http';
-import { ResultCode } from '@vanillarelay/core';
+import { ResultCode, type ServiceId } from '@vanillarelay/core';
 import { afterEach, describe, expect, it } from 'vitest';
 import { createRouterFixture } from './create-router-fixture.js';
 
+const desk = 'desk' as ServiceId;
 let fixture: Awaited<ReturnType<typeof createRouterFixture>>;
 afterEach(() => fixture.close());
 
@@ -116,8 +117,10 @@
     const { arrivals, held, answerNext, answers } = await startFull();
     const refused = await send('/slow/x');
     const { refusal, waits } = fixture.results.at(-1) ?? {};
+    const gauges = fixture.router.readWaitGauges();
     while (held.length > 0) answerNext();
     await Promise.all(answers);
+    expect(gauges['relay_wait_refusals_total{service="desk",rule="waitOver"}']).toBe(1);
     expect([refused.status, refusal?.code, refusal?.notRun, arrivals.length, waits]).toEqual([
       ...[503, ResultCode.endpointBusy, true, places, [{ urgency: 2, ahead: 0 }]],
     ]);
@@ -125,6 +128,43 @@
     expect(refused.retryAfterMs).toBeLessThanOrEqual(1_000);
   });
 
+  // Guards against bytes that are sent while nothing waits, and against demand that others miss.
+  it('are reported to the other routers only while they wait', async () => {
+    const { held, answerNext, answers } = await startFull();
+    const before = fixture.router.readObservations();
+    answers.push(send('/slow/x'));
+    await waitUntil(() => readWaiting() === 1);
+    const { demand } = fixture.router.readObservations();
+    while (held.length > 0 || readWaiting() > 0) {
+      answerNext();
+      await fixture.clock.wait(2);
+    }
+    await Promise.all(answers);
+    const after = fixture.router.readObservations();
+    expect(demand).toEqual({ desk: { '2 ': [1, places] } });
+    expect([Object.keys(before), Object.keys(after)].flat()).not.toContain('demand');
+  });
+
+  // Guards against a router that takes a place which is part of another router's share.
+  it('leave places to other routers with as much demand', async () => {
+    const { arrivals, held, answerNext, answers } = await startFull();
+    fixture.router.updateObservations({
+      ...{ ...fixture.router.readObservations(), loads: {} },
+      demand: { [desk]: { '2 ': [places, 0] } },
+    });
+    answers.push(send('/slow/x'));
+    await waitUntil(() => readWaiting() === 1);
+    answerNext();
+    await fixture.clock.wait(60);
+    const isHeld = readWaiting() === 1 && arrivals.length === places;
+    while (held.length > 0 || readWaiting() > 0) {
+      answerNext();
+      await fixture.clock.wait(2);
+    }
+    const statuses = (await Promise.all(answers)).map(({ status }) => status);
+    expect([isHeld, new Set(statuses)]).toEqual([true, new Set([200])]);
+  });
+
   // Guards against a place that is given to a caller who has left.
   it('leave the queue when their caller leaves', async () => {
     const { arrivals, held, answerNext, answers } = await startFull();
@@ -172,7 +212,8 @@
     const answers = ['a', 'b', 'c'].map((part) =>
       send(`/slow/${part}`, undefined, { 'x-parts': part }),
     );
-    await waitUntil(() => readWaiting() === 1);
+    const haveBoth = () => engines.every(({ arrivals }) => arrivals.length > 0);
+    await waitUntil(() => haveBoth() && readWaiting() === 1);
     const before = engines.map(({ arrivals }) => arrivals.length);
     engines[1]?.answerNext();
     await waitUntil(() => readWaiting() === 0);
--- a/packages/router/src/requests/run-state.ts
+++ b/packages/router/src/requests/run-state.ts
@@ -26,6 +26,8 @@
   memoryNeed?: MemoryNeed;
   /** Whether the last choice left out endpoints that may take other requests. */
   isHeldBack?: boolean;
+  /** Number of endpoints that the last choice excluded, by reason. */
+  passedOver?: object;
   /** Hash of the request's content; computed on first use. */
   contentSuspect?: SuspectId;
 }
--- a/packages/router/src/requests/waiting/create-service-queue.ts
+++ b/packages/router/src/requests/waiting/create-service-queue.ts
@@ -8,7 +8,9 @@
   type DemandGroup,
   type WaitingRequest,
 } from '@vanillarelay/scheduling';
+import type { HoldReason } from './hold-reason.js';
 import type { QueuedRequest } from './queued-request.js';
+import type { WaitRefusal } from './wait-refusal.js';
 
 interface ServiceQueueOptions {
   clock: Pick<Clock, 'monotonic' | 'startTimer'>;
@@ -30,6 +32,8 @@
   const placeRate = createPlaceRate();
   const refusals = createRefusalMemory();
   const reserve = createUrgentReserve();
+  const refusalCounts: Partial<Record<WaitRefusal['rule'], number>> = {};
+  const holdCounts: Partial<Record<HoldReason, number>> = {};
   let isDispatching = false;
   let isWoken = false;
   let cancelTimer: (() => void) | undefined;
@@ -114,6 +118,16 @@
     hasBefore: (urgency: number): boolean => queue.hasBefore(urgency, clock.monotonic()),
     countAhead: (request: WaitingRequest): number => queue.countAhead(request, clock.monotonic()),
     readPlacesPerMs: (): number | undefined => placeRate.read(clock.monotonic()),
+    /** Counts a refusal by the rule that decided it. */
+    recordRefusal: (rule: WaitRefusal['rule']): void => {
+      refusalCounts[rule] = (refusalCounts[rule] ?? 0) + 1;
+    },
+    /** Counts a choice that left out endpoints with free places. */
+    recordHold: (reason: HoldReason): void => {
+      holdCounts[reason] = (holdCounts[reason] ?? 0) + 1;
+    },
+    refusalCounts: refusalCounts as Readonly<typeof refusalCounts>,
+    holdCounts: holdCounts as Readonly<typeof holdCounts>,
     list: queue.list,
     refusals,
   };
--- a/packages/router/src/requests/waiting/create-service-queues.ts
+++ b/packages/router/src/requests/waiting/create-service-queues.ts
@@ -1,5 +1,6 @@
 import type { Clock, ServiceId } from '@vanillarelay/core';
 import type { DemandGroup } from '@vanillarelay/scheduling';
+import { buildWaitGauges } from './build-wait-gauges.js';
 import { createServiceQueue } from './create-service-queue.js';
 import type { ServiceQueue } from './service-queue.js';
 
@@ -25,20 +26,13 @@
     /** Number of waiting requests by service, urgency and account. */
     countGroups: (): Map<ServiceId, ReadonlyMap<DemandGroup, number>> =>
       new Map([...queues].map(([service, queue]) => [service, queue.countGroups()])),
-    /** Gauges of the waiting requests by service and urgency, and of the oldest one. */
+    /** Gauges of the waiting requests by service and urgency, and counts of what was decided. */
     readGauges: (): Record<string, number> => {
-      const gauges: Record<string, number> = {};
-      queues.forEach((queue, service) => {
-        const waiting = queue.list();
-        waiting.forEach(({ urgency }) => {
-          const name = `relay_waiting{service="${service}",urgency="${urgency}"}`;
-          gauges[name] = (gauges[name] ?? 0) + 1;
-        });
-        const now = clock.monotonic();
-        const oldestAt = Math.min(now, ...waiting.map(({ arrivedAt }) => arrivedAt));
-        gauges[`relay_waiting_oldest_ms{service="${service}"}`] = Math.round(now - oldestAt);
-      });
-      return gauges;
+      const now = clock.monotonic();
+      return Object.assign(
+        {},
+        ...[...queues].map(([service, queue]) => buildWaitGauges(service, queue, now)),
+      ) as Record<string, number>;
     },
   };
 }
--- a/packages/router/src/requests/waiting/select-allowed.ts
+++ b/packages/router/src/requests/waiting/select-allowed.ts
@@ -5,6 +5,7 @@
 import type { RunState } from '../run-state.js';
 import { buildDemandGroup } from './build-demand-group.js';
 import { findUrgency } from './find-urgency.js';
+import type { HoldReason } from './hold-reason.js';
 
 /**
  * Part of a service's places; with fewer of them free, routers keep to their shares. All slots are in
@@ -26,14 +27,18 @@
   const { isAllowed, reason } = findRule(context, request, state, candidates);
   const allowed = open.filter(isAllowed);
   const heldBack = open.length - allowed.length;
-  if (heldBack > 0) passedOver[reason] = heldBack;
+  if (heldBack > 0) {
+    passedOver[reason] = heldBack;
+    context.queues.find(state.service).recordHold(reason);
+  }
+  state.passedOver = passedOver;
   state.isHeldBack = heldBack > 0 || (passedOver.memory ?? 0) > 0;
   return allowed;
 }
 
 interface Rule {
   isAllowed: (endpoint: CandidateList['open'][number]) => boolean;
-  reason: 'reserved' | 'share';
+  reason: HoldReason;
 }
 
 function findRule(
--- a/packages/router/src/requests/waiting/wait-in-queue.ts
+++ b/packages/router/src/requests/waiting/wait-in-queue.ts
@@ -78,10 +78,16 @@
     }
     const isParticular = state.tried.size > 0 || state.isHeldBack === true;
     if (!choice) return isParticular ? 'unsuited' : 'noPlace';
-    endWait(choice);
+    // The time may have run out since the queue was looked through.
+    const isOver = 'code' in choice && clock.monotonic() >= wait.latestStartAt;
+    if (isOver) refuse({ rule: 'waitOver', ahead: 0 });
+    else endWait(choice);
     return 'taken';
   };
-  const refuse = (refusal: WaitRefusal): void => endWait(toChoice(refusal));
+  const refuse = (refusal: WaitRefusal): void => {
+    if (!signal.aborted) queue.recordRefusal(refusal.rule);
+    endWait(toChoice(refusal, state));
+  };
   // Why it was interrupted is found before anything is done with the choice.
   const cancelWait = (): void => refuse({ rule: 'waitOver', ahead: 0 });
   const queued: QueuedRequest = { ...wait, start, refuse };
@@ -93,7 +99,7 @@
   else if (signal.aborted) cancelWait();
 }
 
-function toChoice(refusal: WaitRefusal): Choice {
+function toChoice(refusal: WaitRefusal, { passedOver = {} }: RunState): Choice {
   const reason = `no place in time ${JSON.stringify(refusal)}`;
-  return { code: ResultCode.endpointBusy, reason, passedOver: {} };
+  return { code: ResultCode.endpointBusy, reason, passedOver };
 }
