--- a/packages/scheduling/__tests__/service-shares.test.ts
+++ b/packages/scheduling/__tests__/service-shares.test.ts
@@ -149,6 +149,14 @@
         [service]: { [`1 account${index}` as DemandGroup]: [index, 0] },
       })),
     );
+    const services = mergeDemandReports(
+      Array.from({ length: 30 }, (_, index): DemandReports => ({
+        [`service${index}` as ServiceId]: { '1 a': [index, 0] },
+      })),
+    );
+    expect(Object.keys(services)).toEqual(
+      [29, 28, 27, 26, 25, 24, 23, 22].map((index) => `service${index}`),
+    );
     expect([
       JSON.stringify(report).length < 700,
       Object.keys(sum[service] ?? {}).length,
--- a/packages/scheduling/src/shares/create-service-shares.ts
+++ b/packages/scheduling/src/shares/create-service-shares.ts
@@ -18,6 +18,8 @@
 
 /** Time without news after which what other routers reported is no longer used. */
 const newsTtlMs = 1_000;
+/** Upper bound of the error of a computed share, so that 3 places do not become 2. */
+const roundingError = 1e-9;
 /** Groups of one service, and services, that a router reports at most. */
 const maxGroups = 4;
 const maxServices = 4;
@@ -73,7 +75,7 @@
     const contested = places - Math.max(0, load - reported);
     const part = splitPlaces(contested, demands).get(group) ?? 0;
     const share = Math.min(1, ownDemand / Math.max(1, demands.get(group) ?? 0));
-    return Math.floor(part * share + draw);
+    return Math.floor(part * share + draw + roundingError);
   };
 
   return {
--- a/packages/scheduling/src/shares/merge-demand-reports.ts
+++ b/packages/scheduling/src/shares/merge-demand-reports.ts
@@ -1,10 +1,12 @@
 import type { ServiceId } from '@vanillarelay/core';
 import { boundDemand } from './bound-demand.js';
+import type { DemandCounts } from './demand-counts.js';
 import type { DemandGroup } from './demand-group.js';
 import type { DemandReports } from './demand-reports.js';
 
-/** Groups of one service that a sum names at most; it bounds the bytes of an exchange. */
+/** Groups of one service, and services, that a sum names at most; they bound the bytes. */
 const maxGroups = 8;
+const maxServices = 8;
 
 /** Sums the demand at several routers. */
 export function mergeDemandReports(parts: readonly DemandReports[]): DemandReports {
@@ -21,8 +23,12 @@
       });
     });
   });
-  Object.entries(merged).forEach(([service, counts]) => {
-    merged[service as ServiceId] = boundDemand(counts, maxGroups);
-  });
-  return merged;
+  const countWaiting = (counts: DemandCounts): number =>
+    Object.values<[number, number]>(counts).reduce((total, [waiting]) => total + waiting, 0);
+  return Object.fromEntries(
+    Object.entries<DemandCounts>(merged)
+      .sort(([, a], [, b]) => countWaiting(b) - countWaiting(a))
+      .slice(0, maxServices)
+      .map(([service, counts]) => [service, boundDemand(counts, maxGroups)]),
+  );
 }
