--- a/packages/fleet/__tests__/observations.test.ts
+++ b/packages/fleet/__tests__/observations.test.ts
@@ -21,6 +21,8 @@
     },
   },
   work: { e1: 12 },
+  demand: { desk: { '1 a': [2, 3] } },
+  heldTokens: { e1: 900 },
 };
 
 const isAccepted = (received: unknown): boolean => {
@@ -49,6 +51,9 @@
     ['loads', []],
     ['lateRouters', '1'],
     ['lateRouters', -1],
+    ['demand', { desk: { '1 a': [2] } }],
+    ['demand', { desk: null }],
+    ['heldTokens', { e1: '900' }],
   ];
   const isOddAccepted = odd.map(([name, part]) => isAccepted({ ...sound, [name]: part }));
   expect([isAccepted(sound), isAccepted({}), isAccepted(null), isOddAccepted]).toEqual([
@@ -98,3 +103,14 @@
   });
   expect('versions' in mergeObservations([buildObservations(older)])).toBe(false);
 });
+
+// Guards against a share in places that is computed from demand which has long gone, and against an
+// exchange that fails between daemons of different versions.
+it('drops demand that is 1 s old, and sends none when nothing waits', () => {
+  const received = buildObservations(checkObservations(sound));
+  const { demand, heldTokens, ...older } = received;
+  const sum = mergeObservations([buildObservations(older), received]);
+  const aged = [1_000, 1_001].map((ms) => addObservationAge(sum, ms).demand);
+  expect([sum.demand, sum.heldTokens, aged]).toEqual([demand, heldTokens, [demand, undefined]]);
+  expect(Object.keys(mergeObservations([buildObservations(older)]))).not.toContain('demand');
+});
--- a/packages/fleet/src/messages/check-observations.ts
+++ b/packages/fleet/src/messages/check-observations.ts
@@ -23,7 +23,7 @@
 const checks: Record<keyof Observations, Check> = {
   lateRouters: isCount,
   loads: hasOnly(isCount),
-  outcomes: hasOnly((value) => Array.isArray(value) && value.length === 2 && value.every(isCount)),
+  outcomes: hasOnly(isPairOfCounts),
   crashes: hasOnly(
     hasOnly(
       (value) =>
@@ -58,6 +58,8 @@
     ),
   ),
   work: hasOnly(isCount),
+  demand: hasOnly(hasOnly(isPairOfCounts)),
+  heldTokens: hasOnly(isCount),
 };
 
 function isCounts(value: unknown, length: number): boolean {
@@ -79,6 +81,10 @@
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
 
+function isPairOfCounts(value: unknown): boolean {
+  return Array.isArray(value) && value.length === 2 && value.every(isCount);
+}
+
 function isOptionalCount(value: unknown): boolean {
   return value === undefined || isCount(value);
 }
--- a/packages/fleet/src/messages/observations.ts
+++ b/packages/fleet/src/messages/observations.ts
@@ -6,7 +6,7 @@
   RateReports,
   VersionReports,
 } from '@vanillarelay/routing';
-import type { WorkReports } from '@vanillarelay/scheduling';
+import type { DemandReports, HeldTokens, WorkReports } from '@vanillarelay/scheduling';
 
 /**
  * Loads, outcomes, crashes, request rates, unread prompts and what endpoints said, as one or more
@@ -25,4 +25,8 @@
   lateRouters?: number;
   /** Answers by version in roll-outs that are in progress; absent without one. */
   versions?: VersionReports;
+  /** Demand for services for which requests wait; absent while none waits. */
+  demand?: DemandReports;
+  /** Tokens held at engines that are not far from their memory; absent while there are none. */
+  heldTokens?: HeldTokens;
 }
--- a/packages/fleet/src/sync/add-observation-age.ts
+++ b/packages/fleet/src/sync/add-observation-age.ts
@@ -3,6 +3,8 @@
 
 /** Time in which the work that a report names counts half, because endpoints do it meanwhile. */
 const workHalfLifeMs = 800;
+/** Time after which the demand that a daemon reported is no longer used. */
+const demandTtlMs = 1_000;
 
 /**
  * Adds the time since observations were received to the ages in them, and takes it off the waits and
@@ -35,5 +37,7 @@
     const leftMs = Math.round(ms * 0.5 ** (addedMs / workHalfLifeMs));
     if (leftMs > 0) work[endpoint as EndpointId] = leftMs;
   });
-  return { ...observations, crashes, rates, notices, work };
+  const { demand, ...others } = observations;
+  const isDemandFresh = demand !== undefined && addedMs <= demandTtlMs;
+  return { ...others, crashes, rates, notices, work, ...(isDemandFresh ? { demand } : {}) };
 }
--- a/packages/fleet/src/sync/merge-observations.ts
+++ b/packages/fleet/src/sync/merge-observations.ts
@@ -5,6 +5,7 @@
   mergeRateReports,
   mergeVersionReports,
 } from '@vanillarelay/routing';
+import { mergeDemandReports, mergeHeldTokens } from '@vanillarelay/scheduling';
 import type { Observations } from '../messages/observations.js';
 
 /** Merges the observations of several daemons. */
@@ -12,9 +13,15 @@
   const crashes = mergeCrashReports(parts.map((part) => part.crashes));
   const rates = mergeRateReports(parts.map((part) => part.rates));
   const notices = mergeEndpointNotices(parts.map((part) => part.notices));
-  const sum: Observations = { loads: {}, outcomes: {}, crashes, rates, notices, work: {} };
+  const demand = mergeDemandReports(parts.map((part) => part.demand ?? {}));
+  const heldTokens = mergeHeldTokens(parts.map((part) => part.heldTokens ?? {}));
   const versions = parts.flatMap((part) => (part.versions ? [part.versions] : []));
-  if (versions.length > 0) sum.versions = mergeVersionReports(versions);
+  const sum: Observations = {
+    ...{ loads: {}, outcomes: {}, crashes, rates, notices, work: {} },
+    ...(versions.length === 0 ? {} : { versions: mergeVersionReports(versions) }),
+    ...(Object.keys(demand).length === 0 ? {} : { demand }),
+    ...(Object.keys(heldTokens).length === 0 ? {} : { heldTokens }),
+  };
   parts.forEach(({ loads, outcomes, work }) => {
     Object.entries(loads).forEach(([key, count]) => {
       const id = key as EndpointId;
--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -107,6 +107,15 @@
     ...{ name: 'once', pathPrefix: '/once/', repeat: 'nonIdempotent' as const, maxEndpoints: 1 },
     ...{ isStream: true, timeoutMs: 8_000 },
   },
+  {
+    ...plainRoute,
+    ...{ name: 'slow', pathPrefix: '/slow/', priority: 2 },
+    ...{ timeoutMs: 8_000, objectiveMs: 2_000 },
+  },
+  {
+    ...plainRoute,
+    ...{ name: 'urgent', pathPrefix: '/urgent/', timeoutMs: 8_000, objectiveMs: 2_000 },
+  },
   {
     ...plainRoute,
     ...{ name: 'patient', pathPrefix: '/patient/', repeat: 'nonIdempotent' as const },
@@ -150,6 +159,7 @@
   isConfigured = true,
   rollouts = undefined as RolloutBounds | undefined,
   readContactAt = undefined as (() => number) | undefined,
+  engineMemoryTokens = 0,
 } = {}) {
   const clock = createSystemClock();
   const endpoints = createEndpointTable({ clock, silenceMs });
@@ -190,6 +200,10 @@
     router.updateConfig({
       ...{ ...config, requiresKey, bounds: { ...config.bounds, maxBodyBytes } },
       routes: config.routes.map((route) => ({ ...route, isPublic })),
+      services: config.services.map((service) => ({
+        ...service,
+        ...(engineMemoryTokens > 0 ? { engineMemoryTokens } : {}),
+      })),
     });
     const table = router.readTable();
     if (table) front.updateTable(table);
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -18,6 +18,11 @@
   type RouteTable,
   type RoutingConfig,
 } from '@vanillarelay/routing';
+import {
+  createEngineMemory,
+  createPlaceLimits,
+  createServiceShares,
+} from '@vanillarelay/scheduling';
 import { createConnectionPool } from './dispatch/create-connection-pool.js';
 import { createSendQueue } from './dispatch/create-send-queue.js';
 import type { RouterFeatures } from './daemon/router-features.js';
@@ -29,6 +34,8 @@
 import type { RequestResult } from './requests/request-result.js';
 import type { RoutedRequest } from './requests/routed-request.js';
 import { runRequest } from './requests/run-request.js';
+import { readSchedulingReports } from './requests/waiting/read-scheduling-reports.js';
+import { createServiceQueues } from './requests/waiting/create-service-queues.js';
 import type { RouterWire } from './wire/router-wire.js';
 
 interface RouterOptions {
@@ -70,6 +77,7 @@
   const running = new Set<() => void>();
   stopSignal.addEventListener('abort', () => running.forEach((abort) => abort()), { once: true });
   const loop = createLoopMonitor({ clock, scheduleTurn: setImmediate });
+  const sendQueue = createSendQueue(loop);
   const context = {
     ...{
       clock,
@@ -87,11 +95,20 @@
       recordDelay: options.recordDelay,
     },
     pool: createConnectionPool(),
-    sendQueue: createSendQueue(loop),
+    sendQueue,
     workPlacement: createWorkPlacement({
       ...{ clock, random, hash, dataCentre, endpoints },
       countRouters: () => listRouters().length,
     }),
+    queues: createServiceQueues({
+      clock,
+      // Requests that wait came before those that enter the send queue now.
+      waitForTurn: () =>
+        sendQueue.waitForTurn({ priority: 0, deadlineAt: clock.monotonic(), signal: stopSignal }),
+    }),
+    shares: createServiceShares({ random }),
+    placeLimits: createPlaceLimits({ hash, self, listRouters }),
+    engineMemory: createEngineMemory(),
     health: createHealthTracker(clock),
     crashes: createCrashRecord({
       ...{ clock, hash, self, listRouters },
@@ -134,6 +151,7 @@
       notices: context.notices.readLocal(),
       ...(rollouts?.isInProgress() ? { versions: rollouts.readLocal() } : {}),
       work: context.workPlacement.readLocal(),
+      ...(features.scheduling ? readSchedulingReports(context, table) : {}),
     }),
     updateObservations: ({
       loads: counts,
@@ -143,6 +161,8 @@
       notices,
       work,
       versions = {},
+      demand = {},
+      heldTokens = {},
     }: Observations): void => {
       loads.updateRemote(counts);
       context.health.updateRemote(outcomes);
@@ -151,6 +171,10 @@
       context.notices.updateRemote(notices);
       context.workPlacement.updateRemote(work);
       rollouts?.updateRemote(versions);
+      context.placeLimits.reset();
+      context.shares.updateRemote(demand, clock.monotonic());
+      context.engineMemory.updateRemote(heldTokens);
+      context.queues.wakeAll();
     },
     readTable: () => table,
     estimateArrival: loop.estimateArrival,
@@ -158,6 +182,8 @@
     countBlockedSuspects: () => context.crashes.countBlocked(),
     /** Number of endpoints that name a limit of requests per second. */
     countLimitedEndpoints: () => context.rateLimiter.countLimited(),
+    /** Gauges of the requests that wait for a place. */
+    readWaitGauges: (): Record<string, number> => context.queues.readGauges(),
     /** Gauges of the remaining retry budget of each service. */
     readRetryGauges: (): Record<string, number> =>
       Object.fromEntries(
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -158,6 +158,7 @@
           : { leftAfterMs: Math.round(request.leftAt - request.startedAt) }),
         ...(request.heldMs === undefined ? {} : { heldMs: request.heldMs }),
         ...(result.waitedMs === undefined ? {} : { waitedMs: result.waitedMs }),
+        ...(result.waits === undefined ? {} : { waits: result.waits }),
       });
     },
   });
@@ -226,6 +227,7 @@
     relay_is_late: Number(lateness.isOut()),
     relay_late_routers: lateRouters,
     ...router.readRolloutGauges(),
+    ...router.readWaitGauges(),
     relay_limited_endpoints: router.countLimitedEndpoints(),
     relay_blocked_suspects: router.countBlockedSuspects(),
     relay_log_lines_lost: log.countLost(),
--- a/packages/router/src/requests/attempt/send-request.ts
+++ b/packages/router/src/requests/attempt/send-request.ts
@@ -7,6 +7,7 @@
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
+import { startUse } from '../waiting/start-use.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { isLost } from './is-lost.js';
 import { isRepeatable } from './is-repeatable.js';
@@ -41,6 +42,7 @@
   const work = expectation && context.workPlacement.startWork(id, expectation, state.affinityKey);
   const sentRun = { sentAt: clock.monotonic(), eventsBefore: progress.events };
   let answeredAt: number | undefined;
+  const endUse = startUse(context, request, state, id);
   const outcome = await runAttempt(context, {
     ...{ request, deadlineAt, signal, progress, isLast },
     cacheSource: readCacheSource(context, request, state, id),
@@ -54,6 +56,7 @@
     },
     recordLoad: (load) => context.workPlacement.recordLoad(state.service, id, load),
   });
+  endUse(outcome.type !== 'notRun');
   recordCrash(context, request, state, endpoint.record, outcome, sentRun);
   if (isLost(outcome)) logLostRequest(context, request, state, endpoint.record);
   recordOutcome(context, state, id, outcome);
--- a/packages/router/src/requests/placing/has-alternative.ts
+++ b/packages/router/src/requests/placing/has-alternative.ts
@@ -1,3 +1,4 @@
+import { buildCandidateRequest } from './build-candidate-request.js';
 import { listCandidates } from './list-candidates.js';
 import { maxSends } from '../attempt/max-sends.js';
 import type { RoutedRequest } from '../routed-request.js';
@@ -10,18 +11,20 @@
  */
 export function hasAlternative(
   context: RouterContext,
-  { table, facts }: RoutedRequest,
+  request: RoutedRequest,
   {
     service,
     tried,
     result,
     affinityKey,
-  }: Pick<RunState, 'service' | 'tried' | 'result' | 'affinityKey'>,
+    memoryNeed,
+  }: Pick<RunState, 'service' | 'tried' | 'result' | 'affinityKey' | 'memoryNeed'>,
 ): boolean {
   // The running attempt is not among the sends yet.
   if (result.sends.length + 1 >= maxSends) return false;
   if (context.budget.readRemaining(service) < 1) return false;
-  const key = affinityKey ?? facts.id;
-  const { open } = listCandidates(context, service, table.findService(service), key, tried);
+  const candidateRequest = buildCandidateRequest(request, { affinityKey, tried, memoryNeed });
+  const routed = request.table.findService(service);
+  const { open } = listCandidates(context, service, routed, candidateRequest);
   return open.some(({ id, healthIssue }) => healthIssue === undefined && !tried.has(id));
 }
--- a/packages/router/src/requests/placing/list-candidates.ts
+++ b/packages/router/src/requests/placing/list-candidates.ts
@@ -1,23 +1,12 @@
 import type { EndpointId, ServiceId } from '@vanillarelay/core';
 import type { Candidate, EndpointTableRow, RoutedService } from '@vanillarelay/routing';
+import type { EngineMemory, MemoryNeed } from '@vanillarelay/scheduling';
 import type { RouterContext } from '../router-context.js';
+import type { CandidateList } from './candidate-list.js';
+import type { CandidateRequest } from './candidate-request.js';
+import { maxRequestsPerSlot } from './max-requests-per-slot.js';
 import { selectVersions } from './select-versions.js';
 
-/** Number of endpoints of a service that were excluded or have a health issue, by reason. */
-type PassedOver = Partial<
-  Record<
-    | 'out'
-    | 'version'
-    | 'leaving'
-    | 'cold'
-    | 'limited'
-    | 'waiting'
-    | 'full'
-    | NonNullable<Candidate['healthIssue']>,
-    number
-  >
->;
-
 /** An endpoint with what is decided by more than once. */
 interface LoadedRow extends EndpointTableRow {
   load: number;
@@ -25,47 +14,17 @@
   isRefusing: boolean;
 }
 
-interface CandidateList {
-  /** Endpoints that may receive a request now. */
-  open: Candidate[];
-  /**
-   * Number of endpoints of the service that accept the request, even if they have no capacity now, and
-   * of those that were tried although a retry may not use their version.
-   */
-  total: number;
-  /**
-   * Mean load of the endpoints of the service, including those that accept no requests now, but not
-   * those that refuse connections.
-   */
-  meanLoad: number;
-  /**
-   * Time until one of the endpoints has capacity, in milliseconds; 0 when that is unknown, as a
-   * request may end at any time.
-   */
-  waitMs: number;
-  passedOver: PassedOver;
-}
-
-/**
- * Maximum number of requests in flight per slot of an endpoint; with more, a request would wait too
- * long there.
- */
-const maxRequestsPerSlot = 3;
-
-/**
- * Lists the endpoints of a service that may receive one more request. While a version is rolled out,
- * `key` and `tried` of the request decide which version it uses.
- */
+/** Lists the endpoints of a service that may receive one more request. */
 export function listCandidates(
   context: RouterContext,
   id: ServiceId,
   service: RoutedService | undefined,
-  key = '',
-  tried: ReadonlySet<EndpointId> = noEndpoints,
+  request: CandidateRequest = anyRequest,
 ): CandidateList {
   const { endpoints, health, loads } = context;
-  const passedOver: PassedOver = {};
-  const countReason = (reason: keyof PassedOver): void => {
+  const { key, tried, memoryNeed } = request;
+  const passedOver: CandidateList['passedOver'] = {};
+  const countReason = (reason: keyof CandidateList['passedOver']): void => {
     passedOver[reason] = (passedOver[reason] ?? 0) + 1;
   };
   const all = endpoints.listService(id).map((row): LoadedRow => ({
@@ -82,14 +41,18 @@
   const otherVersions = inService.length - accepting.length;
   if (otherVersions > 0) passedOver.version = otherVersions;
   const failing = health.listFailing(accepting.map(({ record }) => record.id));
+  const memory = checkMemory(context, accepting, service?.engineMemoryTokens, memoryNeed);
+  // Without an endpoint with more memory, prompts are better off where they are cached.
+  const isMemoryPreferred = [...memory.values()].includes('free');
   const withCapacity = accepting.flatMap((row): Candidate[] => {
     const { record, load } = row;
-    const reason = findLimit(context, row, service);
+    const reason = findLimit(context, row, service, memory.get(record.id));
     if (reason) {
       countReason(reason);
       return [];
     }
-    const healthIssue = findHealthIssue(context, row, failing);
+    const isShort = isMemoryPreferred && memory.get(record.id) === 'short';
+    const healthIssue = findHealthIssue(context, row, failing) ?? (isShort ? 'memory' : undefined);
     if (healthIssue) countReason(healthIssue);
     const { dataCentre, slots } = record;
     const promptShare = context.rateLimiter.computePromptShare(record.id, accepting.length);
@@ -112,10 +75,18 @@
   const waitMs = areTimesKnown ? computeShortestWait(context, accepting) : 0;
   const total =
     accepting.length + (otherVersions > 0 ? countTried(inService, accepting, tried) : 0);
-  return { open, total, meanLoad, waitMs, passedOver };
+  return {
+    ...{ open, total, meanLoad, waitMs, passedOver },
+    places: accepting.reduce((sum, { record }) => sum + record.slots * maxRequestsPerSlot, 0),
+    load: accepting.reduce((sum, row) => sum + row.load, 0),
+    freePlaces: accepting.reduce(
+      (sum, { record, load }) => sum + Math.max(0, record.slots * maxRequestsPerSlot - load),
+      0,
+    ),
+  };
 }
 
-const noEndpoints: ReadonlySet<EndpointId> = new Set();
+const anyRequest: CandidateRequest = { key: '', tried: new Set() };
 
 function countTried(
   rows: readonly EndpointTableRow[],
@@ -126,6 +97,22 @@
   return rows.filter(({ record: { id } }) => tried.has(id) && !accepted.has(id)).length;
 }
 
+/** Checks the memory of engines for a request; empty without a bound or a prompt. */
+function checkMemory(
+  { engineMemory, loads }: RouterContext,
+  rows: readonly LoadedRow[],
+  memoryTokens: number | undefined,
+  need: MemoryNeed | undefined,
+): Map<string, ReturnType<EngineMemory['check']>> {
+  if (memoryTokens === undefined || !need) return new Map();
+  return new Map(
+    rows.map(({ record: { id }, load }) => {
+      const remoteLoad = load - loads.readOwn(id);
+      return [id, engineMemory.check(id, { need, memoryTokens, remoteLoad })];
+    }),
+  );
+}
+
 function computeShortestWait(
   { rateLimiter, notices }: RouterContext,
   rows: readonly EndpointTableRow[],
@@ -149,13 +136,15 @@
   { clock, coldRateLimiter, rateLimiter, notices }: RouterContext,
   { record, coldUntil, load }: LoadedRow,
   service: RoutedService | undefined,
-): 'cold' | 'limited' | 'waiting' | 'full' | undefined {
+  memory: ReturnType<EngineMemory['check']> | undefined,
+): 'cold' | 'limited' | 'waiting' | 'full' | 'memory' | undefined {
   const coldRate = service?.coldRatePerS ?? 0;
   const isCold = coldUntil > clock.monotonic() && coldRate > 0;
   if (isCold && !coldRateLimiter.hasCapacity(record.id, coldRate)) return 'cold';
   if (notices.computeWaitMs(record.id) > 0) return 'waiting';
   if (!rateLimiter.hasCapacity(record.id)) return 'limited';
-  return load >= record.slots * maxRequestsPerSlot ? 'full' : undefined;
+  if (load >= record.slots * maxRequestsPerSlot) return 'full';
+  return memory === 'none' ? 'memory' : undefined;
 }
 
 function findHealthIssue(
--- a/packages/router/src/requests/placing/select-endpoint.ts
+++ b/packages/router/src/requests/placing/select-endpoint.ts
@@ -1,10 +1,13 @@
 import { ResultCode } from '@vanillarelay/core';
+import { buildCandidateRequest } from './build-candidate-request.js';
 import type { Choice } from './choice.js';
 import { listCandidates } from './list-candidates.js';
 import { placeRequest } from './place-request.js';
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
+import { isScheduled } from '../waiting/is-scheduled.js';
+import { selectAllowed } from '../waiting/select-allowed.js';
 
 /**
  * Selects the endpoint for a request. Returns undefined when the request should wait, because all
@@ -19,13 +22,13 @@
 ): Choice | undefined {
   const { clock } = context;
   const { service, tried, signal } = state;
-  const { open, total, meanLoad, waitMs, passedOver } = listCandidates(
-    context,
-    service,
-    request.table.findService(service),
-    state.affinityKey ?? request.facts.id,
-    tried,
-  );
+  const routed = request.table.findService(service);
+  const candidateRequest = buildCandidateRequest(request, state);
+  const candidates = listCandidates(context, service, routed, candidateRequest);
+  const { total, meanLoad, waitMs, passedOver } = candidates;
+  const open = isScheduled(context)
+    ? selectAllowed(context, request, state, candidates)
+    : candidates.open;
   const placement = placeRequest(context, request, state, open, meanLoad);
   if (placement) return { ...placement, passedOver };
   if (total === 0)
--- a/packages/router/src/requests/router-context.ts
+++ b/packages/router/src/requests/router-context.ts
@@ -11,12 +11,14 @@
   RetryBudget,
   RolloutTraffic,
 } from '@vanillarelay/routing';
+import type { EngineMemory, PlaceLimits, ServiceShares } from '@vanillarelay/scheduling';
 import type { RouterFeatures } from '../daemon/router-features.js';
 import type { SendQueue } from '../dispatch/send-queue.js';
 import type { LogEvent } from '../log/log-event.js';
 import type { MemoryBudget } from '../memory/memory-budget.js';
 import type { RouterWire } from '../wire/router-wire.js';
 import type { WorkPlacement } from './placing/work-placement.js';
+import type { ServiceQueues } from './waiting/service-queues.js';
 
 /** Dependencies and state that all requests of one router share. */
 export interface RouterContext {
@@ -28,6 +30,11 @@
   wire: RouterWire;
   pool: Agent;
   sendQueue: SendQueue;
+  /** Requests that wait for a place; used only with `features.scheduling`. */
+  queues: ServiceQueues;
+  shares: ServiceShares;
+  placeLimits: PlaceLimits;
+  engineMemory: EngineMemory;
   endpoints: EndpointTable;
   health: HealthTracker;
   loads: LoadView;
--- a/packages/router/src/requests/waiting/wait-for-endpoint.ts
+++ b/packages/router/src/requests/waiting/wait-for-endpoint.ts
@@ -3,6 +3,9 @@
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
 import type { RunState } from '../run-state.js';
+import { isScheduled } from './is-scheduled.js';
+import { waitForTurn } from './wait-for-turn.js';
+import { waitInQueue } from './wait-in-queue.js';
 
 /**
  * Share of the route's target response time (`objectiveMs`) for which a request waits for capacity
@@ -21,15 +24,12 @@
   state: RunState,
   proceed: (choice: Choice) => Promise<T>,
 ): Promise<T> {
-  const { clock, sendQueue } = context;
-  const { result, signal, deadlineAt } = state;
-  const priority = request.account?.priority ?? request.route.priority;
-  const startedAt = clock.monotonic();
+  if (isScheduled(context)) return waitInQueue(context, request, state, proceed);
+  const { clock } = context;
+  const { result, signal } = state;
   const waitUntil = clock.monotonic() + request.route.objectiveMs * waitShare;
   for (;;) {
-    await sendQueue.waitForTurn({ priority, deadlineAt, signal });
-    const isFirstTurn = result.waitedMs === undefined && result.sends.length === 0;
-    if (isFirstTurn) context.recordDelay(request.readDelayMs + clock.monotonic() - startedAt);
+    await waitForTurn(context, request, state);
     const choice = selectEndpoint(context, request, state, waitUntil);
     if (choice) return proceed(choice);
     await clock.wait(capacityPollIntervalMs, signal);
