perf(control): elect a leader soon after a majority of the nodes has started

What was seen: once the search for a hub was short, most of the time from the start of the hubs to the state was the election: each node tried first 50 to 300 ms after its start, and when that came before a majority was there, again only 1 to 2 s later.

Change: the first try comes 5 to 60 ms after the start, since this node may complete a majority, and further ones every 50 to 300 ms until a leader is heard, for 5 s. Pre-votes are denied while a leader is alive, so a node that restarts alone disturbs nothing; how votes are given is unchanged.

--- a/packages/control/src/raft/raft-timing.ts
+++ b/packages/control/src/raft/raft-timing.ts
@@ -7,10 +7,15 @@
   electionTimeoutMinMs: 1_000,
   electionTimeoutMaxMs: 2_000,
   /**
-   * First election timeout after a start; short, because votes are denied while a leader is alive.
+   * First election timeout after a start: this node may be the one that completes a majority. Votes
+   * are denied while a leader is alive.
    */
-  firstTimeoutMinMs: 50,
-  firstTimeoutMaxMs: 300,
+  firstTimeoutMinMs: 5,
+  firstTimeoutMaxMs: 60,
+  /** Further ones until a leader is heard, for as long as the other nodes may still be starting. */
+  startTimeoutMinMs: 50,
+  startTimeoutMaxMs: 300,
+  startMs: 5_000,
   heartbeatMs: 250,
   /**
    * Timeout of a call to another control node. Entries are sent again `retryDelayMs` after a failed
--- a/packages/control/src/raft/run-elections.ts
+++ b/packages/control/src/raft/run-elections.ts
@@ -6,11 +6,17 @@
 
 /** Task that starts an election when no leader is heard for a randomised timeout. @internal */
 export async function runElections(context: RaftContext): Promise<void> {
-  const { electionTimeoutMinMs } = raftTiming;
+  const { electionTimeoutMinMs, startMs } = raftTiming;
+  const startedAt = context.clock.monotonic();
   let isFirst = true;
+  const isStarting = () =>
+    context.leaderContactAt === Number.NEGATIVE_INFINITY &&
+    context.clock.monotonic() - startedAt < startMs;
   while (context.role !== 'stopped') {
     const isSingleVoter = computeVoteQuorum(context).needed === 1;
-    await waitForElectionTimeout(context, isSingleVoter ? 0 : chooseTimeout(context, isFirst));
+    const laterStage = isStarting() ? 'start' : 'election';
+    const stage = isFirst ? 'first' : laterStage;
+    await waitForElectionTimeout(context, isSingleVoter ? 0 : chooseTimeout(context, stage));
     isFirst = false;
     if (context.role !== 'follower') {
       await context.clock.wait(electionTimeoutMinMs);
@@ -24,12 +30,9 @@
   }
 }
 
-function chooseTimeout({ random }: RaftContext, isFirst: boolean): number {
-  const { electionTimeoutMinMs, electionTimeoutMaxMs } = raftTiming;
-  const { firstTimeoutMinMs, firstTimeoutMaxMs } = raftTiming;
-  const [minMs, maxMs] = isFirst
-    ? [firstTimeoutMinMs, firstTimeoutMaxMs]
-    : [electionTimeoutMinMs, electionTimeoutMaxMs];
+function chooseTimeout({ random }: RaftContext, stage: 'first' | 'start' | 'election'): number {
+  const minMs = raftTiming[`${stage}TimeoutMinMs`];
+  const maxMs = raftTiming[`${stage}TimeoutMaxMs`];
   return minMs + random() * (maxMs - minMs);
 }
 
