fix(routing): copy a prompt from its weighted home

Where homes are weighted by lasting speed, the source of a cached prompt was still the home of the unweighted order, which does not hold it. sortByRendezvous takes weights now. The time without reading is learned by service and route, since one route may have services of different speed.

Evidence: a test of both orders; scheduling, routing, core and the touched router tests pass.

--- a/packages/fleet/__tests__/observations.test.ts
+++ b/packages/fleet/__tests__/observations.test.ts
@@ -60,3 +60,14 @@
     { seed, numRuns: 3_000 },
   );
 });
+
+// Guards against work that a late report names although the endpoint has done it meanwhile, and
+// against zeros and fractions, which cost bytes in each exchange.
+it('adds the work of several daemons, halves it with its age and leaves out zero', () => {
+  const parts = [{ e1: 100, e2: 1 }, { e1: 61 }, {}].map((work) =>
+    addObservationAge(buildObservations({ work }), 800),
+  );
+  expect(mergeObservations(parts).work).toEqual({ e1: 81, e2: 1 });
+  const old = addObservationAge(buildObservations({ work: { e2: 1 } } as never), 1_600);
+  expect(mergeObservations([old, buildObservations({})]).work).toEqual({});
+});
--- a/packages/router/src/requests/placing/create-work-placement.ts
+++ b/packages/router/src/requests/placing/create-work-placement.ts
@@ -124,6 +124,8 @@
   return {
     /** Whether requests of a service are placed by their expected cost. */
     isEnabled: (service: ServiceId): boolean => speeds.isReported(service, clock.monotonic()),
+    /** Weight of an endpoint in the order of homes, for services that are placed by cost. */
+    readWeight: speeds.readWeight,
     /** Records what an endpoint said of its load in an answer. */
     recordLoad: (service: ServiceId, id: EndpointId, { workTimePercent }: EndpointLoad): void => {
       if (workTimePercent !== undefined)
--- a/packages/router/src/requests/placing/find-cache-source.ts
+++ b/packages/router/src/requests/placing/find-cache-source.ts
@@ -4,7 +4,7 @@
 
 /** Address of an endpoint that probably has the prompt cached, if the chosen endpoint does not. */
 export function findCacheSource(
-  { clock, endpoints, health, hash }: RouterContext,
+  { clock, endpoints, health, hash, workPlacement }: RouterContext,
   service: ServiceId,
   key: string,
   chosen: EndpointId,
@@ -18,6 +18,7 @@
       id,
       ageMs: bornAt > 0 ? now - bornAt : monotonicNow - firstSeenAt,
     }));
-  const source = chooseCacheSource(holders, key, chosen, hash);
+  const readWeight = workPlacement.isEnabled(service) ? workPlacement.readWeight : undefined;
+  const source = chooseCacheSource(holders, key, chosen, hash, readWeight);
   return source && endpoints.find(source)?.record.address;
 }
--- a/packages/routing/src/placement/choose-cache-source.ts
+++ b/packages/routing/src/placement/choose-cache-source.ts
@@ -16,17 +16,18 @@
  * processing it again. Normally a prompt is processed at its home, the first endpoint in its
  * rendezvous order. The source is the home when the request is sent to another endpoint, and the
  * former home when the home started after it. Endpoints that are leaving are included, as they
- * still hold their cache.
+ * still hold their cache. Where homes are weighted, `readWeight` returns the weights.
  */
 export function chooseCacheSource(
   holders: readonly CacheHolder[],
   key: string,
   chosen: EndpointId,
   hash: Hash,
+  readWeight?: (id: EndpointId) => number,
 ): EndpointId | undefined {
   const ages = new Map(holders.map(({ id, ageMs }) => [id, ageMs]));
   const readAge = (id: EndpointId): number => ages.get(id) ?? 0;
-  const order = sortByRendezvous(hash, key, [...ages.keys()]);
+  const order = sortByRendezvous(hash, key, [...ages.keys()], readWeight);
   const chosenAgeMs = readAge(chosen);
   const isHome = order[0] === chosen;
   if (isHome && chosenAgeMs >= cacheFillMs) return undefined;
--- a/packages/scheduling/__tests__/choose-by-finish.test.ts
+++ b/packages/scheduling/__tests__/choose-by-finish.test.ts
@@ -140,6 +140,16 @@
     );
   });
 
+  // Guards against prompts copied from an endpoint that is not their home.
+  it('is that of the source of a cached prompt', () => {
+    const readWeight = (id: EndpointId) => (id < 'e3' ? 0.55 : 1);
+    const homes = createHomeOrder({ hash, readWeight });
+    const keys = Array.from({ length: 50 }, (_, index) => `prompt ${index}`);
+    expect(keys.map((each) => homes.listFirst(each, ids))).toEqual(
+      keys.map((each) => sortByRendezvous(hash, each, ids, readWeight)),
+    );
+  });
+
   // Guards against an endpoint at half the speed that is home to as many prompts as the others.
   it('gives an endpoint homes in proportion to its weight, and moves no other prompt', () => {
     let weight = 1;
--- a/packages/scheduling/src/cost/create-work-estimator.ts
+++ b/packages/scheduling/src/cost/create-work-estimator.ts
@@ -68,14 +68,15 @@
     return created;
   };
 
-  const findRoute = ({ route }: WorkRequest): RouteWork => {
-    const known = routes.get(route);
+  const findRoute = ({ service, route }: WorkRequest): RouteWork => {
+    const key = `${service}\n${route}`;
+    const known = routes.get(key);
     if (known) return known;
     const created = {
       baseMs: createDecayedMean(baseMsPrior),
       outputTokens: createDecayedMean(outputTokensPrior),
     };
-    routes.set(route, created);
+    routes.set(key, created);
     return created;
   };
 
