fix(scheduling): an account without a share does not keep the others from being offered a place

Cause: a place was offered to at most 8 requests, and deficit round robin chose the same account again while none of its requests was served, so an account that its share held back used all 8 offers.

Change: when share or reserve holds a request back, the others of its account and urgency are passed over as well.

--- a/packages/router/src/requests/run-state.ts
+++ b/packages/router/src/requests/run-state.ts
@@ -1,5 +1,6 @@
 import type { EndpointId, ServiceId, SuspectId } from '@vanillarelay/core';
 import type { MemoryNeed } from '@vanillarelay/scheduling';
+import type { HoldReason } from './waiting/hold-reason.js';
 import type { RequestResult } from './request-result.js';
 import type { StreamProgress } from './attempt/stream-progress.js';
 
@@ -24,8 +25,8 @@
   partSuspects: SuspectId[];
   /** What it needs of an engine's memory; undefined without a prompt. */
   memoryNeed?: MemoryNeed;
-  /** Whether the last choice left out endpoints that may take other requests. */
-  isHeldBack?: boolean;
+  /** Why the last choice left out endpoints that may take other requests. */
+  heldBackBy?: HoldReason;
   /** Number of endpoints that the last choice excluded, by reason. */
   passedOver?: object;
   /** Hash of the request's content; computed on first use. */
--- a/packages/router/src/requests/waiting/hold-reason.ts
+++ b/packages/router/src/requests/waiting/hold-reason.ts
@@ -3,4 +3,6 @@
   /** It is kept for more urgent requests. */
   | 'reserved'
   /** It is part of the share of other routers or accounts. */
-  | 'share';
+  | 'share'
+  /** The engine's memory has no room for this request. */
+  | 'memory';
--- a/packages/router/src/requests/waiting/select-allowed.ts
+++ b/packages/router/src/requests/waiting/select-allowed.ts
@@ -27,18 +27,18 @@
   const { isAllowed, reason } = findRule(context, request, state, candidates);
   const allowed = open.filter(isAllowed);
   const heldBack = open.length - allowed.length;
-  if (heldBack > 0) {
-    passedOver[reason] = heldBack;
-    context.queues.find(state.service).recordHold(reason);
-  }
+  if (heldBack > 0) passedOver[reason] = heldBack;
+  if (heldBack > 0) state.heldBackBy = reason;
+  else if ((passedOver.memory ?? 0) > 0) state.heldBackBy = 'memory';
+  else delete state.heldBackBy;
+  if (state.heldBackBy) context.queues.find(state.service).recordHold(state.heldBackBy);
   state.passedOver = passedOver;
-  state.isHeldBack = heldBack > 0 || (passedOver.memory ?? 0) > 0;
   return allowed;
 }
 
 interface Rule {
   isAllowed: (endpoint: CandidateList['open'][number]) => boolean;
-  reason: HoldReason;
+  reason: Exclude<HoldReason, 'memory'>;
 }
 
 function findRule(
--- a/packages/router/src/requests/waiting/wait-in-queue.ts
+++ b/packages/router/src/requests/waiting/wait-in-queue.ts
@@ -76,8 +76,7 @@
       fail(error);
       return 'taken';
     }
-    const isParticular = state.tried.size > 0 || state.isHeldBack === true;
-    if (!choice) return isParticular ? 'unsuited' : 'noPlace';
+    if (!choice) return findObstacle(state);
     // The time may have run out since the queue was looked through.
     const isOver = 'code' in choice && clock.monotonic() >= wait.latestStartAt;
     if (isOver) refuse({ rule: 'waitOver', ahead: 0 });
@@ -99,6 +98,12 @@
   else if (signal.aborted) cancelWait();
 }
 
+/** Why a request did not take a place. */
+function findObstacle({ tried, heldBackBy }: RunState): Offer {
+  if (heldBackBy === 'reserved' || heldBackBy === 'share') return 'noShare';
+  return tried.size > 0 || heldBackBy === 'memory' ? 'unsuited' : 'noPlace';
+}
+
 function toChoice(refusal: WaitRefusal, { passedOver = {} }: RunState): Choice {
   const reason = `no place in time ${JSON.stringify(refusal)}`;
   return { code: ResultCode.endpointBusy, reason, passedOver };
--- a/packages/scheduling/__tests__/run-load-model.ts
+++ b/packages/scheduling/__tests__/run-load-model.ts
@@ -209,7 +209,7 @@
     queue.takeExpired(now).forEach((request) => refuse(now, index, request));
     const offer = (request: Request) => {
       const endpoint = choose(now, index, request);
-      if (endpoint === undefined) return 'unsuited' as const;
+      if (endpoint === undefined) return 'noShare' as const;
       send(now, index, request, endpoint);
       return 'taken' as const;
     };
--- a/packages/scheduling/__tests__/waiting-queue.test.ts
+++ b/packages/scheduling/__tests__/waiting-queue.test.ts
@@ -88,6 +88,27 @@
   });
 });
 
+describe('a place that an account may not take', () => {
+  // Guards against an account without a share whose requests keep the others from being looked at.
+  it('is offered to the next account', () => {
+    const surge = Array.from({ length: 20 }, (_, index) => build(`a${index}`));
+    const queue = fill([...surge, build('b', { account: 'b' })]);
+    const offered: string[] = [];
+    const taken = queue.take(0, (request) => {
+      offered.push(request.name);
+      return request.account === 'a' ? 'noShare' : 'taken';
+    });
+    expect([offered, taken?.name]).toEqual([['a0', 'b'], 'b']);
+  });
+
+  // Guards against a request that can use no free place and keeps the others from being looked at.
+  it('is offered to the next request when only this one cannot use it', () => {
+    const queue = fill([build('x'), build('y', { latestStartAt: 600 })]);
+    const taken = queue.take(0, ({ name }) => (name === 'x' ? 'unsuited' : 'taken'));
+    expect([taken?.name, queue.count()]).toEqual(['y', 1]);
+  });
+});
+
 describe('admission', () => {
   // Guards against requests that are held although their turn comes too late.
   it('refuses a request whose turn comes after its latest start', () => {
--- a/packages/scheduling/src/waiting/create-waiting-queue.ts
+++ b/packages/scheduling/src/waiting/create-waiting-queue.ts
@@ -67,6 +67,10 @@
     return head && [head, order];
   };
 
+  /** Lists the requests that wait with the account and the urgency of one. */
+  const listGroup = ({ account, urgency }: T): T[] =>
+    [...waiting].filter((other) => other.account === account && other.urgency === urgency);
+
   const remove = (request: T): boolean => {
     const isRemoved = waiting.delete(request);
     if (waiting.size === 0) rounds.clear();
@@ -96,7 +100,7 @@
     /** Offers a place to the requests in their order until one takes it; returns that one. */
     take: (now: number, offer: (request: T) => Offer): T | undefined => {
       const skipped = new Set<T>();
-      while (skipped.size < maxOffers) {
+      for (let offers = 0; offers < maxOffers; offers += 1) {
         const next = chooseNext(now, skipped);
         if (!next) return undefined;
         const [request, order] = next;
@@ -108,6 +112,7 @@
           return request;
         }
         skipped.add(request);
+        if (outcome === 'noShare') listGroup(request).forEach((other) => skipped.add(other));
       }
       return undefined;
     },
--- a/packages/scheduling/src/waiting/offer.ts
+++ b/packages/scheduling/src/waiting/offer.ts
@@ -1,5 +1,5 @@
 /**
  * What became of a request that was offered a place: it took one, this request can use none of the
- * free ones, or none is free.
+ * free ones, none of its account and urgency may take one, or none is free.
  */
-export type Offer = 'taken' | 'unsuited' | 'noPlace';
+export type Offer = 'taken' | 'unsuited' | 'noShare' | 'noPlace';
