feat(router): a gauge of the places that a router uses; tests of joining endpoints and returns

Cause: no metric told how many places of a full service a router uses, and two parts of the wiring were not tested: the timer that finds an endpoint that joined, and the place of a caller that comes back.

Change: relay_places_used by service; two tests.

--- a/packages/router/__tests__/waiting-requests.test.ts
+++ b/packages/router/__tests__/waiting-requests.test.ts
@@ -165,6 +165,40 @@
     expect([isHeld, new Set(statuses)]).toEqual([true, new Set([200])]);
   });
 
+  // Guards against requests that wait until another one ends although an endpoint has joined.
+  it('are sent to an endpoint that appears', async () => {
+    const { held, answerNext, answers } = await startFull();
+    const gauges = fixture.router.readWaitGauges();
+    answers.push(send('/slow/x'));
+    await waitUntil(() => readWaiting() === 1);
+    const next = await addHoldingEndpoint('e2');
+    await waitUntil(() => next.arrivals.length === 1);
+    next.answerNext();
+    while (held.length > 0) answerNext();
+    const statuses = (await Promise.all(answers)).map(({ status }) => status);
+    const used = gauges['relay_places_used{service="desk"}'];
+    expect([next.arrivals, new Set(statuses), used]).toEqual([['/slow/x'], new Set([200]), places]);
+  });
+
+  // Guards against callers that were refused and find newcomers before them when they come back.
+  it('keep their place when they come back after a refusal', async () => {
+    const { arrivals, held, answerNext, answers } = await startFull();
+    await send('/slow/back');
+    answers.push(send('/slow/new'));
+    await waitUntil(() => readWaiting() === 1);
+    answers.push(send('/slow/back'));
+    await waitUntil(() => readWaiting() === 2);
+    answerNext();
+    await waitUntil(() => arrivals.length === places + 1);
+    const first = arrivals.at(-1);
+    while (held.length > 0 || readWaiting() > 0) {
+      answerNext();
+      await fixture.clock.wait(2);
+    }
+    await Promise.all(answers);
+    expect(first).toBe('/slow/back');
+  });
+
   // Guards against a place that is given to a caller who has left.
   it('leave the queue when their caller leaves', async () => {
     const { arrivals, held, answerNext, answers } = await startFull();
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -151,8 +151,16 @@
     countBlockedSuspects: () => context.crashes.countBlocked(),
     /** Number of endpoints that name a limit of requests per second. */
     countLimitedEndpoints: () => context.rateLimiter.countLimited(),
-    /** Gauges of the requests that wait for a place. */
-    readWaitGauges: (): Record<string, number> => context.queues.readGauges(),
+    /** Gauges of the requests that wait for a place, and of the places that this router uses. */
+    readWaitGauges: (): Record<string, number> => ({
+      ...context.queues.readGauges(),
+      ...Object.fromEntries(
+        [...context.shares.countRunning()].map(([service, count]) => [
+          `relay_places_used{service="${service}"}`,
+          count,
+        ]),
+      ),
+    }),
     /** Gauges of the remaining retry budget of each service. */
     readRetryGauges: (): Record<string, number> =>
       Object.fromEntries(
--- a/packages/scheduling/src/shares/create-service-shares.ts
+++ b/packages/scheduling/src/shares/create-service-shares.ts
@@ -95,6 +95,14 @@
     mayTake: (request: ShareRequest): boolean =>
       (findRunning(request.service).get(request.group) ?? 0) < computeAllowed(request),
     computeAllowed,
+    /** Number of requests in flight from this router by service. */
+    countRunning: (): Map<ServiceId, number> =>
+      new Map(
+        [...running].map(([service, counts]) => [
+          service,
+          [...counts.values()].reduce((sum, count) => sum + count, 0),
+        ]),
+      ),
     /** Whether the demand at the other routers is not known, so that only a safe part may be used. */
     isOutdated: (now: number): boolean => updatedAt === undefined || now - updatedAt > newsTtlMs,
     /** Demand at this router, for the others: only that of services for which requests wait. */
