fix(routing): a router's quota for a new version does not use the slack of the bound

Cause: routers divided the slack by the number of routers that they knew.

Change: the quota grows only with the requests that the router received itself, so nothing depends on what it knows of others. The model's lists of routers are gone with their only use; the bound that the model checks still contains the slack.

Three tests began with room from the slack; they now receive requests first, and the test of equal parts of the slack is replaced by one that expects no room before the first request.

--- a/packages/router/__tests__/rollouts.test.ts
+++ b/packages/router/__tests__/rollouts.test.ts
@@ -70,7 +70,7 @@
   expect('versions' in fixture.router.readObservations()).toBe(false);
 });
 
-// Guards against more requests to a new version than its share and slack allow.
+// Guards against more requests to a new version than its share allows.
 it('keeps the quota while the roll-out is in progress, and reports the answers', async () => {
   const { sendRequests, update } = await startFixture();
   fixture.router.updateRollouts([]);
@@ -78,7 +78,7 @@
   const { v1, v2 } = await sendRequests(200);
   expect(v1 + v2).toBe(200);
   expect(v2).toBeGreaterThan(0);
-  expect(v2).toBeLessThanOrEqual(0.1 * 200 + 10);
+  expect(v2).toBeLessThanOrEqual(0.1 * 200);
   const counts = fixture.router.readObservations().versions?.[order.startIndex]?.lookup;
   const count = ([good, bad]: SideCounts = [0, 0, 0, 0]) => good + bad;
   expect([count(counts?.old), count(counts?.new)]).toEqual([v1, v2]);
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -232,9 +232,9 @@
 }
 
 function createRollouts(options: RouterOptions, bounds: RolloutBounds): RolloutTraffic {
-  const { clock, hash, self, endpoints, listRouters, record, readContactAt = () => 0 } = options;
+  const { clock, hash, endpoints, record, readContactAt = () => 0 } = options;
   return createRolloutTraffic({
-    ...{ clock, hash, self, bounds, listRouters, readContactAt },
+    ...{ clock, hash, bounds, readContactAt },
     listEndpoints: (service, version) =>
       endpoints
         .listService(service)
--- a/packages/routing/__tests__/rollout-traffic.test.ts
+++ b/packages/routing/__tests__/rollout-traffic.test.ts
@@ -12,15 +12,12 @@
   ...{ to: 'v2', durationMs: 12_000, state: 'inProgress', startIndex: 5, lastIndex: 5 },
   startedAt: 0,
 };
-const names = ['r1', 'r2', 'r3'] as never[];
-
-function startTraffic(self = 'r1', options: { readContactAt?: () => number } = {}) {
+function startTraffic(options: { readContactAt?: () => number } = {}) {
   const time = { now: 1_000 };
   const steps: unknown[] = [];
   const traffic = createRolloutTraffic({
-    ...{ clock: { monotonic: () => time.now }, hash, self: self as never },
+    ...{ clock: { monotonic: () => time.now }, hash },
     bounds: { exposeShare: 0.1, exposeSlack: 50 },
-    listRouters: () => names,
     readContactAt: options.readContactAt ?? (() => time.now),
     listEndpoints: () => [],
     notifyStep: (_, __, step) => steps.push(step),
@@ -28,9 +25,13 @@
   });
   const update = (change: Partial<Rollout> = {}, ageMs = 0) =>
     traffic.updateRollouts([{ service, rollout: { ...order, ...change }, ageMs }]);
+  /** Receives requests, from which the quota grows. */
+  const receive = (count: number) => {
+    for (let index = 0; index < count; index += 1) traffic.recordRequest(service);
+  };
   const listNew = (keys: readonly string[]) =>
     keys.filter((key) => traffic.chooseSides(service, key)?.onTo === 'preferred');
-  return { time, traffic, update, listNew, steps };
+  return { time, traffic, update, receive, listNew, steps };
 }
 
 const keys = Array.from({ length: 2_000 }, (_, index) => `chat-${index}`);
@@ -38,10 +39,11 @@
 describe('the side of a chat', () => {
   // Guards against a chat that alternates between two versions, and whose prompt is read twice.
   it('is the same at all routers', () => {
-    const [first, second] = ['r1', 'r2'].map((self) => {
-      const { traffic, update, listNew } = startTraffic(self);
+    const [first, second] = [100, 200].map((count) => {
+      const { traffic, update, receive, listNew } = startTraffic();
       traffic.updateRollouts([]);
       update();
+      receive(count);
       return listNew(keys);
     });
     expect(first).toEqual(second);
@@ -51,9 +53,10 @@
 
   // Guards against retries that take a failing old side's requests to the new version.
   it('is the old one for a retry', () => {
-    const { traffic, update, listNew } = startTraffic();
+    const { traffic, update, receive, listNew } = startTraffic();
     traffic.updateRollouts([]);
     update();
+    receive(100);
     const sides = listNew(keys).map((key) => traffic.chooseSides(service, key, true));
     expect(new Set(sides.map((side) => side?.onTo))).toEqual(new Set(['lastResort']));
   });
@@ -70,23 +73,13 @@
     return sent;
   };
 
-  // Guards against slack that every router uses as a whole.
-  it('has an equal part of the slack', () => {
-    const parts = names.map((self) => {
-      const started = startTraffic(self);
-      started.traffic.updateRollouts([]);
-      started.update();
-      return spend(started);
-    });
-    expect(parts).toEqual([15, 15, 15]);
-  });
-
-  // Guards against a router that uses its part of the slack again after each restart.
-  it('has no slack after a restart, and grows with the requests', () => {
+  // Guards against routers that together send more to a new version than its share of their requests.
+  it('grows only with the requests of this router', () => {
     const started = startTraffic();
+    started.traffic.updateRollouts([]);
     started.update();
     const before = spend(started);
-    for (let count = 0; count < 100; count += 1) started.traffic.recordRequest(service);
+    started.receive(100);
     started.traffic.recordSend(service, 'v1');
     expect([before, spend(started)]).toEqual([0, 9]);
   });
@@ -96,25 +89,29 @@
     const started = startTraffic();
     started.traffic.updateRollouts([]);
     started.update();
+    started.receive(100);
     const sent = [spend(started)];
     started.update({}, 500);
     sent.push(spend(started));
     started.update({ state: 'rolledBack', lastIndex: 6 });
     started.update({ startIndex: 7, lastIndex: 7 });
     sent.push(spend(started));
+    started.receive(100);
+    sent.push(spend(started));
     started.update({ startIndex: 5, lastIndex: 6, state: 'completed' });
-    expect([sent, started.traffic.isInProgress()]).toEqual([[15, 0, 15], true]);
+    expect([sent, started.traffic.isInProgress()]).toEqual([[9, 0, 0, 9], true]);
   });
 });
 
 // Guards against a router that is cut off, or was stopped for a while, and goes on with a roll-out.
 it('uses the new version as a last resort only, without recent contact', () => {
   const contact = { at: 1_000 };
-  const { time, traffic, update, listNew } = startTraffic('r1', {
+  const { time, traffic, update, receive, listNew } = startTraffic({
     readContactAt: () => contact.at,
   });
   traffic.updateRollouts([]);
   update();
+  receive(100);
   const counts = [listNew(keys).length > 0];
   time.now += 1_100;
   counts.push(listNew(keys).length > 0);
--- a/packages/routing/__tests__/simulate-rollout.ts
+++ b/packages/routing/__tests__/simulate-rollout.ts
@@ -43,7 +43,6 @@
 interface SimulatedRouter {
   traffic: RolloutTraffic;
   contactAt: number;
-  contactCount: number;
   frozenUntil: number;
   nextExchangeAt: number;
 }
@@ -58,7 +57,6 @@
 const hubCount = 3;
 const exchangeMs = 260;
 const rowTtlMs = 2_500;
-const viewMs = 700;
 const usualMs = 120;
 const orderAt = 1_500;
 const zones = ['north', 'south', 'east'] as DataCentreId[];
@@ -140,26 +138,12 @@
   const rows = new Map<DaemonId, { reports: VersionReports; at: number }>();
   const routers = new Map<DaemonId, SimulatedRouter>();
 
-  /** A router loses sight of some others for a while, but its first news from a hub names all. */
-  const listKnown = (self: DaemonId): DaemonId[] => {
-    const period = Math.floor(now / viewMs);
-    const draws = hash(`${self} ${period}`) / 2 ** 32;
-    const isFirst = routers.get(self)?.contactCount === 1;
-    return isFirst || draws >= options.lossRate ? names : [self, ...names.slice(0, 2)];
-  };
-
   const startRouter = (self: DaemonId): void => {
     const router: SimulatedRouter = {
-      ...{
-        contactAt: -Infinity,
-        contactCount: 0,
-        frozenUntil: 0,
-        nextExchangeAt: now + draw(0, exchangeMs),
-      },
+      ...{ contactAt: -Infinity, frozenUntil: 0, nextExchangeAt: now + draw(0, exchangeMs) },
       traffic: createRolloutTraffic({
-        ...{ clock: { monotonic: () => now }, hash, self },
+        ...{ clock: { monotonic: () => now }, hash },
         bounds: { exposeShare, exposeSlack },
-        listRouters: () => listKnown(self),
         readContactAt: () => routers.get(self)?.contactAt ?? -Infinity,
         listEndpoints: () => newEndpoints,
         notifyStep: () => {},
@@ -191,7 +175,6 @@
       callAt(now + draw(2, maxMessageMs), () => {
         if (routers.get(self) !== router || router.frozenUntil > now) return;
         router.contactAt = now;
-        router.contactCount += 1;
         router.traffic.updateRemote(remote);
         router.traffic.updateRollouts(known);
       });
--- a/packages/routing/src/rollouts/compute-exposure.ts
+++ b/packages/routing/src/rollouts/compute-exposure.ts
@@ -5,6 +5,6 @@
 
 /** Computes the requests that the plan may send to the new version in all. */
 export function computeExposure(figures: TrafficFigures): number {
-  const { exposeShare, exposeSlack, requestsPerMs, planMs } = figures;
-  return plannedPart * (exposeShare * requestsPerMs * planMs + exposeSlack);
+  const { exposeShare, requestsPerMs, planMs } = figures;
+  return plannedPart * exposeShare * requestsPerMs * planMs;
 }
--- a/packages/routing/src/rollouts/create-exposure-quota.ts
+++ b/packages/routing/src/rollouts/create-exposure-quota.ts
@@ -1,18 +1,17 @@
-/** Part of the bound that is used, because routers may know different numbers of routers. */
+/** Part of the share that is used; the rest covers requests that another router saw as well. */
 const usableShare = 0.9;
 
 interface QuotaOptions {
   exposeShare: number;
-  /** Requests that this router may send to the new version besides; a whole number. */
-  slackPart: number;
 }
 
 /**
- * Creates a router's quota for one roll-out: what it sends to the new version never exceeds its part
- * of the slack and a share of the requests that it received itself. The quotas of all routers
- * together therefore keep the bound without a message between them.
+ * Creates a router's quota for one roll-out: what it sends to the new version never exceeds a share
+ * of the requests that it received itself. The quotas of all routers together therefore keep the bound
+ * without a message between them. The slack of the bound stays unused: routers that know different
+ * numbers of routers cannot divide it safely.
  */
-export function createExposureQuota({ exposeShare, slackPart }: QuotaOptions) {
+export function createExposureQuota({ exposeShare }: QuotaOptions) {
   let requests = 0;
   let sent = 0;
   return {
@@ -22,7 +21,7 @@
     recordSend: (): void => {
       sent += 1;
     },
-    hasRoom: (): boolean => sent + 1 <= usableShare * exposeShare * requests + slackPart,
+    hasRoom: (): boolean => sent + 1 <= usableShare * exposeShare * requests,
     read: () => ({ requests, sent }),
   };
 }
--- a/packages/routing/src/rollouts/create-rollout-traffic.ts
+++ b/packages/routing/src/rollouts/create-rollout-traffic.ts
@@ -1,5 +1,4 @@
-import type { Clock, DaemonId, EndpointId, Hash, ServiceId } from '@vanillarelay/core';
-import { computeSlackPart } from './compute-slack-part.js';
+import type { Clock, EndpointId, Hash, ServiceId } from '@vanillarelay/core';
 import { createAnswerTimes } from './create-answer-times.js';
 import { createExposureQuota } from './create-exposure-quota.js';
 import { createRolloutProgress } from './create-rollout-progress.js';
@@ -17,9 +16,7 @@
 interface TrafficOptions {
   clock: Pick<Clock, 'monotonic'>;
   hash: Hash;
-  self: DaemonId;
   bounds: RolloutBounds;
-  listRouters: () => readonly DaemonId[];
   /** Monotonic time of the last contact with a hub that had recent contact with a quorum. */
   readContactAt: () => number;
   /** Endpoints of a version of a service. */
@@ -50,30 +47,16 @@
  * a new one, and what its answers say of it.
  */
 export function createRolloutTraffic(options: TrafficOptions) {
-  const { clock, hash, self, bounds, listRouters, readContactAt } = options;
+  const { clock, hash, bounds, readContactAt } = options;
   const rollouts = new Map<ServiceId, Rollout>();
   const inProgress = new Map<ServiceId, Progress>();
   const times = createAnswerTimes();
   let remote: VersionReports = {};
-  let hasState = false;
-  let routerCount = 0;
-
-  /**
-   * A router that learns of a roll-out with its first state has restarted since the order and may
-   * have used its part of the slack before.
-   */
-  const readSlackPart = (startIndex: number): number =>
-    hasState
-      ? computeSlackPart({
-          ...{ hash, self, startIndex, routerCount, routers: listRouters() },
-          exposeSlack: bounds.exposeSlack,
-        })
-      : 0;
 
   const startProgress = ({ service, rollout, ageMs }: KnownRollout): void => {
     const { to, startIndex } = rollout;
     const { exposeShare } = bounds;
-    const quota = createExposureQuota({ exposeShare, slackPart: readSlackPart(startIndex) });
+    const quota = createExposureQuota({ exposeShare });
     const progress = createRolloutProgress({
       ...{ clock, hash, bounds, rollout, ageMs, quota },
       listNewEndpoints: () => options.listEndpoints(service, to),
@@ -100,9 +83,7 @@
   return {
     /** Takes the last roll-out of each service, from a state that a quorum has confirmed. */
     updateRollouts: (list: readonly KnownRollout[]): void => {
-      routerCount = Math.max(routerCount, listRouters().length);
       list.forEach(updateRollout);
-      hasState = true;
     },
     /**
      * How a request may use the versions of a service; undefined when no roll-out is known. Requests
