feat(router): a late router takes itself out only where the deployment's terms ask for scheduling

Earlier deployments are served as before: the decision ran on all of them. A router comes back after 3 s because it has little to do, and is late again.

--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -105,6 +105,7 @@
   let seeds = toPeerAddresses(settings);
   const stop = createStopPlan(clock);
   const metrics = createMetrics();
+  const features = options.decodeFeatures(settings.terms ?? []);
   const lateness = createLateness({
     clock,
     notify: (change, details) => log.write(`router.${change}`, details),
@@ -117,7 +118,7 @@
   const memory = createMemoryBudget((settings.memoryLimitMb ?? defaultMemoryMb) * bytesPerMb);
   const router = createRouter({
     memory,
-    features: options.decodeFeatures(settings.terms ?? []),
+    features,
     ...{ clock, hash, wire, endpoints, random: readRandom },
     self: self.id,
     dataCentre: self.dataCentre,
@@ -271,7 +272,7 @@
       seeds = toPeerAddresses(next);
     },
   });
-  void runEvery(clock, latenessIntervalMs, updateLateness);
+  if (features.scheduling) void runEvery(clock, latenessIntervalMs, updateLateness);
   await runShutdown({ clock, log, front, stop, graceMs: settings.graceS * msPerS });
   node.stop();
   log.close();
