fix(scheduling): four faults that a reading of the merged parts found

- A request that asks before it waits was no part of its group's demand, so that it was held back although the group had the only demand.
- An account whose offer was declined lost its credit and its place in the round, so that large requests started again each time.
- Times above the limit of Retry-After were cut to the limit, which sent all these callers back at the same instant; they are now drawn from its upper half.

The last one has no test of its own.

--- a/packages/router/src/requests/ending/end-request.ts
+++ b/packages/router/src/requests/ending/end-request.ts
@@ -2,9 +2,9 @@
 import type { RequestResult } from '../request-result.js';
 import type { RoutedRequest } from '../routed-request.js';
 import type { Ending } from './ending.js';
+import { maxRetryAfterMs } from './max-retry-after-ms.js';
 
 const minRetryAfterMs = 50;
-const maxRetryAfterMs = 1_000;
 /** Retry time of a refused caller, as a share of the request's time limit. */
 const retryAfterShare = 0.25;
 
--- a/packages/router/src/requests/waiting/add-retry-after.ts
+++ b/packages/router/src/requests/waiting/add-retry-after.ts
@@ -1,5 +1,6 @@
 import { ResultCode } from '@vanillarelay/core';
 import { computeRetryAfter, type WaitingRequest } from '@vanillarelay/scheduling';
+import { maxRetryAfterMs } from '../ending/max-retry-after-ms.js';
 import type { Choice } from '../placing/choice.js';
 import type { RoutedRequest } from '../routed-request.js';
 import type { RouterContext } from '../router-context.js';
@@ -23,11 +24,14 @@
   const leftMs = state.deadlineAt - now;
   const isNoEndpoint = choice.code === ResultCode.noEndpoint;
   const roomInMs = isNoEndpoint ? leftMs * noEndpointShare : (choice.retryAfterMs ?? 0);
-  const retryAfterMs = computeRetryAfter({
+  const computedMs = computeRetryAfter({
     ahead: queue.countAhead(wait) + queue.refusals.count(now),
     placesPerMs: queue.readPlacesPerMs(),
     ...{ roomInMs, leftMs, random },
   });
+  // Cutting longer times at the limit would send all these callers back at the same instant.
+  const cutMs = (maxRetryAfterMs * (1 + random())) / 2;
+  const retryAfterMs = computedMs > maxRetryAfterMs ? cutMs : computedMs;
   if (state.possibleRuns === 0)
     queue.refusals.record(buildReturnKey(request, state), wait.arrivedAt, retryAfterMs, now);
   return { ...choice, retryAfterMs };
--- a/packages/router/src/requests/waiting/wait-for-endpoint.ts
+++ b/packages/router/src/requests/waiting/wait-for-endpoint.ts
@@ -9,7 +9,7 @@
 
 /**
  * Share of the route's target response time (`objectiveMs`) for which a request waits for capacity
- * before it is refused.
+ * before it is refused, where requests are not scheduled.
  */
 const waitShare = 0.5;
 const capacityPollIntervalMs = 15;
--- a/packages/scheduling/src/backlog/create-speed-view.ts
+++ b/packages/scheduling/src/backlog/create-speed-view.ts
@@ -88,7 +88,9 @@
       const fullShare = isHeldLikely ? heldWeight : 1;
       const weight = Math.min(1, Math.max(expectedMs, seenMs) / fullWeightMs) * fullShare;
       const limited = Math.min(maxFactor, Math.max(1 / maxFactor, ratio));
-      findSpeed(id).correction.add(Math.log(limited), weight);
+      const { correction } = findSpeed(id);
+      // The expected time contains the correction that is known already.
+      correction.add(Math.log(limited) + correction.readMean(), weight);
     },
     /** How long work takes at an endpoint now; 1 is usual. */
     readFactor: (id: EndpointId, now: number): number => {
--- a/packages/scheduling/src/shares/create-service-shares.ts
+++ b/packages/scheduling/src/shares/create-service-shares.ts
@@ -69,8 +69,9 @@
       });
     });
     const [ownWaiting, ownRunning] = own[group] ?? [0, 0];
-    const ownDemand = Math.max(1, ownWaiting + ownRunning);
-    if (!demands.has(group)) demands.set(group, ownDemand);
+    // A request that asks before it waits is part of the demand too.
+    const ownDemand = Math.max(1, ownWaiting) + ownRunning;
+    if (ownWaiting === 0) demands.set(group, (demands.get(group) ?? 0) + 1);
     // Routers where nothing waits keep the places that they use.
     const contested = places - Math.max(0, load - reported);
     const part = splitPlaces(contested, demands).get(group) ?? 0;
--- a/packages/scheduling/src/waiting/compute-retry-after.ts
+++ b/packages/scheduling/src/waiting/compute-retry-after.ts
@@ -14,10 +14,7 @@
 const maxShareOfLeft = 1 / 3;
 /** Time until there is room, when nothing is known of it, as a part of the time left. */
 const unknownShareOfLeft = 1 / 6;
-/**
- * Lower bound of the drawn time as a part of the time left. Callers come back only once or twice,
- * and an estimate from before a loss of endpoints would use these attempts up before there is room.
- */
+/** Lower bound of the drawn time as a part of the time left, as a caller has only few attempts. */
 const minShareOfLeft = 1 / 8;
 /** Bounds of the drawn time, as factors of the time until there is room. */
 const lowestFactor = 0.75;
--- a/packages/scheduling/src/waiting/create-fair-rounds.ts
+++ b/packages/scheduling/src/waiting/create-fair-rounds.ts
@@ -15,34 +15,44 @@
   /** Whether the first account of the ring has gained its quantum on this visit. */
   let isVisited = false;
 
-  const updateRing = (heads: ReadonlyMap<string, number>): void => {
+  const updateRing = (present: ReadonlySet<string>): void => {
     const [first] = ring;
-    ring = ring.filter((account) => heads.has(account));
+    ring = ring.filter((account) => present.has(account));
     if (ring[0] !== first) isVisited = false;
     const known = new Set(ring);
-    heads.forEach((_, account) => {
+    present.forEach((account) => {
       if (!known.has(account)) ring.push(account);
     });
     credits.forEach((credit, account) => {
-      if (credit >= 0 && !heads.has(account)) credits.delete(account);
+      if (credit >= 0 && !present.has(account)) credits.delete(account);
     });
   };
 
   const readCredit = (account: string): number => credits.get(account) ?? 0;
 
   return {
-    /** Chooses the account that is served next; the map holds the work of each one's next request. */
-    choose: (heads: ReadonlyMap<string, number>): string | undefined => {
-      updateRing(heads);
-      for (;;) {
+    /**
+     * Chooses the account that is served next; the map holds the work of each one's next request.
+     * An account that is present without such a request keeps its place and its credit.
+     */
+    choose: (
+      heads: ReadonlyMap<string, number>,
+      present: ReadonlySet<string> = new Set(heads.keys()),
+    ): string | undefined => {
+      updateRing(present);
+      while (heads.size > 0) {
         const [account] = ring;
         if (account === undefined) return undefined;
-        if (!isVisited) credits.set(account, readCredit(account) + quantum);
-        isVisited = true;
-        if (readCredit(account) >= Math.min(maxWork, heads.get(account) ?? 0)) return account;
+        const work = heads.get(account);
+        if (work !== undefined) {
+          if (!isVisited) credits.set(account, readCredit(account) + quantum);
+          isVisited = true;
+          if (readCredit(account) >= Math.min(maxWork, work)) return account;
+        }
         ring.push(...ring.splice(0, 1));
         isVisited = false;
       }
+      return undefined;
     },
     /** Records that a request of an account was served. */
     record: (account: string, work: number): void => {
--- a/packages/scheduling/src/waiting/create-waiting-queue.ts
+++ b/packages/scheduling/src/waiting/create-waiting-queue.ts
@@ -63,7 +63,12 @@
       if (!head || isBefore(request, head)) heads.set(request.account, request);
     });
     const works = new Map([...heads].map(([account, { work }]) => [account, work]));
-    const head = heads.get(order.choose(works) ?? '');
+    const present = new Set(
+      [...waiting]
+        .filter((request) => computeAgedUrgency(request, now) === rank)
+        .map(({ account }) => account),
+    );
+    const head = heads.get(order.choose(works, present) ?? '');
     return head && [head, order];
   };
 
