fix(router): which versions get requests without an order, and after a roll-back

Cause, found by a reading of the merged parts: without an order only the version with the lowest start time got requests. A restart of the last old endpoint would have sent all traffic to a version that nobody had ordered, a service that runs two versions lost the endpoints of one, and for up to 0.1 s after a start the rule decided in place of the state. And a version that was rolled back got requests like an old one as soon as a later one was ordered.

Change: without an order all versions are alike, but one that is new to a router beside one that it knew before gets nothing for 3 s, in which the order may still arrive. Routers remember what was rolled back until it is ordered again. The state of the roll-outs is applied together with the rest of the state. The build fails when it finds no run line to make the code cache for.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -34,7 +34,8 @@
   const line = /^run = "node (.*) target\/router\.cjs"$/m.exec(
     readFileSync('deploy/system.toml', 'utf8'),
   );
-  return line ? line[1].split(' ') : [];
+  if (!line) throw new Error('deploy/system.toml: no run line with target/router.cjs');
+  return line[1].split(' ');
 };
 
 // A cache of an earlier build must not stand beside another bundle.
--- a/packages/router/__tests__/rollouts.test.ts
+++ b/packages/router/__tests__/rollouts.test.ts
@@ -4,6 +4,8 @@
 import { createRouterFixture } from './create-router-fixture.js';
 
 const service = 'desk' as never;
+/** The old endpoint is known for longer than versions that appear together. */
+const leadMs = 600;
 const bounds: RolloutBounds = { exposeShare: 0.1, exposeSlack: 10 };
 const durationMs = 60_000;
 const order: Rollout = {
@@ -27,6 +29,7 @@
       response.end('done');
     };
   await fixture.addEndpoint('old', answer('v1'), { version: 'v1', bornAt: 1, slots: 64 });
+  await fixture.clock.wait(leadMs);
   await fixture.addEndpoint('new', answer('v2'), { version: 'v2', bornAt: 2, slots: 64 });
   let sent = 0;
   return {
--- a/packages/router/src/daemon/run-rollouts.ts
+++ b/packages/router/src/daemon/run-rollouts.ts
@@ -16,12 +16,12 @@
   isHub: () => boolean;
 }
 
-/** How often the state of roll-outs is read and judged; more often than news come. */
+/** Interval at which the state of the roll-outs is passed on and ends are proposed. */
 const intervalMs = 100;
 
 /**
- * Gives the router the state of the roll-outs again and again; on a hub, it also proposes the end of
- * those that are decided. Every hub proposes, as any of them may be cut off; the first end stands.
+ * Passes the state of the roll-outs to the router at an interval. On a hub, it also proposes the end
+ * of those that are decided. Every hub proposes, as any of them may be cut off; the first end stands.
  */
 export async function runRollouts(options: RolloutRunOptions): Promise<void> {
   const { clock, signal, log, state, router, isHub } = options;
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -188,6 +188,7 @@
     notifyState: (state) => {
       router.updateDataCentresOut(state.dataCentresOut);
       logRollouts(node.listRollouts());
+      if (node.view.isCurrent) router.updateRollouts(node.listRollouts());
       if (state.version === 0) return;
       if (state.version !== configVersion) {
         configVersion = state.version;
--- a/packages/router/src/front/create-held-requests.ts
+++ b/packages/router/src/front/create-held-requests.ts
@@ -23,8 +23,8 @@
 const maxBytes = 8 * 1024 * 1024;
 
 /**
- * Creates the requests that are held, with their bodies unread, until the first configuration is in
- * force. Both their number and what they occupy are bounded.
+ * Creates the set of requests that are held, with their bodies unread, until the first configuration
+ * is in force. Their number and memory are bounded.
  */
 export function createHeldRequests({ clock, stopSignal }: HeldRequestsOptions) {
   const waiters = new Set<Waiter>();
--- a/packages/router/src/loop/create-lateness.ts
+++ b/packages/router/src/loop/create-lateness.ts
@@ -18,20 +18,26 @@
 /** Time slots whose delays are judged as one: a single late turn fills one or two of them. */
 const slotMs = 250;
 const judgedSlots = 4;
-/** Late slots of the judged ones that make a router late; before that it tells the others. */
+/** Late slots among the judged ones from which a router is late. */
 const lateSlots = 3;
+/** Late slots from which it tells the other routers. */
 const announcedSlots = 2;
-/** Time for which a late router has told the others before it is taken out: three exchanges. */
+/** Time for which it tells the others before it is taken out, so that they count it. */
 const announceMs = 1_000;
-/** The load balancer takes a router out after two failed probes, a second apart. */
+/** Shortest time out; the load balancer needs two failed probes, a second apart, to notice. */
 const minOutMs = 3_000;
+/** Longest time out. */
 const maxOutMs = 15_000;
-/** Time without an end of lateness during the start, when much is compiled. */
+/**
+ * Time after the first contact with a hub in which this router is not taken out, as its code is
+ * still being compiled.
+ */
 const startMs = 1_000;
 /** Share of the routers that may be late at a time; beyond it the load is what is too high. */
 const maxLateShare = 0.2;
 /** Share of its time for which a router may be out for lateness that is not severe. */
 const maxOutShare = 0.125;
+/** Upper bound of the time out that a router saves up. */
 const maxAllowanceMs = 8_000;
 
 /**
--- a/packages/router/src/requests/placing/candidate-list.ts
+++ b/packages/router/src/requests/placing/candidate-list.ts
@@ -38,9 +38,12 @@
    */
   waitMs: number;
   passedOver: PassedOver;
-  /** Requests that the endpoints which accept some may hold. */
+  /**
+   * Places at the endpoints that accept the request. A place is room for one request in flight; an
+   * endpoint has `slots` times `maxRequestsPerSlot` of them.
+   */
   places: number;
-  /** Requests in flight at these endpoints. */
+  /** Requests in flight at these endpoints, from all routers. */
   load: number;
   /** Places at these endpoints that are not in use, even if a limit excludes an endpoint now. */
   freePlaces: number;
--- a/packages/router/src/requests/placing/select-versions.ts
+++ b/packages/router/src/requests/placing/select-versions.ts
@@ -16,32 +16,45 @@
 }
 
 /**
- * Selects the endpoints of the versions that a request may use. Without an order to move to another
- * version, only the version that has run for longest gets requests, since the endpoints of the next
- * one are started before the order.
+ * Time for which the endpoints of a version that is new to this router get no requests without an
+ * order. They are started around the order, whose state may arrive after them.
  */
+const newVersionMs = 3_000;
+/** Versions whose endpoints become known within this time, as after a start, are equally new. */
+const minLeadMs = 500;
+
+/** Selects the endpoints of the versions that a request may use. */
 export function selectVersions<Row extends EndpointTableRow>(
-  { rollouts }: Pick<RouterContext, 'rollouts'>,
+  { clock, rollouts }: Pick<RouterContext, 'clock' | 'rollouts'>,
   service: ServiceId,
   rows: readonly Row[],
   { key, tried }: VersionRequest,
 ): VersionSelection<Row> {
   if (!rollouts) return { rows };
   const sides = rollouts.chooseSides(service, key, tried.size > 0);
-  if (!sides) return { rows: selectEstablished(rows) };
-  const { to, onTo, onOthers } = sides;
-  if (onTo === 'excluded')
-    return { rows: selectEstablished(rows.filter(({ record }) => record.version !== to)) };
+  if (!sides) return { rows: selectKnownVersions(rows, clock.monotonic()) };
+  const { to, onTo, onOthers, excluded } = sides;
+  const allowed = rows.filter(({ record }) => !excluded.has(record.version ?? ''));
   const readUse = ({ record }: Row): VersionUse => (record.version === to ? onTo : onOthers);
-  const usual = rows.filter((row) => readUse(row) !== 'lastResort');
-  if (usual.length === 0) return { rows };
+  const usual = allowed.filter((row) => readUse(row) !== 'lastResort');
+  if (usual.length === 0) return { rows: allowed };
   const preferred = usual.filter((row) => readUse(row) === 'preferred');
   return { rows: usual, preferred: new Set(preferred.map(({ record }) => record.id)) };
 }
 
-function selectEstablished<Row extends EndpointTableRow>(rows: readonly Row[]): readonly Row[] {
-  const [first] = rows;
-  if (!first || rows.every(({ record }) => record.version === first.record.version)) return rows;
-  const oldest = rows.reduce((a, b) => (b.record.bornAt < a.record.bornAt ? b : a));
-  return rows.filter(({ record }) => record.version === oldest.record.version);
+/** Leaves out versions that are new to this router beside one that it knew before. */
+function selectKnownVersions<Row extends EndpointTableRow>(
+  rows: readonly Row[],
+  now: number,
+): readonly Row[] {
+  const firstSeen = new Map<string | undefined, number>();
+  rows.forEach(({ record: { version }, firstSeenAt }) => {
+    firstSeen.set(version, Math.min(firstSeen.get(version) ?? Infinity, firstSeenAt));
+  });
+  if (firstSeen.size < 2) return rows;
+  const earliest = Math.min(...firstSeen.values());
+  return rows.filter(({ record: { version } }) => {
+    const seenAt = firstSeen.get(version) ?? earliest;
+    return seenAt - earliest < minLeadMs || now - seenAt >= newVersionMs;
+  });
 }
--- a/packages/router/src/requests/request-result.ts
+++ b/packages/router/src/requests/request-result.ts
@@ -19,7 +19,7 @@
 
 interface Wait {
   urgency: number;
-  /** Waiting requests that were served before it. */
+  /** Waiting requests that were ahead of it when it asked to enter the queue. */
   ahead: number;
   /** Expected time until its turn, in milliseconds; absent when it was not known. */
   expectedMs?: number;
--- a/packages/routing/src/rollouts/create-exposure-quota.ts
+++ b/packages/routing/src/rollouts/create-exposure-quota.ts
@@ -6,10 +6,10 @@
 }
 
 /**
- * Creates a router's quota for one roll-out: what it sends to the new version never exceeds a share
- * of the requests that it received itself. The quotas of all routers together therefore keep the bound
- * without a message between them. The slack of the bound stays unused: routers that know different
- * numbers of routers cannot divide it safely.
+ * Creates a router's quota for one roll-out: a share of the requests that it received itself. As each
+ * router keeps its own, all together keep the bound without a message between them. Sends as a last
+ * resort are counted but not held back. The slack of the bound is not used: routers that know
+ * different numbers of routers cannot divide it safely.
  */
 export function createExposureQuota({ exposeShare }: QuotaOptions) {
   let requests = 0;
--- a/packages/routing/src/rollouts/create-rollout-traffic.ts
+++ b/packages/routing/src/rollouts/create-rollout-traffic.ts
@@ -50,6 +50,8 @@
   const { clock, hash, bounds, readContactAt } = options;
   const rollouts = new Map<ServiceId, Rollout>();
   const inProgress = new Map<ServiceId, Progress>();
+  /** Versions that were rolled back and not ordered again since. */
+  const rolledBack = new Map<ServiceId, Set<string>>();
   const times = createAnswerTimes();
   let remote: VersionReports = {};
 
@@ -73,6 +75,10 @@
     // A hub may be behind the one that was heard before.
     if (last && last.lastIndex > rollout.lastIndex) return;
     rollouts.set(service, rollout);
+    const excluded = rolledBack.get(service) ?? new Set();
+    rolledBack.set(service, excluded);
+    if (rollout.state === 'rolledBack') excluded.add(rollout.to);
+    else excluded.delete(rollout.to);
     if (rollout.state !== 'inProgress') inProgress.delete(service);
     else if (last?.startIndex !== rollout.startIndex) startProgress(known);
     else inProgress.get(service)?.updateAge(ageMs);
@@ -93,12 +99,13 @@
       const rollout = rollouts.get(service);
       if (!rollout) return undefined;
       const { to, state } = rollout;
-      if (state === 'completed') return { to, onTo: 'preferred', onOthers: 'lastResort' };
-      if (state === 'rolledBack') return { to, onTo: 'excluded', onOthers: 'preferred' };
+      const excluded = rolledBack.get(service) ?? new Set();
+      if (state === 'completed') return { to, onTo: 'preferred', onOthers: 'lastResort', excluded };
+      if (state === 'rolledBack') return { to, onTo: 'excluded', onOthers: 'preferred', excluded };
       const found = inProgress.get(service)?.findUse(key) ?? 'lastResort';
       const isOpen = found !== 'preferred' || (hasContact() && !isRetry);
       const onTo = isOpen ? found : 'lastResort';
-      return { to, onTo, onOthers: onTo === 'preferred' ? 'fallback' : 'preferred' };
+      return { to, onTo, onOthers: onTo === 'preferred' ? 'fallback' : 'preferred', excluded };
     },
     recordRequest: (service: ServiceId): void => inProgress.get(service)?.recordRequest(),
     recordSend: (service: ServiceId, version: string | undefined): void => {
--- a/packages/routing/src/rollouts/rollout.ts
+++ b/packages/routing/src/rollouts/rollout.ts
@@ -10,8 +10,8 @@
   /** Log index of its last change: the start, or the end. */
   lastIndex: number;
   /**
-   * Wall clock of the proposer at the order, in milliseconds since the epoch. It serves only as a
-   * lower bound of the age after a restart, because wall clocks jump.
+   * Wall clock of the proposer at the order, in milliseconds since the epoch. The age is estimated from
+   * it while no daemon has counted the time since the start; the estimate may be wrong by seconds.
    */
   startedAt: number;
 }
--- a/packages/routing/src/rollouts/version-sides.ts
+++ b/packages/routing/src/rollouts/version-sides.ts
@@ -5,4 +5,6 @@
   to: string;
   onTo: VersionUse;
   onOthers: VersionUse;
+  /** Versions that were rolled back; they get no requests. */
+  excluded: ReadonlySet<string>;
 }
--- a/packages/routing/src/rollouts/version-use.ts
+++ b/packages/routing/src/rollouts/version-use.ts
@@ -1,5 +1,6 @@
 /**
- * How a request may use the endpoints of one side: first, when no preferred one has capacity, only
- * when no other endpoint accepts requests, or not at all.
+ * How a request may use the endpoints of one side. `preferred`: first. `fallback`: when no preferred
+ * endpoint has capacity. `lastResort`: only when no other endpoint is ready and in service, even if
+ * the others are full. `excluded`: never.
  */
 export type VersionUse = 'preferred' | 'fallback' | 'lastResort' | 'excluded';
