fix(deploy): optional settings are texts that may be empty

Cause: the template named `terms` and `rollouts` as JSON values and in a section.

Change: both are texts, empty where there is no value, like the memory limit.

--- a/packages/router/src/daemon/router-settings.ts
+++ b/packages/router/src/daemon/router-settings.ts
@@ -12,6 +12,38 @@
 );
 const positive = z.number().check(z.positive());
 
+/** A template leaves a text empty where the deployment has no value. */
+const optionalNumber = z.pipe(
+  z.union([z.number(), z.string().check(z.regex(/^[\d.]*$/, 'allowed: a number, or nothing'))]),
+  z.transform((value) => (value === '' ? undefined : Number(value))),
+);
+const terms = z.pipe(
+  z.string(),
+  z.transform((text) => text.split(',').filter((name) => name !== '')),
+);
+const rolloutBounds = z.object({
+  /** Share of a service's requests that a bad version may get before its deadline. */
+  exposeShare: z.number().check(z.positive(), z.maximum(1)),
+  /** Requests that it may get besides. Not used: quotas follow the share alone. */
+  exposeSlack: z.number().check(z.nonnegative()),
+  /**
+   * Time after its 50th bad answer by which it must get no more requests, in milliseconds. Not used:
+   * routers stop at their verdict.
+   */
+  rollbackMs: positive,
+});
+const rollouts = z.pipe(
+  z.pipe(
+    z.object({
+      exposeShare: optionalNumber,
+      exposeSlack: optionalNumber,
+      rollbackMs: optionalNumber,
+    }),
+    z.transform((bounds) => (bounds.exposeShare === undefined ? undefined : bounds)),
+  ),
+  z.optional(rolloutBounds),
+);
+
 /** Settings of a router daemon; unknown keys are ignored. */
 const RouterSettings = z.object({
   id: z.string().check(z.minLength(1)),
@@ -47,19 +79,10 @@
     /** Additional retries allowed per window, for all routers together. */
     extra: z.number().check(z.nonnegative()),
   }),
-  /** Names of the terms that the deployment asks for; they switch optional parts on. */
-  terms: z.optional(z.array(z.string())),
-  /** Bounds on roll-outs of a version; without them there are no roll-outs. */
-  rollouts: z.optional(
-    z.object({
-      /** Share of a service's requests that a bad version may get before its deadline. */
-      exposeShare: z.number().check(z.positive(), z.maximum(1)),
-      /** Requests that it may get besides. */
-      exposeSlack: z.number().check(z.nonnegative()),
-      /** Time after its 50th bad answer from which it gets no requests, in milliseconds. */
-      rollbackMs: positive,
-    }),
-  ),
+  /** Names of the terms that the deployment asks for, separated by commas. */
+  terms: z.optional(terms),
+  /** Bounds on roll-outs of a version; without them, or when they are empty, there are none. */
+  rollouts: z.optional(rollouts),
   /** A cold endpoint can handle its rate times the multiplier, plus the slack, in any second. */
   coldEndpoints: z.object({
     multiplier: z.number().check(z.minimum(1)),
