perf(router): look for roll-outs each second while none is in progress

A loop of 0.1 s woke every router where roll-outs are possible, also without one. A start is passed on with the state that holds it, so the loop is only needed while one is in progress.

--- a/packages/router/src/daemon/run-rollouts.ts
+++ b/packages/router/src/daemon/run-rollouts.ts
@@ -18,6 +18,8 @@
 
 /** Interval at which the state of the roll-outs is passed on and ends are proposed. */
 const intervalMs = 100;
+/** The same while none is in progress; a start is passed on with the state that holds it. */
+const idleIntervalMs = 1_000;
 
 /**
  * Passes the state of the roll-outs to the router at an interval. On a hub, it also proposes the end
@@ -46,6 +48,7 @@
     proposals.forEach((proposal) => {
       void propose(proposal);
     });
-    await clock.wait(intervalMs, signal);
+    const isActive = list?.some(({ rollout }) => rollout.state === 'inProgress') ?? false;
+    await clock.wait(isActive ? intervalMs : idleIntervalMs, signal);
   }
 }
