fix(router): a version found bad gets no requests before its roll-back is recorded

What callers could see: while a roll-out was in progress and a router had found the new version bad, requests for which the old version had no room were sent to the bad one until the hubs had recorded the roll-back. With the old version gone, all of them were.

Cause: left versions out by the set of versions that were rolled back, and no longer by the use 'excluded', which is what the router's own verdict gives. The version stayed in the list, behind the preferred one.

Change: the set and the verdict give the same use, and rows with that use are left out in one place.

Evidence: the new case of version-decisions.test.ts failed before (a and b, where only a is allowed) and passes now, with the other tests of roll-outs. Found by reading the whole change again.

--- a/packages/router/__tests__/version-decisions.test.ts
+++ b/packages/router/__tests__/version-decisions.test.ts
@@ -60,6 +60,21 @@
   ]);
 });
 
+// Guards against requests at a version that this router found bad while the old one is full, until a
+// quorum has recorded the roll-back.
+it('leaves out a version that is found bad while its roll-out is in progress', () => {
+  const foundBad: VersionSides = {
+    to: 'v2',
+    onTo: 'excluded',
+    onOthers: 'preferred',
+    excluded: new Set(),
+  };
+  expect([
+    select(foundBad, { a: ['v1', 0], b: ['v2', 0] }).rows,
+    select(foundBad, { b: ['v2', 0] }).rows,
+  ]).toEqual([['a'], []]);
+});
+
 // Guards against a new version that gets requests because the old one is only busy, and against a
 // service that refuses all requests when the old one is gone.
 it('uses a last resort only when no other endpoint accepts requests', () => {
--- a/packages/router/src/requests/placing/select-versions.ts
+++ b/packages/router/src/requests/placing/select-versions.ts
@@ -34,8 +34,11 @@
   const sides = rollouts.chooseSides(service, key, tried.size > 0);
   if (!sides) return { rows: selectKnownVersions(rows, clock.monotonic()) };
   const { to, onTo, onOthers, excluded } = sides;
-  const allowed = rows.filter(({ record }) => !excluded.has(record.version ?? ''));
-  const readUse = ({ record }: Row): VersionUse => (record.version === to ? onTo : onOthers);
+  const readUse = ({ record: { version } }: Row): VersionUse => {
+    if (version !== undefined && excluded.has(version)) return 'excluded';
+    return version === to ? onTo : onOthers;
+  };
+  const allowed = rows.filter((row) => readUse(row) !== 'excluded');
   const usual = allowed.filter((row) => readUse(row) !== 'lastResort');
   if (usual.length === 0) return { rows: allowed };
   const preferred = usual.filter((row) => readUse(row) === 'preferred');
