refactor(router): an attempt reads the urgency of its request from the one function

The attempt computed the priority of a request once more, beside findUrgency, which the queues and the wait for a turn use.

--- a/packages/router/src/requests/attempt/run-attempt.ts
+++ b/packages/router/src/requests/attempt/run-attempt.ts
@@ -8,6 +8,7 @@
 import type { EndpointLoad } from '../../wire/endpoint-load.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { Caller } from '../caller.js';
+import { findUrgency } from '../waiting/find-urgency.js';
 import { isOwnAnswer } from './is-own-answer.js';
 import { logSpoiltStream } from './log-spoilt-stream.js';
 import { relayAnswer } from './relay-answer.js';
@@ -87,7 +88,7 @@
       ? () => {}
       : startSilenceTimer({ clock, ms, hasAlternative, recordSilence }, abandon);
   };
-  const priority = account?.priority ?? route.priority;
+  const priority = findUrgency(request);
   const headers = wire.buildHeaders(facts, {
     endpoint: record.id,
     deadlineMs: Math.max(1, Math.floor(deadlineAt - clock.monotonic())),
