--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -62,7 +62,7 @@
 }
 
 async function run() {
-  const fleet = await prepareFleet({ count: 5, disks: 3 });
+  const fleet = await prepareFleet({ count: 5, hasDisk: (index) => index < 3 });
   let replica;
   try {
     const { daemons, ports } = fleet;
@@ -76,7 +76,7 @@
     if (isTrouble) {
       const [first] = daemons;
       await wait(killAfterMs);
-      await fleet.kill(first);
+      await fleet.end(first);
       record(`SIGKILL of ${first.id}, the first seed`);
       await wait(restartDelayMs);
       await fleet.start(first, false);
--- a/review/lib-2/start-fleet.mjs
+++ b/review/lib-2/start-fleet.mjs
@@ -59,10 +59,10 @@
 }
 
 /**
- * Prepares router daemons on loopback addresses, one machine each; the first `disks` have a disk.
- * Nothing is started before `start`.
+ * Prepares router daemons on loopback addresses, one machine each; `hasDisk` says by the index which
+ * of them have a disk. Nothing is started before `start`.
  */
-export async function prepareFleet({ count, disks }) {
+export async function prepareFleet({ count, hasDisk }) {
   const folder = await mkdtemp(join(tmpdir(), 'review-'));
   const { words, template } = await readDeployFile();
   const addresses = Array.from({ length: count }, (_, index) => `127.0.7.${10 + index}`);
@@ -74,7 +74,7 @@
     ip,
     id: `edge-${zones[index % 3]}-${Math.floor(index / 3) + 1}`,
     zone: zones[index % 3],
-    dataDir: index < disks ? join(folder, `data-${index}`) : '',
+    dataDir: hasDisk(index) ? join(folder, `data-${index}`) : '',
     child: undefined,
   }));
   /** Starts the process of one daemon; `isBootstrap` is the field `Bootstrap` of its settings. */
@@ -99,16 +99,18 @@
       stdio: 'ignore',
     });
   };
-  /** Kills the process of one daemon; resolves when it has ended. */
-  const kill = async ({ child }) => {
+  /** Sends a signal that ends the process of one daemon; resolves when it has ended. */
+  const end = async ({ child }, signal = 'SIGKILL') => {
     if (!child || child.exitCode !== null || child.signalCode !== null) return;
     const ended = once(child, 'exit');
-    child.kill('SIGKILL');
+    child.kill(signal);
     await ended;
   };
+  /** Removes what a daemon has on its disk. */
+  const wipe = ({ dataDir }) => rm(dataDir, { recursive: true, force: true });
   const close = async () => {
-    await Promise.all(daemons.map(kill));
+    await Promise.all(daemons.map((daemon) => end(daemon)));
     await rm(folder, { recursive: true, force: true });
   };
-  return { daemons, ports, replicaPort: firstPort + 4, start, kill, close };
+  return { daemons, ports, replicaPort: firstPort + 4, start, end, wipe, close };
 }
