test(review): case 8, the control group bears no loss for 6 s after a replacement

Cause: a machine that gets SIGTERM ends without leaving the control group, its successor is added beside it, and the voter that is gone is taken out only after 6 s without a reply; a disk that is lost in that time leaves two of four voters for good.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0: no
-# SIGTERM and no pause in the answers.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0: nothing
+# is replaced and no disk is lost.
 cd "$(dirname "$0")"
 exec node run.mjs
