fix(control): the size that the control group keeps is part of its membership

Cause: each process kept the number of voters that it saw when it first led, and took a silent voter out only above that number. A successor joins before the VM that it replaces goes; where that one leads, the next leader counts four voters and keeps the one that is gone.

Ruled out: that the silent voter is not noticed.

--- a/packages/control/src/raft/add-learner.ts
+++ b/packages/control/src/raft/add-learner.ts
@@ -1,4 +1,5 @@
 import { appendEntry } from './append-entry.js';
+import type { Group } from './group.js';
 import type { GroupMember } from './group-member.js';
 import { isGroupSettled } from './is-group-settled.js';
 import type { RaftContext } from './raft-context.js';
@@ -11,7 +12,8 @@
   if (group.members.some(({ diskId }) => diskId === sender.diskId)) return;
   const others = group.members.filter(({ id, role }) => id !== member.id || role === 'voter');
   const learner = { ...member, diskId: sender.diskId, role: 'learner' as const };
-  const data = JSON.stringify({ members: [...others, learner] });
+  const changed: Group = { ...group, members: [...others, learner] };
+  const data = JSON.stringify(changed);
   context.timeline.record('raft.learner', { node: member.id });
   appendEntry(context, { kind: 'group', data }).catch(() => {});
 }
--- a/packages/control/src/raft/create-raft-node.ts
+++ b/packages/control/src/raft/create-raft-node.ts
@@ -7,6 +7,7 @@
 import { handleAppend } from './handle-append.js';
 import { handleSnapshot } from './handle-snapshot.js';
 import { handleVote } from './handle-vote.js';
+import { readGroupSize } from './membership/read-group-size.js';
 import { proposeEntry } from './propose-entry.js';
 import type { RaftOptions } from './raft-options.js';
 import type { RaftPeer } from './raft-peer.js';
@@ -63,6 +64,8 @@
       diskId: context.log.identity.diskId,
       incarnation: context.log.identity.incarnation,
       members: context.group?.members ?? [],
+      /** Number of voters that the group keeps. */
+      groupSize: context.group ? readGroupSize(context.group) : 0,
     }),
   };
 }
--- a/packages/control/src/raft/group.ts
+++ b/packages/control/src/raft/group.ts
@@ -3,4 +3,9 @@
 /** Membership of the control group, as the log holds it. */
 export interface Group {
   members: GroupMember[];
+  /**
+   * Number of voters that the group keeps; those beyond it may be removed. Groups of earlier
+   * versions have none.
+   */
+  size?: number;
 }
--- a/packages/control/src/raft/run-membership-task.ts
+++ b/packages/control/src/raft/run-membership-task.ts
@@ -16,7 +16,7 @@
 const checkIntervalMs = 300;
 /** A voter that is silent for this long is replaced when another node is available. */
 const replaceAfterMs = 1_500;
-/** A voter that is silent for this long is removed when there are more voters than `targetSize`. */
+/** A voter that is silent for this long is removed when there are more voters than the group keeps. */
 const removeAfterMs = 6_000;
 const maxVoters = 7;
 
@@ -26,16 +26,13 @@
  */
 export async function runMembershipTask(options: MembershipOptions): Promise<void> {
   const { clock, node, record, signal } = options;
-  /** Number of voters when this process first led, at most `maxVoters`. */
-  let targetSize = 0;
   while (!signal.aborted) {
     await clock.wait(checkIntervalMs, signal);
-    const { role, members } = node.readStatus();
+    const { role, members, groupSize } = node.readStatus();
     if (role !== 'leader' || signal.aborted) continue;
     const voters = members.filter((member) => member.role === 'voter');
-    targetSize = targetSize === 0 ? voters.length : Math.min(targetSize, maxVoters);
     try {
-      await updateMembers(options, voters, targetSize);
+      await updateMembers(options, voters, groupSize);
     } catch (error) {
       record('control.membershipFailed', { reason: (error as Error).message });
     }
@@ -45,7 +42,7 @@
 async function updateMembers(
   { node, listNodes, listSilent, record }: MembershipOptions,
   voters: GroupMember[],
-  targetSize: number,
+  groupSize: number,
 ): Promise<void> {
   const alive = listNodes();
   const joining = alive.find(({ diskId }) => !voters.some((voter) => voter.diskId === diskId));
@@ -58,7 +55,7 @@
     return;
   }
   const silent = listSilent(removeAfterMs).find((id) => voters.some((voter) => voter.id === id));
-  if (silent === undefined || voters.length <= targetSize) return;
+  if (silent === undefined || voters.length <= groupSize) return;
   await node.removeMember(silent);
   record('control.memberRemoved', { id: silent });
 }
--- a/packages/control/src/raft/start-leading.ts
+++ b/packages/control/src/raft/start-leading.ts
@@ -1,5 +1,7 @@
 import { appendEntry } from './append-entry.js';
 import { computeQuorumAge } from './compute-quorum-age.js';
+import type { Group } from './group.js';
+import { chooseGroupSize } from './membership/choose-group-size.js';
 import type { RaftContext } from './raft-context.js';
 import { raftTiming } from './raft-timing.js';
 import { releaseLeadership } from './release-leadership.js';
@@ -32,12 +34,11 @@
 /** Builds the initial membership, which binds every node to the disk that voted. */
 function buildInitialGroup(votes: Map<string, Voter>): string {
   const members = [...votes].map(([diskId, { id, address }]) => ({
-    id,
-    address,
-    diskId,
-    role: 'voter',
+    ...{ id, address, diskId },
+    role: 'voter' as const,
   }));
-  return JSON.stringify({ members });
+  const group: Group = { members, size: chooseGroupSize(members.length) };
+  return JSON.stringify(group);
 }
 
 /** Steps down when no quorum has replied for an election timeout. */
--- a/packages/control/src/raft/update-group.ts
+++ b/packages/control/src/raft/update-group.ts
@@ -1,6 +1,8 @@
 import { RelayError, ResultCode } from '@vanillarelay/core';
+import type { Group } from './group.js';
 import type { GroupMember } from './group-member.js';
 import { isGroupSettled } from './is-group-settled.js';
+import { updateGroupSize } from './membership/update-group-size.js';
 import { proposeEntry } from './propose-entry.js';
 import type { RaftContext } from './raft-context.js';
 import { raftTiming } from './raft-timing.js';
@@ -22,6 +24,8 @@
       notRun: true,
     });
   }
-  const members = change(context.group?.members ?? []);
-  await proposeEntry(context, 'group', JSON.stringify({ members }));
+  const group = context.group ?? { members: [] };
+  const members = change(group.members);
+  const changed: Group = { members, size: updateGroupSize(group, members) };
+  await proposeEntry(context, 'group', JSON.stringify(changed));
 }
--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -44,6 +44,8 @@
   disks?: number;
   /** Number of daemons without a disk. */
   others?: number;
+  /** Number of daemons with a disk that `startAll` leaves out, after the others in order. */
+  spares?: number;
   /** Size of the log above which a snapshot is taken, in bytes. */
   snapshotBytes?: number;
   /** How far the wall clock of each start of a daemon is ahead, in milliseconds. */
@@ -62,6 +64,7 @@
   seed,
   disks = 3,
   others = 4,
+  spares = 0,
   snapshotBytes,
   readClockOffset = () => 0,
   wrapDisk = (disk) => disk,
@@ -77,6 +80,7 @@
   };
   const buildAddress = (index: number) => `10.${(index % dataCentres) + 1}.0.${index + 1}:7000`;
   const addresses = Array.from({ length: disks + others }, (_, index) => buildAddress(index));
+  const hasDisk = (index: number) => index < disks || index >= addresses.length;
   let seeds = addresses.slice(0, 3);
 
   const findByAddress = (address: string): TestDaemon | undefined =>
@@ -101,7 +105,7 @@
     const id = `daemon-${index}`;
     const process = virtual.createProcess(id, readClockOffset());
     const previous = daemons.get(id);
-    const newDisk = index < disks && !previous ? createFakeDisk({ random }) : undefined;
+    const newDisk = hasDisk(index) && !previous ? createFakeDisk({ random }) : undefined;
     const disk = previous?.disk ?? newDisk;
     const table = createEndpointTable({ clock: process.clock, silenceMs });
     const versions: number[] = [];
@@ -177,7 +181,9 @@
   return {
     ...{ virtual, network, find, kill, start, buildRecord, seed },
     all: addresses.map((_, index) => `daemon-${index}`),
+    spares: Array.from({ length: spares }, (_, rank) => `daemon-${addresses.length + rank}`),
     startAll: () => addresses.map((_, index) => start(index, { isFirstStart: true })),
+    /** Starts a daemon again, or a spare for the first time. */
     restart: (id: string) => start(Number(id.split('-')[1])),
     /** Exchanges the seeds that all daemons know from now on. */
     setSeeds: (ids: readonly string[]): void => {
