fix(fleet): a voter that stops as planned leaves the control group

Cause: a process that is stopped did not leave the group, its successor joined beside it, and the leader took a silent voter out after 6 s, longer than the 4 s for which a VM counts as lost.

Ruled out: the size of the group.

Change: on SIGTERM a voter asks the leader to remove it, until its process ends; the leader does so while the group has more voters than it keeps and a live majority remains. A silent voter beyond the size is removed after 1.5 s; a new leader counts silence from its own contact. Changes of the membership are one pure decision, and none waits for a node to catch up. A learner becomes a voter beside the others once it has replied for 2 s, and when it has just replied.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -15,7 +15,7 @@
 export type { AppendRequest } from './raft/append-request.js';
 export { createRaftNode } from './raft/create-raft-node.js';
 export type { GroupMember } from './raft/group-member.js';
-export { runMembershipTask } from './raft/run-membership-task.js';
+export { runMembershipTask } from './raft/membership/run-membership-task.js';
 export type { RaftPeer } from './raft/raft-peer.js';
 export type { Sender } from './raft/sender.js';
 export type { StateMachine } from './raft/state-machine.js';
--- a/packages/control/src/raft/check-leader-message.ts
+++ b/packages/control/src/raft/check-leader-message.ts
@@ -43,6 +43,7 @@
   updateTerm(context, term);
   if (context.role === 'candidate') context.role = 'follower';
   context.leader = from.id;
+  context.leaderDiskId = from.diskId;
   context.electionTimerStartedAt = clock.monotonic();
   context.leaderContactAt = context.electionTimerStartedAt;
   Object.entries(marks).forEach(([diskId, watermark]) =>
--- a/packages/control/src/raft/create-raft-context.ts
+++ b/packages/control/src/raft/create-raft-context.ts
@@ -14,6 +14,7 @@
     ...findGroup(log),
     role: 'follower',
     leader: undefined,
+    leaderDiskId: undefined,
     commitIndex: snapshot?.index ?? 0,
     appliedIndex: snapshot?.index ?? 0,
     lastTimestamp: log.memory.list().at(-1)?.at ?? snapshot?.at ?? 0,
--- a/packages/control/src/raft/create-raft-node.ts
+++ b/packages/control/src/raft/create-raft-node.ts
@@ -7,12 +7,15 @@
 import { handleAppend } from './handle-append.js';
 import { handleSnapshot } from './handle-snapshot.js';
 import { handleVote } from './handle-vote.js';
+import { applyMembershipChange } from './membership/apply-membership-change.js';
+import { listMemberStatuses } from './membership/list-member-statuses.js';
+import type { MembershipChange } from './membership/membership-change.js';
 import { readGroupSize } from './membership/read-group-size.js';
+import { removeLeavingMember } from './membership/remove-leaving-member.js';
 import { proposeEntry } from './propose-entry.js';
 import type { RaftOptions } from './raft-options.js';
 import type { RaftPeer } from './raft-peer.js';
 import { releaseLeadership } from './release-leadership.js';
-import { removeMember } from './remove-member.js';
 import { replaceMember } from './replace-member.js';
 import { runElections } from './run-elections.js';
 import { stopNode } from './stop-node.js';
@@ -44,14 +47,9 @@
     confirmLeadership: () => confirmLeadership(context),
     replaceMember: (replacement: Parameters<typeof replaceMember>[1]) =>
       replaceMember(context, replacement),
-    removeMember: (id: string) => removeMember(context, id),
-    /** Ids of the members that have not replied to this leader for longer than `ms`. */
-    listSilent: (ms: number): string[] => {
-      const since = context.clock.monotonic() - ms;
-      return [...context.progress.values()]
-        .filter(({ answeredAt }) => answeredAt < since)
-        .map(({ member }) => member.id);
-    },
+    applyMembershipChange: (change: MembershipChange) => applyMembershipChange(context, change),
+    removeLeavingMember: (diskId: string) => removeLeavingMember(context, diskId),
+    listMemberStatuses: () => listMemberStatuses(context),
     readStateAgeMs: () => computeStateAge(context),
     readStatus: () => ({
       id: context.id,
--- a/packages/control/src/raft/peer-progress.ts
+++ b/packages/control/src/raft/peer-progress.ts
@@ -9,6 +9,11 @@
   matchIndex: number;
   /** Monotonic time at which the last message that got a reply was sent. */
   answeredAt: number;
+  /**
+   * Monotonic time since when its replies are awaited: the begin of its replication, or this node's
+   * last contact with it when it was the leader.
+   */
+  observedSince: number;
   /** Commit index in the last message that got a reply. */
   acknowledgedCommitIndex: number;
   /** Largest amount of data to send in one message, in characters. */
--- a/packages/control/src/raft/raft-context.ts
+++ b/packages/control/src/raft/raft-context.ts
@@ -16,6 +16,8 @@
   role: 'follower' | 'candidate' | 'leader' | 'stopped';
   /** Id of the leader of the current term, if known. */
   leader: string | undefined;
+  /** Disk of the last leader that sent a message, also after its term. */
+  leaderDiskId: string | undefined;
   group: Group | undefined;
   /** Index of the entry that holds `group`. */
   groupIndex: number;
--- a/packages/control/src/raft/replace-member.ts
+++ b/packages/control/src/raft/replace-member.ts
@@ -1,9 +1,8 @@
-import { RelayError, ResultCode, withTimeout } from '@vanillarelay/core';
+import { RelayError, ResultCode } from '@vanillarelay/core';
 import type { GroupMember } from './group-member.js';
-import { checkRemainingQuorum } from './check-remaining-quorum.js';
+import { addNode } from './membership/add-node.js';
+import { promoteLearner } from './membership/promote-learner.js';
 import type { RaftContext } from './raft-context.js';
-import { raftTiming } from './raft-timing.js';
-import { updateGroup } from './update-group.js';
 
 interface Replacement {
   /** The member that was lost. */
@@ -23,35 +22,14 @@
   context: RaftContext,
   { id, by }: Replacement,
 ): Promise<GroupMember[]> {
-  const diskId = await readDiskId(context, by.address);
-  const findMember = () => readMembers(context).find((member) => member.diskId === diskId);
-  if (!findMember()) {
-    await updateGroup(context, (members) => [
-      ...members.filter((member) => member.id !== by.id || member.role === 'voter'),
-      { ...by, diskId, role: 'learner' },
-    ]);
-  }
-  if (findMember()?.role === 'voter') return readMembers(context);
+  const diskId = await addNode(context, by);
+  const added = readMembers(context).find((member) => member.diskId === diskId);
+  if (added?.role === 'voter') return readMembers(context);
   await waitForCatchUp(context, diskId);
-  const isLost = (member: GroupMember) => member.id === id && member.diskId !== diskId;
-  if (readMembers(context).some(isLost)) {
-    checkRemainingQuorum(context, isLost);
-    await updateGroup(context, (members) => members.filter((member) => !isLost(member)));
-  }
-  await updateGroup(context, (members) =>
-    members.map((member) => (member.diskId === diskId ? { ...member, role: 'voter' } : member)),
-  );
+  await promoteLearner(context, diskId, (member) => member.id === id && member.diskId !== diskId);
   return readMembers(context);
 }
 
-async function readDiskId(context: RaftContext, address: string): Promise<string> {
-  const client = context.openPeer(address);
-  const sender = await withTimeout(context.clock, raftTiming.callTimeoutMs, (signal) =>
-    client.readSender(signal),
-  );
-  return sender.diskId;
-}
-
 function readMembers({ group }: RaftContext): GroupMember[] {
   return group?.members ?? [];
 }
--- a/packages/control/src/raft/start-leading.ts
+++ b/packages/control/src/raft/start-leading.ts
@@ -27,6 +27,7 @@
   appendEntry(context, first).catch(() => {});
   context.progress.forEach((peer, diskId) => {
     if (votes.has(diskId)) peer.answeredAt = startedAt;
+    if (diskId === context.leaderDiskId) peer.observedSince = context.leaderContactAt;
   });
   void runQuorumCheck(context, context.office.signal);
 }
--- a/packages/control/src/raft/update-commit-index.ts
+++ b/packages/control/src/raft/update-commit-index.ts
@@ -2,6 +2,7 @@
 import { computeMajorityValue } from './compute-majority-value.js';
 import { listVoters } from './list-voters.js';
 import type { RaftContext } from './raft-context.js';
+import { releaseLeadership } from './release-leadership.js';
 import { wakePeers } from './wake-peers.js';
 
 /** Commits the entries that a quorum has synced, if the last is of the leader's term. @internal */
@@ -20,4 +21,11 @@
   context.commitIndex = index;
   applyCommitted(context);
   wakePeers(context);
+  if (hasLeft(context)) releaseLeadership(context);
+}
+
+/** Whether the group has accepted a membership without this leader. */
+function hasLeft({ group, groupIndex, commitIndex, log }: RaftContext): boolean {
+  if (!group || groupIndex > commitIndex) return false;
+  return !group.members.some(({ diskId }) => diskId === log.identity.diskId);
 }
--- a/packages/control/src/raft/update-peers.ts
+++ b/packages/control/src/raft/update-peers.ts
@@ -4,7 +4,7 @@
 
 /** Starts the replication to each new member and ends that to removed members. @internal */
 export function updatePeers(context: RaftContext): void {
-  const { group, progress, log, office } = context;
+  const { group, progress, log, office, clock } = context;
   const members = group?.members.filter(({ diskId }) => diskId !== log.identity.diskId) ?? [];
   progress.forEach((peer, diskId) => {
     if (members.some((member) => member.diskId === diskId)) return;
@@ -24,6 +24,7 @@
       nextIndex: log.memory.readLast().index + 1,
       matchIndex: 0,
       answeredAt: Number.NEGATIVE_INFINITY,
+      observedSince: clock.monotonic(),
       acknowledgedCommitIndex: 0,
       maxLength: batchLength.max,
       partLength: 0,
--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -56,6 +56,9 @@
 
 const dataCentres = 3;
 const silenceMs = 4_800;
+/** Least and longest time from a signal to the end of a process. */
+const drainMs = 3_000;
+const graceMs = 7_600;
 /** Attempts to send one change; each takes up to 1 s of virtual time. */
 const maxAttempts = 20;
 
@@ -159,6 +162,18 @@
     disk?.crash();
   };
 
+  /** Stops a daemon as planned; it ends once it has drained and left the control group. */
+  const stop = async (id: string): Promise<void> => {
+    const { node } = find(id);
+    const startedAt = virtual.clock.monotonic();
+    const countMs = () => virtual.clock.monotonic() - startedAt;
+    node.startLeaving();
+    while (countMs() < drainMs || (node.isAwaitingLeave() && countMs() < graceMs)) {
+      await virtual.run(50);
+    }
+    kill(id);
+  };
+
   const buildRecord = (change: Partial<EndpointRecord> = {}): EndpointRecord => ({
     ...{ id: toId<EndpointId>('e1'), bornAt: 1, sequence: 1, service: 'desk' as never },
     ...{ address: '10.1.9.9:80', dataCentre: 'dc-0' as never, slots: 4 },
@@ -179,7 +194,7 @@
   };
 
   return {
-    ...{ virtual, network, find, kill, start, buildRecord, seed },
+    ...{ virtual, network, find, kill, stop, start, buildRecord, seed },
     all: addresses.map((_, index) => `daemon-${index}`),
     spares: Array.from({ length: spares }, (_, rank) => `daemon-${addresses.length + rank}`),
     startAll: () => addresses.map((_, index) => start(index, { isFirstStart: true })),
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -13,6 +13,7 @@
 import { emptyContent } from './content/empty-content.js';
 import { checkAddresses } from './messages/check-addresses.js';
 import { checkDaemonInfo } from './messages/check-daemon-info.js';
+import { checkRemovalRequest } from './messages/check-removal-request.js';
 import type { DaemonInfo } from './messages/daemon-info.js';
 import type { FleetPeer } from './messages/fleet-peer.js';
 import type { Observations } from './messages/observations.js';
@@ -29,6 +30,7 @@
 import { runHubLinks } from './sync/run-hub-links.js';
 import { createFounderSelection } from './voter/create-founder-selection.js';
 import { openVoter } from './voter/open-voter.js';
+import { runGroupLeave } from './voter/run-group-leave.js';
 import type { Voter } from './voter/voter.js';
 
 interface FleetNodeOptions {
@@ -118,9 +120,11 @@
     isCoordinator: options.isFirstStart && options.listSeeds()[0] === self.address,
   });
 
+  let isLeaving = false;
   const readSelf = (): DaemonInfo => {
     const diskId = voter?.readDiskId();
-    return diskId === undefined ? self : { ...self, diskId };
+    // The leader adds the nodes whose disks are known to the group.
+    return diskId === undefined || isLeaving ? self : { ...self, diskId };
   };
   const isMember = (): boolean =>
     voter?.readMembers().some(({ address }) => address === self.address) ?? false;
@@ -148,6 +152,10 @@
     announce: hub.announce,
     propose: async (proposal) => findVoter().propose(proposal),
     readIndex: async () => findVoter().readIndex(),
+    requestRemoval: async (request) => {
+      checkRemovalRequest(request);
+      await findVoter().removeLeavingMember(request.diskId);
+    },
     raft: voter?.handlers ?? refusingRaft,
   };
   const openPeerOrSelf = (address: string): FleetPeer =>
@@ -234,6 +242,20 @@
       client.stop();
       voter?.stop();
     },
+    /**
+     * Begins the planned stop of this daemon: its voter leaves the control group where the others can
+     * do without it, and keeps its seat otherwise.
+     */
+    startLeaving: (): void => {
+      isLeaving = true;
+      if (!voter) return;
+      voter.startLeaving();
+      void runGroupLeave({
+        ...{ clock, voter, record, openPeer: openPeerOrSelf, signal: stopping.signal },
+      });
+    },
+    /** Whether this daemon is about to leave the control group, and should wait for that. */
+    isAwaitingLeave: (): boolean => voter?.isAwaitingLeave() ?? false,
     ...calls,
     announce,
     /** Whether this daemon is a member of the control group. */
--- a/packages/fleet/src/messages/fleet-peer.ts
+++ b/packages/fleet/src/messages/fleet-peer.ts
@@ -5,6 +5,7 @@
 import type { IndexReply } from './index-reply.js';
 import type { Proposal } from './proposal.js';
 import type { ProposalReply } from './proposal-reply.js';
+import type { RemovalRequest } from './removal-request.js';
 import type { SyncReply } from './sync-reply.js';
 import type { SyncRequest } from './sync-request.js';
 
@@ -24,5 +25,10 @@
   propose(proposal: Proposal, signal: AbortSignal): Promise<ProposalReply>;
   /** Reads the index of the newest state, confirmed by a quorum; only the leader answers. */
   readIndex(signal: AbortSignal): Promise<IndexReply>;
+  /**
+   * Removes the voter of a daemon that stops from the control group. Only the leader does so, and
+   * only while the group has more voters than it keeps.
+   */
+  requestRemoval(request: RemovalRequest, signal: AbortSignal): Promise<void>;
   raft: RaftPeer;
 }
--- a/packages/fleet/src/voter/open-voter.ts
+++ b/packages/fleet/src/voter/open-voter.ts
@@ -61,6 +61,7 @@
   let machine = createSharedStateMachine(notify);
   let founders: Founder[] = [];
   let isStopped = false;
+  let isLeaving = false;
   let membershipTask = new AbortController();
   /** Closes the open node; it is opened again unless the voter was stopped. */
   let closeNode = () => {};
@@ -95,7 +96,6 @@
       clock,
       node: opened,
       listNodes: options.listNodes,
-      listSilent: opened.listSilent,
       record: (name, details) => timeline.record(name, details),
       signal: membershipTask.signal,
     });
@@ -171,6 +171,19 @@
 
   const readMembers = (): GroupMember[] => node?.readStatus().members ?? [];
 
+  const isMember = (): boolean => {
+    const diskId = node?.readStatus().diskId;
+    return readMembers().some((member) => member.diskId === diskId);
+  };
+
+  /** Whether the group can do without this node, or a node that catches up may soon replace it. */
+  const hasSuccessor = (): boolean => {
+    const { members = [], groupSize = 0, diskId } = node?.readStatus() ?? {};
+    const voters = members.filter(({ role }) => role === 'voter');
+    const isVoter = voters.some((voter) => voter.diskId === diskId);
+    return isVoter && (voters.length > groupSize || members.length > voters.length);
+  };
+
   return {
     start: (): void => {
       void run();
@@ -184,7 +197,11 @@
       appendEntries: async (request, signal) => findNode().handlers.appendEntries(request, signal),
       installSnapshot: async (request, signal) =>
         findNode().handlers.installSnapshot(request, signal),
-      readSender: async (signal) => findNode().handlers.readSender(signal),
+      readSender: async (signal) => {
+        // The leader asks before it adds a node to the group.
+        if (isLeaving) throw buildNotMember();
+        return findNode().handlers.readSender(signal);
+      },
     } satisfies RaftPeer,
     /** Sets the initial members of the group; has no effect on a node that already has a group. */
     found: (next: Founder[]): void => {
@@ -198,6 +215,19 @@
       if (type === 'startRollout' || type === 'endRollout') checkRolloutProposal(proposal);
       return { type: 'result', result: await commit(proposal) };
     },
+    /** From now on this node is not added to the group again, as its process ends. */
+    startLeaving: (): void => {
+      isLeaving = true;
+    },
+    /** Whether this node is about to leave the group, and its process should wait for that. */
+    isAwaitingLeave: (): boolean => isLeaving && hasSuccessor(),
+    isMember,
+    /** Removes the voter of a daemon that stops, as leader. */
+    removeLeavingMember: async (diskId: string): Promise<void> => {
+      const current = findNode();
+      if (current.readStatus().role !== 'leader') throw buildNotLeader(current);
+      await current.removeLeavingMember(diskId);
+    },
     /** Reads the index of the newest state; only the leader answers. */
     readIndex: async (): Promise<IndexReply> => {
       const current = findNode();
@@ -224,3 +254,7 @@
     ...(leader === undefined ? {} : { leader }),
   });
 }
+
+function buildNotMember(): RelayError {
+  return new RelayError(ResultCode.notMember, 'this daemon is stopping', { notRun: true });
+}
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -274,7 +274,11 @@
     },
   });
   if (features.scheduling) void runEvery(clock, latenessIntervalMs, updateLateness);
-  await runShutdown({ clock, log, front, stop, graceMs: settings.graceS * msPerS });
+  stop.startSignal.addEventListener('abort', node.startLeaving, { once: true });
+  await runShutdown({
+    ...{ clock, log, front, stop, graceMs: settings.graceS * msPerS },
+    isAwaitingLeave: node.isAwaitingLeave,
+  });
   node.stop();
   log.close();
 }
--- a/packages/router/src/daemon/run-shutdown.ts
+++ b/packages/router/src/daemon/run-shutdown.ts
@@ -10,6 +10,8 @@
   stop: StopPlan;
   /** Time from the signal to the forced exit, in milliseconds. */
   graceMs: number;
+  /** Whether this daemon is about to leave the control group. */
+  isAwaitingLeave: () => boolean;
 }
 
 /**
@@ -24,10 +26,10 @@
 /**
  * Waits for SIGTERM or SIGINT and then drains: keeps serving what can be completed until the load
  * balancer stops sending connections, closes idle connections and resolves when no request is left
- * or the grace period is nearly over. Further signals change nothing.
+ * and the control group was left, or the grace period is nearly over. Further signals change nothing.
  */
 export async function runShutdown(options: ShutdownOptions): Promise<void> {
-  const { clock, log, front, stop, graceMs } = options;
+  const { clock, log, front, stop, graceMs, isAwaitingLeave } = options;
   let running = 0;
   front.on('request', (_, response) => {
     running += 1;
@@ -41,7 +43,8 @@
   log.write('process.stopping', { signal, running });
   await clock.wait(minDrainMs);
   front.close();
-  while (running > 0 && clock.monotonic() - startedAt < graceMs * graceShare) {
+  const isBusy = () => running > 0 || isAwaitingLeave();
+  while (isBusy() && clock.monotonic() - startedAt < graceMs * graceShare) {
     front.closeIdleConnections();
     await clock.wait(pollIntervalMs);
   }
--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -84,8 +84,14 @@
     'the Raft log was opened: the identity of its disk, how often, its last entry',
   'control.committed': 'this node, as leader, committed a change of the shared state',
   'control.commitFailed': 'this node, as leader, did not commit a change of the shared state',
-  'control.memberReplaced': 'a node replaced a lost member of the group',
+  'control.memberAdded': 'a node joined the group as a learner, without a vote',
+  'control.memberReplaced':
+    'the node on the disk `by` became a voter, after the voter on the disk `lost`, if any, was removed',
   'control.memberRemoved': 'a node that stayed silent was removed from the group',
+  'control.left':
+    'this node left the group, since its process ends and another voter can do without it',
+  'control.stayed':
+    'this node keeps its seat in the group although its process ends, for the `reason` named',
   'control.membershipFailed': 'a membership change failed; it is retried',
   'log.removed': 'a damaged or outdated Raft log was found on the disk and removed',
   'log.dropped': 'lines of one event were dropped because it exceeded its rate limit',
--- a/packages/router/src/transport/create-fleet-server.ts
+++ b/packages/router/src/transport/create-fleet-server.ts
@@ -26,6 +26,7 @@
     [fleetPaths.announce, handlers.announce],
     [fleetPaths.propose, handlers.propose],
     [fleetPaths.readIndex, (_, signal) => handlers.readIndex(signal)],
+    [fleetPaths.requestRemoval, handlers.requestRemoval],
     [fleetPaths.requestVote, handlers.raft.requestVote],
     [fleetPaths.appendEntries, handlers.raft.appendEntries],
     [fleetPaths.installSnapshot, handlers.raft.installSnapshot],
--- a/packages/router/src/transport/fleet-paths.ts
+++ b/packages/router/src/transport/fleet-paths.ts
@@ -5,6 +5,7 @@
   announce: '/announce',
   propose: '/propose',
   readIndex: '/index',
+  requestRemoval: '/removal',
   requestVote: '/raft/vote',
   appendEntries: '/raft/entries',
   installSnapshot: '/raft/snapshot',
--- a/packages/router/src/transport/open-fleet-peer.ts
+++ b/packages/router/src/transport/open-fleet-peer.ts
@@ -19,6 +19,9 @@
     },
     propose: (proposal, signal) => call(fleetPaths.propose, proposal, signal),
     readIndex: (signal) => call(fleetPaths.readIndex, {}, signal),
+    requestRemoval: async (request, signal) => {
+      await call(fleetPaths.requestRemoval, request, signal);
+    },
     raft: {
       requestVote: (request, signal) => call(fleetPaths.requestVote, request, signal),
       appendEntries: (request, signal) => call(fleetPaths.appendEntries, request, signal),
