fix(fleet): an order of unknown age counts as given up, as do announcements and requests

Cause: only the close of the operator's connection told that, and the daemon waited 50 ms for it. Nothing bounds the time between an order and the close behind it: timers run before input, one connection is accepted in a turn, and the close itself may be late or lost.

Change: input is read between any two ticks of a timer, so what is read arrived after the last tick but one; connections accepted in turns in a row count from the first; both clocks count. An order that may be 0.9 s old is answered 503, not run, as are announcements and departures; requests of callers that were read after a pause count from before it. The wait of 50 ms is gone: what has arrived is read by a whole turn.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -70,6 +70,8 @@
 export type { ServiceConfig } from './state/service-config.js';
 export type { Disk } from './storage/disk.js';
 export type { Clock } from './time/clock.js';
+export { createInputAge } from './time/create-input-age.js';
+export type { InputAge } from './time/input-age.js';
 export { createHlc } from './time/create-hlc.js';
 export { createIdGenerator } from './time/create-id-generator.js';
 export type { HlcTime } from './time/hlc-time.js';
--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -132,6 +132,7 @@
       createDiskId: createId,
       ...(snapshotBytes === undefined ? {} : { snapshotBytes }),
       openPeer: openPeer(process),
+      waitForInput: () => process.clock.wait(0),
       listSeeds: () => seeds,
       readObservations: () => ({
         loads: {},
--- a/packages/fleet/__tests__/run-order-model.ts
+++ b/packages/fleet/__tests__/run-order-model.ts
@@ -1,4 +1,9 @@
-import { RelayError, type CommandResult, type DataCentreId } from '@vanillarelay/core';
+import {
+  RelayError,
+  createInputAge,
+  type CommandResult,
+  type DataCentreId,
+} from '@vanillarelay/core';
 import {
   createFakeNetwork,
   createSeededRandom,
@@ -31,6 +36,8 @@
 const duplicateShare = 0.3;
 const maxSyncMs = 400;
 const minBackoffMs = 100;
+/** How late a daemon may notice that an operator has closed its connection. */
+const maxCloseDelayMs = 3_000;
 
 /**
  * Plays operators, daemons and a leader on virtual time. Daemons and the leader pause, and operators
@@ -40,7 +47,10 @@
 export async function runOrderModel(seed: number, { hasPauses = true } = {}) {
   const random = createSeededRandom(seed);
   const virtual = createVirtualClock();
-  const network = createFakeNetwork({ virtual, random });
+  const network = createFakeNetwork({
+    ...{ virtual, random },
+    readCloseDelay: () => (random() < 0.5 ? 0 : random() * maxCloseDelayMs),
+  });
   const leader = virtual.createProcess('leader');
   const violations: string[] = [];
   /** The order of each data centre that is acknowledged and not followed by another one yet. */
@@ -98,8 +108,14 @@
     if (random() < duplicateShare) network.startDuplicates(id, leader.id);
     const view = { leader: leader.id, state: emptySharedState, isCurrent: true };
     const peer = network.open(process, () => ({ process: leader, handlers: leaderCalls }));
+    const { clock } = process;
+    const inputAge = createInputAge({
+      clock,
+      scheduleTurn: (callback) => clock.startTimer(0, callback),
+    });
     const operatorCalls = createOperatorCalls({
-      ...{ clock: process.clock, view: view as unknown as FleetView, record: () => {} },
+      waitForInput: () => clock.wait(0),
+      ...{ clock, view: view as unknown as FleetView, record: () => {} },
       ...{ listHubs: () => [leader.id], openPeer: () => peer },
       isRecentRollout: () => false,
     });
@@ -109,7 +125,8 @@
     });
     const handlers: DaemonCalls = {
       order: async (command, signal) => {
-        const result = await operatorCalls.propose(command, signal);
+        const sender = { signal, readAgeMs: inputAge.startAge({}) };
+        const result = await operatorCalls.propose(command, sender);
         if (!result.ok) throw new RelayError(result.code, result.message);
         return result;
       },
--- a/packages/fleet/__tests__/run-rollout-model.ts
+++ b/packages/fleet/__tests__/run-rollout-model.ts
@@ -92,11 +92,13 @@
   const callDaemon = async (to: string): Promise<boolean> => {
     const { node, process } = fleet.find(choose(fleet.all));
     const controller = new AbortController();
+    const sentAt = clock.monotonic();
     const call = async (): Promise<boolean> => {
       await process.waitUntilRunning();
       const startedAt = process.clock.now();
       const command = { type: 'startRollout', service, to, durationMs: 12_000, startedAt } as const;
-      const result = await node.propose(command, controller.signal);
+      const sender = { signal: controller.signal, readAgeMs: () => clock.monotonic() - sentAt };
+      const result = await node.propose(command, sender);
       if (controller.signal.aborted || !result.ok) return false;
       acknowledged.add(to);
       return true;
--- a/packages/fleet/src/create-fleet-node.ts
+++ b/packages/fleet/src/create-fleet-node.ts
@@ -45,6 +45,8 @@
   /** Size of the log above which the voter takes a snapshot; has a default. */
   snapshotBytes?: number;
   openPeer: (address: string) => FleetPeer;
+  /** Resolves once everything that has reached this process by now was read. */
+  waitForInput: () => Promise<void>;
   listSeeds: () => string[];
   /** Whether the whole fleet starts for the first time, with empty disks. */
   isFirstStart: boolean;
@@ -178,7 +180,7 @@
   });
 
   const calls = createOperatorCalls({
-    ...{ clock, record, view: client.view },
+    ...{ clock, record, view: client.view, waitForInput: options.waitForInput },
     isRecentRollout: rolloutAges.isRecent,
     listHubs: client.listHubs,
     openPeer: openPeerOrSelf,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -6,6 +6,7 @@
 export type { HelloRequest } from './messages/hello-request.js';
 export type { Observations } from './messages/observations.js';
 export type { IndexReply } from './messages/index-reply.js';
+export type { OrderSender } from './proposals/order-sender.js';
 export type { Proposal } from './messages/proposal.js';
 export type { ProposalReply } from './messages/proposal-reply.js';
 export type { SyncReply } from './messages/sync-reply.js';
--- a/packages/fleet/src/proposals/create-operator-calls.ts
+++ b/packages/fleet/src/proposals/create-operator-calls.ts
@@ -16,6 +16,7 @@
 import type { SharedCommand } from '../state/shared-command.js';
 import type { SharedState } from '../state/shared-state.js';
 import type { FleetView } from '../sync/fleet-view.js';
+import type { OrderSender } from './order-sender.js';
 import { proposeConfig } from './propose-config.js';
 
 interface OperatorCallsOptions {
@@ -25,6 +26,8 @@
   listHubs: () => string[];
   openPeer: (address: string) => FleetPeer;
   record: (name: string, details?: EventDetails) => void;
+  /** Resolves once everything that has reached this process by now was read. */
+  waitForInput: () => Promise<void>;
   /** Whether a roll-out may have been started within the last `ms` milliseconds. */
   isRecentRollout: (startIndex: number, ms: number) => boolean;
 }
@@ -38,7 +41,7 @@
 }
 
 /** Limits of an order of an operator. */
-type OrderLimits = CallLimits & { deadline: number };
+type OrderLimits = CallLimits & { deadline: number; sender?: OrderSender | undefined };
 
 /** Time limit of an operator's call, below the 1 s after which operators try another daemon. */
 const operatorTimeoutMs = 900;
@@ -48,11 +51,6 @@
  */
 const attemptTimeoutMs = 500;
 const retryDelayMs = 50;
-/**
- * Time in which a close that the operator sent right after its order arrives. A daemon that was
- * paused reads the order first and the close in one of its next turns.
- */
-const closeDelayMs = 50;
 /** Time for which operators resend an order whose answer was lost. */
 const resendMs = 5_000;
 /** Time that the last resent order may spend on its way, or in a daemon that is paused. */
@@ -143,6 +141,19 @@
     return repeated && { ok: true, index: repeated.startIndex };
   };
 
+  /**
+   * Throws unless the operator still waits for its order. A close that has arrived is read first,
+   * but one may also be lost or late: an order of an age at which operators call another daemon
+   * counts as given up. After a pause of this process that is every order that it then reads.
+   */
+  const checkSender = async ({ sender, signal }: OrderLimits): Promise<void> => {
+    await options.waitForInput();
+    if (!signal?.aborted && (sender?.readAgeMs() ?? 0) < operatorTimeoutMs) return;
+    throw new RelayError(ResultCode.cancelled, 'the operator may have given the order up', {
+      notRun: true,
+    });
+  };
+
   /**
    * Proposes a command on top of a state, whose index is read before this daemon checks that the
    * operator still waits. So every order that the operator sends after it has given this one up has
@@ -158,20 +169,16 @@
     if (command.type === 'startRollout') await waitForState(base, limits.deadline);
     const repeated = findRepeated(command);
     if (repeated) return repeated;
-    await clock.wait(closeDelayMs, limits.signal);
-    if (limits.signal?.aborted) {
-      throw new RelayError(ResultCode.cancelled, 'the operator gave the order up', {
-        notRun: true,
-      });
-    }
+    await checkSender(limits);
     return proposeCommand({ ...command, base }, limits);
   };
 
   const proposeOrder = async (
     command: OrderCommand,
-    signal?: AbortSignal,
+    sender?: OrderSender,
   ): Promise<CommandResult> => {
-    const limits = { deadline: clock.monotonic() + operatorTimeoutMs, signal };
+    const remainingMs = operatorTimeoutMs - (sender?.readAgeMs() ?? 0);
+    const limits = { deadline: clock.monotonic() + remainingMs, sender, signal: sender?.signal };
     let result = await proposeOnce(command, false, limits);
     while (!result.ok && result.code === ResultCode.staleFencingToken) {
       record('fleet.orderOutdated', buildOrderDetails(command));
@@ -180,8 +187,8 @@
     return result;
   };
 
-  const propose = async (command: SharedCommand, signal?: AbortSignal): Promise<CommandResult> => {
-    if (command.type !== 'putConfig') return proposeOrder(command, signal);
+  const propose = async (command: SharedCommand, sender?: OrderSender): Promise<CommandResult> => {
+    if (command.type !== 'putConfig') return proposeOrder(command, sender);
     const { state, isCurrent } = view;
     // What this daemon holds is committed, so a version that is not newer has no effect.
     if (isCurrent && command.version <= state.version) return { ok: true, index: state.index };
@@ -190,9 +197,8 @@
 
   return {
     /**
-     * Proposes a command. One for a data centre or a roll-out is not carried out once `signal`,
-     * which aborts when the operator closes its connection, is aborted before it is sent to the
-     * leader.
+     * Proposes a command. One for a data centre or a roll-out is not carried out when its sender has
+     * closed its connection, or may have given it up, before it is sent to the leader.
      */
     propose,
     /**
--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -190,6 +190,7 @@
   const front = createFrontServer({
     ...{ clock, wire, memory, readTable: router.readTable, run: router.run },
     estimateArrival: router.estimateArrival,
+    startAge: () => () => 0,
     isClosing: () => false,
     stopSignal,
     canComplete: () => true,
--- a/packages/router/__tests__/rollout-orders.test.ts
+++ b/packages/router/__tests__/rollout-orders.test.ts
@@ -21,6 +21,7 @@
       readConfirmedState: async () => ({ version: confirmed.length, source: '', rollouts: {} }),
     } as never,
     endpoints: undefined as never,
+    inputAge: { startAge: () => () => 0, observeConnection: () => {} },
     log: { write: () => {} } as never,
     decodeConfig: () => ({ services: confirmed.map((id) => ({ id })) }) as never,
     hasService: (id) => id === ('known' as ServiceId),
@@ -28,7 +29,8 @@
   });
   const start = async (change: object = {}) => {
     try {
-      await calls.startRollout({ ...order, ...change }, new AbortController().signal);
+      const { signal } = new AbortController();
+      await calls.startRollout({ ...order, ...change }, { signal, readAgeMs: () => 0 });
       return 'accepted';
     } catch (error) {
       return (error as { code?: number }).code;
--- a/packages/router/__tests__/unknown-departures.test.ts
+++ b/packages/router/__tests__/unknown-departures.test.ts
@@ -12,11 +12,15 @@
     endpoints: createEndpointTable({ clock, silenceMs: 1_000 }),
     ...{ decodeConfig: () => ({}) as never, recordOrder: () => {}, hasService: () => true },
     ...{ hasState: () => hasState, isReady: () => false },
+    inputAge: { startAge: () => () => 0, observeConnection: () => {} },
   });
 
 const remove = (hasState: boolean) =>
   createCalls(hasState)
-    .removeEndpoint(toId<EndpointId>('i-1'))
+    .removeEndpoint(toId<EndpointId>('i-1'), {
+      signal: new AbortController().signal,
+      readAgeMs: () => 0,
+    })
     .then(
       () => 'acknowledged',
       ({ code }: { code: number }) => code,
--- a/packages/router/src/daemon/create-control-calls.ts
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -3,9 +3,15 @@
   ResultCode,
   type Clock,
   type DataCentreId,
+  type InputAge,
   type ServiceId,
 } from '@vanillarelay/core';
-import { findRollout, type FleetNode, type SharedCommand } from '@vanillarelay/fleet';
+import {
+  findRollout,
+  type FleetNode,
+  type OrderSender,
+  type SharedCommand,
+} from '@vanillarelay/fleet';
 import {
   checkRoutingConfig,
   type EndpointRecord,
@@ -17,6 +23,7 @@
 
 interface ControlCallOptions {
   clock: Pick<Clock, 'monotonic' | 'now'>;
+  inputAge: InputAge;
   node: FleetNode;
   endpoints: EndpointTable;
   log: Log;
@@ -30,21 +37,27 @@
   recordOrder: (order: string, status: number, ms: number) => void;
 }
 
+/**
+ * Age at which an announcement may have been given up and repeated at another daemon; its sender may
+ * have started again since. Below the 1 s after which endpoints do so.
+ */
+const maxAnnouncementAgeMs = 900;
+
 /** Creates the calls for operators and endpoints on top of this daemon's fleet node. */
 export function createControlCalls(options: ControlCallOptions): ControlCalls {
   const { clock, node, endpoints, log, decodeConfig, hasState, isReady } = options;
 
-  const propose = async (command: SharedCommand, signal?: AbortSignal): Promise<void> => {
-    const result = await node.propose(command, signal);
+  const propose = async (command: SharedCommand, sender?: OrderSender): Promise<void> => {
+    const result = await node.propose(command, sender);
     if (!result.ok) throw new RelayError(result.code, result.message);
   };
 
   const proposeDataCentre = async (
     type: SharedCommand['type'],
     id: DataCentreId,
-    signal: AbortSignal,
+    sender: OrderSender,
   ): Promise<void> => {
-    await propose({ type, dataCentre: id } as SharedCommand, signal);
+    await propose({ type, dataCentre: id } as SharedCommand, sender);
     log.write('dataCentre.changed', { dataCentre: id, change: type });
   };
 
@@ -68,6 +81,7 @@
   };
 
   return {
+    startAge: options.inputAge.startAge,
     putConfig: async (source) => {
       const config = decodeConfig(source);
       checkRoutingConfig(config);
@@ -85,14 +99,15 @@
       if (version > 0) return source;
       throw new RelayError(ResultCode.notReady, 'there is no configuration yet', { notRun: true });
     },
-    takeOutDataCentre: (id, signal) => proposeDataCentre('takeOutDataCentre', id, signal),
-    bringBackDataCentre: (id, signal) => proposeDataCentre('bringBackDataCentre', id, signal),
-    startRollout: async (order, signal) => {
+    takeOutDataCentre: (id, sender) => proposeDataCentre('takeOutDataCentre', id, sender),
+    bringBackDataCentre: (id, sender) => proposeDataCentre('bringBackDataCentre', id, sender),
+    startRollout: async (order, sender) => {
       await checkService(order.service);
-      await propose({ type: 'startRollout', ...order, startedAt: clock.now() }, signal);
+      await propose({ type: 'startRollout', ...order, startedAt: clock.now() }, sender);
     },
     readRollout: async (service) => findRollout(await node.readConfirmedState(), service),
-    announce: async (record) => {
+    announce: async (record, sender) => {
+      checkAge(sender);
       const isUpdated = endpoints.announce(record);
       const { id, state, service, address, sequence, coldLeftMs } = record;
       if (isUpdated) {
@@ -120,7 +135,8 @@
         options.recordOrder(order, result.status, ms);
       };
     },
-    removeEndpoint: async (id) => {
+    removeEndpoint: async (id, sender) => {
+      checkAge(sender);
       const known = endpoints.find(id);
       if (!known) {
         if (hasState()) return;
@@ -139,3 +155,9 @@
     isReady,
   };
 }
+
+function checkAge({ readAgeMs }: OrderSender): void {
+  if (readAgeMs() < maxAnnouncementAgeMs) return;
+  const message = 'this daemon was paused, and the sender may have given the call up';
+  throw new RelayError(ResultCode.notReady, message, { notRun: true });
+}
--- a/packages/router/src/daemon/run-router.ts
+++ b/packages/router/src/daemon/run-router.ts
@@ -3,6 +3,7 @@
 import {
   createHash,
   createHlc,
+  createInputAge,
   createTimeline,
   toId,
   type Clock,
@@ -11,7 +12,7 @@
   type Disk,
   type VmId,
 } from '@vanillarelay/core';
-import { listenOn, splitAddress } from '@vanillarelay/daemon';
+import { listenOn, splitAddress, waitForInput } from '@vanillarelay/daemon';
 import { createFleetNode, type DaemonInfo } from '@vanillarelay/fleet';
 import { createEndpointTable, type RoutingConfig } from '@vanillarelay/routing';
 import { createRouter } from '../create-router.js';
@@ -104,6 +105,7 @@
   });
   let seeds = toPeerAddresses(settings);
   const stop = createStopPlan(clock);
+  const inputAge = createInputAge({ clock, scheduleTurn: setImmediate });
   const metrics = createMetrics();
   const features = options.decodeFeatures(settings.terms ?? []);
   const lateness = createLateness({
@@ -146,6 +148,7 @@
     stopSignal: stop.startSignal,
     canComplete: stop.canComplete,
     estimateArrival: router.estimateArrival,
+    startAge: inputAge.startAge,
     run: router.run,
     report: (request, result) => {
       const ms = Math.round(clock.monotonic() - request.startedAt);
@@ -176,6 +179,7 @@
     createDiskId: () => randomBytes(idBytes).toString('hex'),
     openPeer: (address) => openFleetPeer({ address, recordBytes: metrics.recordBytes }),
     listSeeds: () => seeds,
+    waitForInput,
     isFirstStart: settings.isFirstStart,
     readObservations: () => ({
       ...router.readObservations(),
@@ -212,7 +216,7 @@
   const hasState = (): boolean =>
     !stop.isStopping() && node.view.isCurrent && router.readTable() !== undefined;
   const calls = createControlCalls({
-    ...{ clock, node, endpoints, log, decodeConfig },
+    ...{ clock, inputAge, node, endpoints, log, decodeConfig },
     recordOrder: metrics.recordOrder,
     hasState,
     hasService: (service) => router.readTable()?.findService(service) !== undefined,
@@ -236,10 +240,12 @@
     ...buildMemoryGauges(memory),
   }));
   const { metrics: metricsAddress } = listen;
+  const controlServer = options.createControlServer(calls, settings, clock);
+  controlServer.on('connection', inputAge.observeConnection);
   const servers: [Server, string][] = [
     [front, listen.callers],
     [options.createReadinessServer(calls), listen.readiness],
-    [options.createControlServer(calls, settings, clock), listen.control],
+    [controlServer, listen.control],
     [
       createFleetServer({ handlers: node.handlers, formatMetrics: () => metrics.format() }),
       listen.peers ?? self.address,
--- a/packages/router/src/front/create-front-server.ts
+++ b/packages/router/src/front/create-front-server.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { RelayError, ResultCode, toRefusal, type Clock } from '@vanillarelay/core';
+import { RelayError, ResultCode, toRefusal, type Clock, type InputAge } from '@vanillarelay/core';
 import type { RouteTable } from '@vanillarelay/routing';
 import type { Arrival } from '../loop/arrival.js';
 import type { LoopMonitor } from '../loop/loop-monitor.js';
@@ -31,6 +31,8 @@
   canComplete: (deadlineAt: number) => boolean;
   /** Estimates when a request that is read now, or its connection, reached the VM. */
   estimateArrival: LoopMonitor['estimateArrival'];
+  /** Starts the longest time, in milliseconds, since what is read now reached the VM. */
+  startAge: InputAge['startAge'];
   run: (request: RoutedRequest) => Promise<RequestResult>;
   /** Called once for each request, with its result. */
   report: (request: ReportedRequest, result: RequestResult) => void;
@@ -41,6 +43,8 @@
   route?: string;
   /** Monotonic time at which it reached the VM, as estimated. */
   startedAt: number;
+  /** Set when the daemon was paused and read the request afterwards. */
+  wasPaused?: true;
   version?: number;
   /** How long it was held until the state was in force. */
   heldMs?: number;
@@ -50,6 +54,10 @@
 }
 
 const maxHeaderBytes = 64 * 1024;
+/** Age of input from which this daemon counts as paused rather than late. */
+const pausedMs = 1_000;
+/** Retry time for callers of a daemon that was paused; the others can serve them at once. */
+const pausedRetryMs = 10;
 /** Idle timeout until the first configuration is received. */
 const initialIdleTimeoutMs = 60_000;
 /**
@@ -72,10 +80,13 @@
 
   /** Arrivals of connections until their first request. */
   const connections = new WeakMap<Socket, Arrival>();
-  const readArrival = (socket: Socket): number => {
+  /** When a request that is read now reached the VM; the earliest time after a pause. */
+  const readArrival = (socket: Socket): Pick<ReportedRequest, 'startedAt' | 'wasPaused'> => {
     const { at } = options.estimateArrival(connections.get(socket));
     connections.delete(socket);
-    return at;
+    const ageMs = options.startAge(socket)();
+    if (ageMs < pausedMs) return { startedAt: at };
+    return { startedAt: Math.min(at, clock.monotonic() - ageMs), wasPaused: true };
   };
 
   /** Resolves with the configuration in force; holds a request that comes before there is one. */
@@ -125,6 +136,13 @@
       throw new RelayError(ResultCode.unauthorized, 'unknown key', { notRun: true });
     }
     const deadlineAt = computeDeadline({ facts, route, startedAt });
+    if (reported.wasPaused && deadlineAt <= clock.monotonic()) {
+      const text = 'this daemon was paused, and the caller may have given the request up';
+      throw new RelayError(ResultCode.notReady, text, {
+        notRun: true,
+        retryAfterMs: pausedRetryMs,
+      });
+    }
     const { bytes: body, release } = await receiveBody({
       ...{ clock, memory, message, signal: caller.signal },
       limitBytes: table.config.bounds.maxBodyBytes,
@@ -145,7 +163,7 @@
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
     const caller = createCaller(message, response, isClosing);
-    const reported: ReportedRequest = { id: '', startedAt: readArrival(message.socket) };
+    const reported: ReportedRequest = { id: '', ...readArrival(message.socket) };
     const recordLeave = () => {
       reported.leftAt = clock.monotonic();
     };
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,4 +1,5 @@
 export type { ControlCalls } from './daemon/control-calls.js';
+export type { OrderSender } from '@vanillarelay/fleet';
 export type { OrderResult } from './daemon/order-result.js';
 export type { RolloutOrder } from './daemon/rollout-order.js';
 export type { RolloutState } from './daemon/rollout-state.js';
--- a/packages/scenarios/src/fakes/create-fake-network.ts
+++ b/packages/scenarios/src/fakes/create-fake-network.ts
@@ -8,6 +8,8 @@
   random: Random;
   /** Minimum one-way delay in milliseconds; a random part of up to half of it is added. */
   delayMs?: number;
+  /** Additional time, in milliseconds, until a target notices that a call was aborted. */
+  readCloseDelay?: () => number;
 }
 
 /** The caller's side of one call in progress. */
@@ -31,7 +33,12 @@
 const segmentBytes = 8 * 1024;
 
 /** Creates a network that connects virtual processes and can lose, delay or duplicate messages. */
-export function createFakeNetwork({ virtual, random, delayMs = 1 }: FakeNetworkOptions) {
+export function createFakeNetwork({
+  virtual,
+  random,
+  delayMs = 1,
+  readCloseDelay = () => 0,
+}: FakeNetworkOptions) {
   const cuts = new Set<string>();
   const extraDelays = new Map<string, number>();
   const duplicates = new Set<string>();
@@ -116,6 +123,8 @@
     const abort = () => {
       const sendAbort = async () => {
         await waitForDelay(from.id, to.id);
+        const closeDelayMs = readCloseDelay();
+        if (closeDelayMs > 0) await virtual.clock.wait(closeDelayMs);
         // A frozen process reads the data received earlier before it notices a closed connection.
         const arrivedAt = virtual.clock.monotonic();
         await to.waitUntilRunning();
