fix(routing): a content that crashes endpoints is tested at most twice

Cause: a blocked content was tested 1, 4, 16, 64 and each 256 s after the last crash, without an end; a test was known to other routers only by its crash, and soon all of them were allowed one; and a request that had waited was sent although its content was blocked meanwhile. How many tests fall into 50 s was a matter of timing.

Which order of events the users' machines had is not known.

Parts of prompts are tested as before.

--- a/packages/router/__tests__/waiting-requests.test.ts
+++ b/packages/router/__tests__/waiting-requests.test.ts
@@ -1,6 +1,8 @@
 import type { RequestListener, ServerResponse } from 'node:http';
 import { ResultCode, type ServiceId } from '@vanillarelay/core';
 import { afterEach, describe, expect, it } from 'vitest';
+import { buildContentSuspect } from '../src/requests/crashes/build-content-suspect.js';
+import type { RoutedRequest } from '../src/requests/routed-request.js';
 import { createRouterFixture } from './create-router-fixture.js';
 
 const desk = 'desk' as ServiceId;
@@ -276,3 +278,24 @@
     await Promise.all(answers);
   });
 });
+
+// Guards against a request that crashes its endpoint because it came before its content was known to.
+it('a request that waits is refused once its content is known to crash endpoints', async () => {
+  const { answers, answerNext, arrivals } = await startFull();
+  const path = '/slow/bad';
+  const waiting = send(path);
+  await waitUntil(() => readWaiting() === 1);
+  const request = { method: 'POST', path, body: Buffer.from(path) } as unknown as RoutedRequest;
+  const crashes = Object.fromEntries(['c1', 'c2', 'c3'].map((id) => [id, { ageMs: 0 }]));
+  fixture.router.updateObservations({
+    ...{ loads: {}, outcomes: {}, rates: {}, notices: {}, work: {} },
+    crashes: { [buildContentSuspect(request)]: crashes },
+  });
+  answerNext();
+  answerNext();
+  const { status } = await waiting;
+  answers.forEach(answerNext);
+  await Promise.all(answers);
+  expect([status, arrivals.includes(path)]).toEqual([503, false]);
+  expect(fixture.results.map(({ refusal }) => refusal?.code)).toContain(ResultCode.crashConvicted);
+});
--- a/packages/router/src/requests/crashes/is-blocked.ts
+++ b/packages/router/src/requests/crashes/is-blocked.ts
@@ -5,15 +5,18 @@
 
 /**
  * Whether a request must not be sent, because its content or a part of its prompt crashes endpoints.
- * A request that may be sent as a probe is not blocked.
+ * A request that may be sent as a probe is not blocked; just before it is sent, it takes the probe.
  */
 export function isBlocked(
   { crashes }: RouterContext,
   request: RoutedRequest,
   state: RunState,
+  isSending: boolean,
 ): boolean {
   if (crashes.isEmpty()) return false;
-  const suspects = [readContentSuspect(request, state), ...state.partSuspects];
-  const blocked = crashes.listBlocked(suspects);
-  return blocked.length > 0 && !crashes.takeProbe(blocked);
+  const content = readContentSuspect(request, state);
+  const blocked = crashes.listBlocked([content, ...state.partSuspects]);
+  if (blocked.length === 0) return false;
+  const mayProbe = isSending ? crashes.takeProbe : crashes.hasProbeTurn;
+  return !mayProbe(blocked, content);
 }
--- a/packages/router/src/requests/run-request.ts
+++ b/packages/router/src/requests/run-request.ts
@@ -19,6 +19,11 @@
 import { isScheduled } from './waiting/is-scheduled.js';
 import { waitForEndpoint } from './waiting/wait-for-endpoint.js';
 
+const crashing: EndCause = {
+  ...{ type: 'notSent', code: ResultCode.crashConvicted },
+  reason: 'the request crashes its endpoints',
+};
+
 /**
  * Runs a request to completion in stages: it waits for an endpoint, is sent there, is retried where
  * that is allowed, and ends.
@@ -77,10 +82,7 @@
   state: RunState,
 ): Promise<EndCause> {
   for (;;) {
-    if (isBlocked(context, request, state)) {
-      const reason = 'the request crashes its endpoints';
-      return { type: 'notSent', code: ResultCode.crashConvicted, reason };
-    }
+    if (isBlocked(context, request, state, false)) return crashing;
     const cause = await waitForEndpoint(context, request, state, (choice) =>
       runChoice(context, request, state, choice),
     );
@@ -106,6 +108,8 @@
     const cause: EndCause = { type: 'notSent', code, reason };
     return retryAfterMs === undefined ? cause : { ...cause, retryAfterMs };
   }
+  // What crashes endpoints may have become known while the request waited.
+  if (isBlocked(context, request, state, true)) return crashing;
   if (!spendRetry(context, state)) {
     const reason = 'retry budget spent';
     return { type: 'notSent', code: ResultCode.retryBudgetSpent, reason };
--- a/packages/routing/src/crashes/create-crash-record.ts
+++ b/packages/routing/src/crashes/create-crash-record.ts
@@ -10,6 +10,7 @@
 import type { CrashReports } from './crash-reports.js';
 import { createStartMemory } from './create-start-memory.js';
 import { hasRunPast } from './has-run-past.js';
+import { isContentProbeDue } from './is-content-probe-due.js';
 import { isCrashExpired } from './is-crash-expired.js';
 import { isProbeDue } from './is-probe-due.js';
 import type { Suspect } from './suspect.js';
@@ -36,6 +37,8 @@
 
 /** Number of crashes, over all routers, after which a suspect is blocked. */
 const blockThreshold = 3;
+/** Begins the id of a probe of a content, which counts as a crash until its answer is complete. */
+const probePrefix = 'probe.';
 /** Maximum number of suspects that are sent to the other routers with each message. */
 const maxReportedSuspects = 32;
 /** Maximum number of suspects that are kept; the oldest are removed first. */
@@ -46,7 +49,8 @@
  * prompts. A part is suspected of a crash if the answer had not begun, until an answer to a request
  * with it begins at any endpoint. A content is suspected at any point of its run, until one run of it
  * is complete or goes well past that point. What is suspected of several crashes is blocked at every
- * router. Each router keeps and passes on what it has learned, so that the record outlives the router
+ * router. Probes show whether a verdict is wrong: of a part again and again, of a content a limited
+ * number over all routers. Each router keeps and passes on what it has learned, so that the record outlives the router
  * that noticed a crash.
  */
 export function createCrashRecord(options: CrashRecordOptions) {
@@ -119,16 +123,35 @@
     updateIsBlocked(id, suspect);
   };
 
+  const readTurn = (key: string): { rank: number; routerCount: number } => {
+    const routers = sortByRendezvous(hash, key, listRouters());
+    const rank = routers.includes(self) ? routers.indexOf(self) : routers.length;
+    return { rank, routerCount: Math.max(1, routers.length) };
+  };
+
+  const listUncleared = ({ crashes }: Suspect) =>
+    [...crashes].filter(([, { clearedAt }]) => clearedAt === undefined);
+
+  /** Whether it is this router's turn to test a content. */
+  const hasContentTurn = (id: SuspectId): boolean => {
+    const crashes = listUncleared(findOrAdd(id));
+    const lastAt = Math.max(...crashes.map(([, { at }]) => at));
+    return isContentProbeDue({
+      elapsedMs: clock.monotonic() - lastAt,
+      probeCount: crashes.filter(([crashId]) => crashId.startsWith(probePrefix)).length,
+      ...readTurn(id),
+    });
+  };
+
   /** Whether it is this router's turn to test these suspects, all in one request. */
-  const hasProbeTurn = (ids: readonly SuspectId[]): boolean => {
+  const hasProbeTurn = (ids: readonly SuspectId[], content?: SuspectId): boolean => {
+    if (content !== undefined && ids.includes(content)) return hasContentTurn(content);
     const known = ids.map(findOrAdd);
     const key = [...ids].sort()[0] ?? '';
-    const routers = sortByRendezvous(hash, key, listRouters());
     return isProbeDue({
       elapsedMs: clock.monotonic() - Math.max(...known.map(({ delayedFrom }) => delayedFrom)),
       furtherCrashes: Math.max(...known.map(countCrashes)) - blockThreshold,
-      rank: routers.includes(self) ? routers.indexOf(self) : routers.length,
-      routerCount: Math.max(1, routers.length),
+      ...readTurn(key),
     });
   };
 
@@ -138,6 +161,14 @@
     notify('probed', id, countCrashes(suspect));
   };
 
+  /** Counts a probe of a content as a crash at once, which the other routers learn of. */
+  const recordProbe = (id: SuspectId): void => {
+    const { crashes } = findOrAdd(id);
+    const events = Math.max(...[...crashes.values()].map((crash) => crash.events));
+    const crashId = toId<CrashId>(`${probePrefix}${self}.${crashes.size}`);
+    mergeCrash(id, crashId, { ageMs: 0, events });
+  };
+
   return {
     /** Whether nothing is suspected; then requests need not be checked. */
     isEmpty: (): boolean => suspects.size === 0,
@@ -146,12 +177,15 @@
     listBlocked: (ids: readonly SuspectId[]): SuspectId[] =>
       ids.filter((id) => suspects.get(id)?.isBlocked),
     /**
-     * Whether this router may send one request with these blocked suspects, to find out whether they
-     * are harmless; if so, that is recorded.
+     * Whether this router may send one request with these blocked suspects now, to find out whether
+     * they are harmless; `content` is the request's content, which may be one of them.
      */
-    takeProbe: (ids: readonly SuspectId[]): boolean => {
-      if (!hasProbeTurn(ids)) return false;
+    hasProbeTurn,
+    /** The same, and records that the request is sent. */
+    takeProbe: (ids: readonly SuspectId[], content?: SuspectId): boolean => {
+      if (!hasProbeTurn(ids, content)) return false;
       ids.forEach(startProbe);
+      if (content !== undefined && ids.includes(content)) recordProbe(content);
       return true;
     },
     /** Records that an endpoint crashed before an answer with these parts had begun. */
