--- a/packages/routing/__tests__/content-probes.test.ts
+++ b/packages/routing/__tests__/content-probes.test.ts
@@ -51,7 +51,7 @@
     const endpointProcess = `e-${runs.length}`;
     schedule(random() * 400, () => {
       crashes.push(time.now);
-      record.recordLostRun(content, { endpointProcess, sentAt, events: Math.floor(random() * 2) });
+      record.recordLostRun(content, { endpointProcess, sentAt, events: Math.floor(random() * 3) });
     });
   };
   const exchange = (): void => {
