fix(router): a request leaves a silent endpoint only for one with a free slot

Cause: an engine counted as able to take a request over while it had fewer than three requests for each slot. Streams that had begun were given up for one whose slots and queue were taken; it refused them, and both engines counted as tried.

Ruled out: the signal; it only makes the cut count.

Change: the other endpoint needs a free slot. After three times the silence any place counts, as before, since the silent endpoint has probably gone.

--- a/packages/router/__tests__/silent-endpoints.test.ts
+++ b/packages/router/__tests__/silent-endpoints.test.ts
@@ -84,6 +84,26 @@
     expect(arrivals).toEqual(['e1']);
   });
 
+  // Guards against giving up the endpoint for one whose slots are taken: it refuses the stream, which
+  // has no endpoint then.
+  it('a stream stays where it is when the other endpoint has requests in all slots', async () => {
+    await start();
+    await fixture.addEndpoint('e1', buildListener('e1', 3));
+    const reply = send('/chat/1');
+    await wait(silenceMs / 4);
+    const refuse: RequestListener = (message, response) => {
+      arrivals.push('e2');
+      message.resume();
+      response.writeHead(503, { 'x-id': 'r1', 'x-not-run': '1' }).end();
+    };
+    await fixture.addEndpoint('e2', refuse);
+    fixture.router.updateObservations({
+      ...{ loads: { e2: 4 }, outcomes: {}, crashes: {}, rates: {}, notices: {}, work: {} },
+    } as never);
+    expect(await reply).toEqual({ status: 200, text: allEvents });
+    expect(arrivals).toEqual(['e1']);
+  });
+
   // Guards against giving up the endpoint when the budget leaves no send to another one.
   it('a stream stays where it is when the retry budget is spent', async () => {
     await start({ retryExtra: 0 });
--- a/packages/router/src/requests/attempt/run-attempt.ts
+++ b/packages/router/src/requests/attempt/run-attempt.ts
@@ -35,8 +35,8 @@
    * given until the deadline, and its 5xx answer is relayed to the caller.
    */
   isLast: boolean;
-  /** Whether another endpoint can take the request over now. */
-  hasAlternative: () => boolean;
+  /** Whether another endpoint can take the request over now, with a free slot or without. */
+  hasAlternative: (needsFreeSlot: boolean) => boolean;
   /** Called if the endpoint counts as silent but keeps the request. */
   recordSilence: () => void;
   /** Called when the first event of the answer has arrived. */
--- a/packages/router/src/requests/attempt/send-request.ts
+++ b/packages/router/src/requests/attempt/send-request.ts
@@ -47,7 +47,7 @@
     ...{ request, deadlineAt, signal, progress, isLast },
     cacheSource: readCacheSource(context, request, state, id),
     record: endpoint.record,
-    hasAlternative: () => hasAlternative(context, request, state),
+    hasAlternative: (needsFreeSlot) => hasAlternative(context, request, state, needsFreeSlot),
     recordSilence: () => health.recordUnreachable(id),
     notifyStart: () => context.crashes.recordStart(state.partSuspects),
     notifyAnswer: () => {
--- a/packages/router/src/requests/placing/has-alternative.ts
+++ b/packages/router/src/requests/placing/has-alternative.ts
@@ -7,7 +7,9 @@
 
 /**
  * Whether a request that an endpoint is running can be sent to another one now. An endpoint with a
- * health issue may be no better than the one that has the request, so it does not count.
+ * health issue may be no better than the one that has the request, so it does not count. With
+ * `needsFreeSlot`, neither does one that has as many requests as slots: it may refuse this one, which
+ * its endpoint has lost by then.
  */
 export function hasAlternative(
   context: RouterContext,
@@ -19,6 +21,7 @@
     affinityKey,
     memoryNeed,
   }: Pick<RunState, 'service' | 'tried' | 'result' | 'affinityKey' | 'memoryNeed'>,
+  needsFreeSlot: boolean,
 ): boolean {
   // The running attempt is not among the sends yet.
   if (result.sends.length + 1 >= maxSends) return false;
@@ -26,5 +29,8 @@
   const candidateRequest = buildCandidateRequest(request, { affinityKey, tried, memoryNeed });
   const routed = request.table.findService(service);
   const { open } = listCandidates(context, service, routed, candidateRequest);
-  return open.some(({ id, healthIssue }) => healthIssue === undefined && !tried.has(id));
+  return open.some(
+    ({ id, healthIssue, load, slots }) =>
+      healthIssue === undefined && !tried.has(id) && (!needsFreeSlot || load < slots),
+  );
 }
