refactor(control): the replication no longer imports what adds a learner

append-entry, update-peers, run-replication and add-learner imported one another in a circle, the only one of the project. The replication now calls a function of the context when a member replies from another disk.

--- a/packages/control/src/raft/create-raft-context.ts
+++ b/packages/control/src/raft/create-raft-context.ts
@@ -1,3 +1,4 @@
+import { addLearner } from './add-learner.js';
 import { findGroup } from './find-group.js';
 import type { RaftContext } from './raft-context.js';
 import type { RaftOptions } from './raft-options.js';
@@ -9,7 +10,7 @@
   if (snapshot) machine.install(log.takeSnapshotParts());
   const last = log.memory.readLast();
   const { incarnations } = log.readHardState();
-  return {
+  const context: RaftContext = {
     ...options,
     ...findGroup(log),
     role: 'follower',
@@ -38,6 +39,8 @@
     isWritingSnapshot: false,
     isInstallingSnapshot: false,
     office: new AbortController(),
+    notifyOtherDisk: (member, sender) => addLearner(context, member, sender),
     failure: undefined,
   };
+  return context;
 }
--- a/packages/control/src/raft/raft-context.ts
+++ b/packages/control/src/raft/raft-context.ts
@@ -1,9 +1,11 @@
 import type { CommandResult } from '@vanillarelay/core';
 import type { LogEntry } from '../log/log-entry.js';
 import type { Group } from './group.js';
+import type { GroupMember } from './group-member.js';
 import type { DiskWatermark } from './disk-watermark.js';
 import type { PeerProgress } from './peer-progress.js';
 import type { RaftOptions } from './raft-options.js';
+import type { Sender } from './sender.js';
 
 interface PendingProposal {
   term: number;
@@ -62,6 +64,8 @@
   isInstallingSnapshot: boolean;
   /** Aborted when this node stops leading; ends the tasks of the leader. */
   office: AbortController;
+  /** Called by the replication when a member replies from another disk than the group knows. */
+  notifyOtherDisk: (member: GroupMember, sender: Sender) => void;
   /** Why this node stopped permanently. */
   failure: Error | undefined;
 }
--- a/packages/control/src/raft/run-replication.ts
+++ b/packages/control/src/raft/run-replication.ts
@@ -1,4 +1,3 @@
-import { addLearner } from './add-learner.js';
 import type { AppendReply } from './append-reply.js';
 import { batchLength } from './batch-length.js';
 import type { PeerProgress } from './peer-progress.js';
@@ -65,7 +64,7 @@
     return false;
   }
   if (reply.isOtherDisk || reply.from.diskId !== peer.member.diskId) {
-    addLearner(context, peer.member, reply.from);
+    context.notifyOtherDisk(peer.member, reply.from);
     throw new Error(`${peer.member.id} runs on another disk`);
   }
   if (!recordSender(context, reply.from)) throw new Error(`${peer.member.id} has a stale disk`);
