--- a/packages/control/__tests__/group-size.test.ts
+++ b/packages/control/__tests__/group-size.test.ts
@@ -1,5 +1,5 @@
 import { expect, it } from 'vitest';
-import type { Group } from '../src/raft/group.js';
+import type { Group } from '../src/raft/membership/group.js';
 import { chooseGroupSize } from '../src/raft/membership/choose-group-size.js';
 import { readGroupSize } from '../src/raft/membership/read-group-size.js';
 import { updateGroupSize } from '../src/raft/membership/update-group-size.js';
--- a/packages/control/src/log/snapshot.ts
+++ b/packages/control/src/log/snapshot.ts
@@ -1,4 +1,4 @@
-import type { Group } from '../raft/group.js';
+import type { Group } from '../raft/membership/group.js';
 
 /** Position, time and membership of a snapshot, without the state. */
 export interface Snapshot {
--- a/packages/control/src/raft/compute-group-time.ts
+++ b/packages/control/src/raft/age/compute-group-time.ts
@@ -1,5 +1,5 @@
-import { listVoters } from './list-voters.js';
-import type { RaftContext } from './raft-context.js';
+import { listVoters } from '../membership/list-voters.js';
+import type { RaftContext } from '../raft-context.js';
 
 /**
  * Wall time as the median of the voters' clocks (the lower of two middle values), so that one wrong
--- a/packages/control/src/raft/compute-quorum-age.ts
+++ b/packages/control/src/raft/age/compute-quorum-age.ts
@@ -1,5 +1,5 @@
 import { computeQuorumSeenAt } from './compute-quorum-seen-at.js';
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 import { unknownQuorumAgeMs } from './unknown-quorum-age-ms.js';
 
 /** Milliseconds since a quorum was last known to be alive. @internal */
--- a/packages/control/src/raft/compute-quorum-seen-at.ts
+++ b/packages/control/src/raft/age/compute-quorum-seen-at.ts
@@ -1,6 +1,6 @@
-import { computeMajorityValue } from './compute-majority-value.js';
-import { listVoters } from './list-voters.js';
-import type { RaftContext } from './raft-context.js';
+import { computeMajorityValue } from '../replication/compute-majority-value.js';
+import { listVoters } from '../membership/list-voters.js';
+import type { RaftContext } from '../raft-context.js';
 
 /** Monotonic time at which a quorum was last known to be alive. @internal */
 export function computeQuorumSeenAt(context: RaftContext): number {
--- a/packages/control/src/raft/compute-state-age.ts
+++ b/packages/control/src/raft/age/compute-state-age.ts
@@ -1,5 +1,5 @@
 import { computeQuorumAge } from './compute-quorum-age.js';
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 import { unknownQuorumAgeMs } from './unknown-quorum-age-ms.js';
 
 /**
--- a/packages/control/src/raft/create-raft-context.ts
+++ b/packages/control/src/raft/create-raft-context.ts
@@ -1,5 +1,5 @@
-import { addLearner } from './add-learner.js';
-import { findGroup } from './find-group.js';
+import { addLearner } from './membership/add-learner.js';
+import { findGroup } from './membership/find-group.js';
 import type { RaftContext } from './raft-context.js';
 import type { RaftOptions } from './raft-options.js';
 
--- a/packages/control/src/raft/create-raft-node.ts
+++ b/packages/control/src/raft/create-raft-node.ts
@@ -1,23 +1,23 @@
 import type { CommandResult } from '@vanillarelay/core';
-import { buildSender } from './build-sender.js';
+import { buildSender } from './disk/build-sender.js';
 import { checkRunning } from './check-running.js';
-import { computeStateAge } from './compute-state-age.js';
-import { confirmLeadership } from './confirm-leadership.js';
+import { computeStateAge } from './age/compute-state-age.js';
+import { confirmLeadership } from './election/confirm-leadership.js';
 import { createRaftContext } from './create-raft-context.js';
-import { handleAppend } from './handle-append.js';
-import { handleSnapshot } from './handle-snapshot.js';
-import { handleVote } from './handle-vote.js';
+import { handleAppend } from './replication/handle-append.js';
+import { handleSnapshot } from './snapshot/handle-snapshot.js';
+import { handleVote } from './election/handle-vote.js';
 import { applyMembershipChange } from './membership/apply-membership-change.js';
 import { listMemberStatuses } from './membership/list-member-statuses.js';
 import type { MembershipChange } from './membership/membership-change.js';
 import { readGroupSize } from './membership/read-group-size.js';
 import { removeLeavingMember } from './membership/remove-leaving-member.js';
-import { proposeEntry } from './propose-entry.js';
+import { proposeEntry } from './replication/propose-entry.js';
 import type { RaftOptions } from './raft-options.js';
 import type { RaftPeer } from './raft-peer.js';
-import { releaseLeadership } from './release-leadership.js';
-import { replaceMember } from './replace-member.js';
-import { runElections } from './run-elections.js';
+import { releaseLeadership } from './election/release-leadership.js';
+import { replaceMember } from './membership/replace-member.js';
+import { runElections } from './election/run-elections.js';
 import { stopNode } from './stop-node.js';
 
 /** Creates a Raft node on an opened log; `start` begins its tasks. */
--- a/packages/control/src/raft/build-sender.ts
+++ b/packages/control/src/raft/disk/build-sender.ts
@@ -1,4 +1,4 @@
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 import type { Sender } from './sender.js';
 
 /** Describes this node in a message. @internal */
--- a/packages/control/src/raft/record-sender.ts
+++ b/packages/control/src/raft/disk/record-sender.ts
@@ -1,5 +1,5 @@
 import { isOlderDisk } from './is-older-disk.js';
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 import type { Sender } from './sender.js';
 
 /** Records the state of a sender; returns false when its disk is an older copy. @internal */
--- a/packages/control/src/raft/stop-stale-node.ts
+++ b/packages/control/src/raft/disk/stop-stale-node.ts
@@ -1,6 +1,6 @@
 import { RelayError, ResultCode } from '@vanillarelay/core';
-import type { RaftContext } from './raft-context.js';
-import { stopNode } from './stop-node.js';
+import type { RaftContext } from '../raft-context.js';
+import { stopNode } from '../stop-node.js';
 
 /** Stops a node on an older copy of its disk; its next start begins empty. @internal */
 export function stopStaleNode(context: RaftContext): void {
--- a/packages/control/src/raft/compute-vote-quorum.ts
+++ b/packages/control/src/raft/election/compute-vote-quorum.ts
@@ -1,5 +1,5 @@
-import { listVoters } from './list-voters.js';
-import type { RaftContext } from './raft-context.js';
+import { listVoters } from '../membership/list-voters.js';
+import type { RaftContext } from '../raft-context.js';
 import type { Voter } from './voter.js';
 
 /**
--- a/packages/control/src/raft/confirm-leadership.ts
+++ b/packages/control/src/raft/election/confirm-leadership.ts
@@ -1,7 +1,7 @@
-import { computeQuorumSeenAt } from './compute-quorum-seen-at.js';
-import type { RaftContext } from './raft-context.js';
-import { raftTiming } from './raft-timing.js';
-import { wakePeers } from './wake-peers.js';
+import { computeQuorumSeenAt } from '../age/compute-quorum-seen-at.js';
+import type { RaftContext } from '../raft-context.js';
+import { raftTiming } from '../raft-timing.js';
+import { wakePeers } from '../replication/wake-peers.js';
 
 const pollIntervalMs = 10;
 
--- a/packages/control/src/raft/handle-vote.ts
+++ b/packages/control/src/raft/election/handle-vote.ts
@@ -1,9 +1,9 @@
-import { buildReply } from './build-reply.js';
-import { checkRunning } from './check-running.js';
-import { computeQuorumAge } from './compute-quorum-age.js';
-import type { RaftContext } from './raft-context.js';
-import { raftTiming } from './raft-timing.js';
-import { recordSender } from './record-sender.js';
+import { buildReply } from '../replication/build-reply.js';
+import { checkRunning } from '../check-running.js';
+import { computeQuorumAge } from '../age/compute-quorum-age.js';
+import type { RaftContext } from '../raft-context.js';
+import { raftTiming } from '../raft-timing.js';
+import { recordSender } from '../disk/record-sender.js';
 import { updateTerm } from './update-term.js';
 import type { VoteReply } from './vote-reply.js';
 import type { VoteRequest } from './vote-request.js';
--- a/packages/control/src/raft/release-leadership.ts
+++ b/packages/control/src/raft/election/release-leadership.ts
@@ -1,5 +1,5 @@
 import { RelayError, ResultCode } from '@vanillarelay/core';
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 
 /** Makes a leader or candidate a follower; pending proposals have an unknown outcome. @internal */
 export function releaseLeadership(context: RaftContext, reason?: Error): void {
--- a/packages/control/src/raft/request-votes.ts
+++ b/packages/control/src/raft/election/request-votes.ts
@@ -1,10 +1,10 @@
 import { withTimeout } from '@vanillarelay/core';
-import { buildSender } from './build-sender.js';
+import { buildSender } from '../disk/build-sender.js';
 import { computeVoteQuorum } from './compute-vote-quorum.js';
-import type { RaftContext } from './raft-context.js';
-import { raftTiming } from './raft-timing.js';
-import { recordSender } from './record-sender.js';
-import { stopStaleNode } from './stop-stale-node.js';
+import type { RaftContext } from '../raft-context.js';
+import { raftTiming } from '../raft-timing.js';
+import { recordSender } from '../disk/record-sender.js';
+import { stopStaleNode } from '../disk/stop-stale-node.js';
 import { updateTerm } from './update-term.js';
 import type { Voter } from './voter.js';
 
--- a/packages/control/src/raft/run-elections.ts
+++ b/packages/control/src/raft/election/run-elections.ts
@@ -1,6 +1,6 @@
 import { computeVoteQuorum } from './compute-vote-quorum.js';
-import type { RaftContext } from './raft-context.js';
-import { raftTiming } from './raft-timing.js';
+import type { RaftContext } from '../raft-context.js';
+import { raftTiming } from '../raft-timing.js';
 import { requestVotes } from './request-votes.js';
 import { startLeading } from './start-leading.js';
 
--- a/packages/control/src/raft/start-leading.ts
+++ b/packages/control/src/raft/election/start-leading.ts
@@ -1,11 +1,11 @@
-import { appendEntry } from './append-entry.js';
-import { computeQuorumAge } from './compute-quorum-age.js';
-import type { Group } from './group.js';
-import { chooseGroupSize } from './membership/choose-group-size.js';
-import type { RaftContext } from './raft-context.js';
-import { raftTiming } from './raft-timing.js';
+import { appendEntry } from '../replication/append-entry.js';
+import { computeQuorumAge } from '../age/compute-quorum-age.js';
+import type { Group } from '../membership/group.js';
+import { chooseGroupSize } from '../membership/choose-group-size.js';
+import type { RaftContext } from '../raft-context.js';
+import { raftTiming } from '../raft-timing.js';
 import { releaseLeadership } from './release-leadership.js';
-import { updatePeers } from './update-peers.js';
+import { updatePeers } from '../replication/update-peers.js';
 import type { Voter } from './voter.js';
 
 /** Makes this node leader after it won an election that began at `startedAt`. @internal */
--- a/packages/control/src/raft/update-term.ts
+++ b/packages/control/src/raft/election/update-term.ts
@@ -1,4 +1,4 @@
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 import { releaseLeadership } from './release-leadership.js';
 
 /** Adopts a higher term, as a follower; durable with the next sync. @internal */
--- a/packages/control/src/raft/vote-reply.ts
+++ b/packages/control/src/raft/election/vote-reply.ts
@@ -1,4 +1,4 @@
-import type { PeerReply } from './peer-reply.js';
+import type { PeerReply } from '../replication/peer-reply.js';
 
 /** Reply to a vote request. */
 export interface VoteReply extends PeerReply {
--- a/packages/control/src/raft/vote-request.ts
+++ b/packages/control/src/raft/election/vote-request.ts
@@ -1,4 +1,4 @@
-import type { Sender } from './sender.js';
+import type { Sender } from '../disk/sender.js';
 
 /** Request for a vote; a pre-vote only asks whether the vote would be granted. */
 export interface VoteRequest {
--- a/packages/control/src/raft/add-learner.ts
+++ b/packages/control/src/raft/membership/add-learner.ts
@@ -1,9 +1,9 @@
-import { appendEntry } from './append-entry.js';
+import { appendEntry } from '../replication/append-entry.js';
 import type { Group } from './group.js';
 import type { GroupMember } from './group-member.js';
 import { isGroupSettled } from './is-group-settled.js';
-import type { RaftContext } from './raft-context.js';
-import type { Sender } from './sender.js';
+import type { RaftContext } from '../raft-context.js';
+import type { Sender } from '../disk/sender.js';
 
 /** Adds a node that came back under a known id, but with another disk, as a learner. @internal */
 export function addLearner(context: RaftContext, member: GroupMember, sender: Sender): void {
--- a/packages/control/src/raft/membership/add-node.ts
+++ b/packages/control/src/raft/membership/add-node.ts
@@ -1,7 +1,7 @@
 import { withTimeout } from '@vanillarelay/core';
 import type { RaftContext } from '../raft-context.js';
 import { raftTiming } from '../raft-timing.js';
-import { updateGroup } from '../update-group.js';
+import { updateGroup } from './update-group.js';
 
 /**
  * Adds a node to the group as a learner, unless it is a member; resolves with its disk. The node
--- a/packages/control/src/raft/membership/apply-membership-change.ts
+++ b/packages/control/src/raft/membership/apply-membership-change.ts
@@ -1,6 +1,6 @@
-import { checkRemainingQuorum } from '../check-remaining-quorum.js';
+import { checkRemainingQuorum } from './check-remaining-quorum.js';
 import type { RaftContext } from '../raft-context.js';
-import { updateGroup } from '../update-group.js';
+import { updateGroup } from './update-group.js';
 import { addNode } from './add-node.js';
 import type { MembershipChange } from './membership-change.js';
 import { promoteLearner } from './promote-learner.js';
--- a/packages/control/src/raft/check-remaining-quorum.ts
+++ b/packages/control/src/raft/membership/check-remaining-quorum.ts
@@ -1,7 +1,7 @@
 import { RelayError, ResultCode } from '@vanillarelay/core';
 import type { GroupMember } from './group-member.js';
-import { hasRemainingQuorum } from './membership/has-remaining-quorum.js';
-import type { RaftContext } from './raft-context.js';
+import { hasRemainingQuorum } from './has-remaining-quorum.js';
+import type { RaftContext } from '../raft-context.js';
 
 /** Throws when removing a lost member would leave the others without a live quorum. @internal */
 export function checkRemainingQuorum(
--- a/packages/control/src/raft/find-group.ts
+++ b/packages/control/src/raft/membership/find-group.ts
@@ -1,4 +1,4 @@
-import type { LogStore } from '../log/log-store.js';
+import type { LogStore } from '../../log/log-store.js';
 import type { Group } from './group.js';
 
 /** The newest membership in the log, committed or not, else that of the snapshot. */
--- a/packages/control/src/raft/membership/has-remaining-quorum.ts
+++ b/packages/control/src/raft/membership/has-remaining-quorum.ts
@@ -1,4 +1,4 @@
-import type { GroupMember } from '../group-member.js';
+import type { GroupMember } from './group-member.js';
 import type { RaftContext } from '../raft-context.js';
 import { raftTiming } from '../raft-timing.js';
 
--- a/packages/control/src/raft/is-group-settled.ts
+++ b/packages/control/src/raft/membership/is-group-settled.ts
@@ -1,4 +1,4 @@
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 
 /**
  * Whether this leader may change the membership: one change at a time, and only after the first
--- a/packages/control/src/raft/list-voters.ts
+++ b/packages/control/src/raft/membership/list-voters.ts
@@ -1,5 +1,5 @@
 import type { GroupMember } from './group-member.js';
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 
 /** Members whose votes and acknowledgements count. @internal */
 export function listVoters({ group }: RaftContext): GroupMember[] {
--- a/packages/control/src/raft/membership/member-status.ts
+++ b/packages/control/src/raft/membership/member-status.ts
@@ -1,4 +1,4 @@
-import type { GroupMember } from '../group-member.js';
+import type { GroupMember } from './group-member.js';
 
 /** A member of the group as the leader sees it. */
 export interface MemberStatus extends GroupMember {
--- a/packages/control/src/raft/membership/promote-learner.ts
+++ b/packages/control/src/raft/membership/promote-learner.ts
@@ -1,7 +1,7 @@
-import { checkRemainingQuorum } from '../check-remaining-quorum.js';
-import type { GroupMember } from '../group-member.js';
+import { checkRemainingQuorum } from './check-remaining-quorum.js';
+import type { GroupMember } from './group-member.js';
 import type { RaftContext } from '../raft-context.js';
-import { updateGroup } from '../update-group.js';
+import { updateGroup } from './update-group.js';
 
 /**
  * Makes a learner a voter, after the lost voter whose seat it takes was removed. Can be retried
--- a/packages/control/src/raft/membership/read-group-size.ts
+++ b/packages/control/src/raft/membership/read-group-size.ts
@@ -1,4 +1,4 @@
-import type { Group } from '../group.js';
+import type { Group } from './group.js';
 import { chooseGroupSize } from './choose-group-size.js';
 
 /** Reads the number of voters that a group keeps; a group of an earlier version has its own. */
--- a/packages/control/src/raft/membership/remove-leaving-member.ts
+++ b/packages/control/src/raft/membership/remove-leaving-member.ts
@@ -1,7 +1,7 @@
 import { RelayError, ResultCode } from '@vanillarelay/core';
-import { isGroupSettled } from '../is-group-settled.js';
+import { isGroupSettled } from './is-group-settled.js';
 import type { RaftContext } from '../raft-context.js';
-import { updateGroup } from '../update-group.js';
+import { updateGroup } from './update-group.js';
 import { hasRemainingQuorum } from './has-remaining-quorum.js';
 import { readGroupSize } from './read-group-size.js';
 
--- a/packages/control/src/raft/replace-member.ts
+++ b/packages/control/src/raft/membership/replace-member.ts
@@ -1,8 +1,8 @@
 import { RelayError, ResultCode } from '@vanillarelay/core';
 import type { GroupMember } from './group-member.js';
-import { addNode } from './membership/add-node.js';
-import { promoteLearner } from './membership/promote-learner.js';
-import type { RaftContext } from './raft-context.js';
+import { addNode } from './add-node.js';
+import { promoteLearner } from './promote-learner.js';
+import type { RaftContext } from '../raft-context.js';
 
 interface Replacement {
   /** The member that was lost. */
--- a/packages/control/src/raft/membership/update-group-size.ts
+++ b/packages/control/src/raft/membership/update-group-size.ts
@@ -1,5 +1,5 @@
-import type { Group } from '../group.js';
-import type { GroupMember } from '../group-member.js';
+import type { Group } from './group.js';
+import type { GroupMember } from './group-member.js';
 import { chooseGroupSize } from './choose-group-size.js';
 import { readGroupSize } from './read-group-size.js';
 
--- a/packages/control/src/raft/update-group.ts
+++ b/packages/control/src/raft/membership/update-group.ts
@@ -2,10 +2,10 @@
 import type { Group } from './group.js';
 import type { GroupMember } from './group-member.js';
 import { isGroupSettled } from './is-group-settled.js';
-import { updateGroupSize } from './membership/update-group-size.js';
-import { proposeEntry } from './propose-entry.js';
-import type { RaftContext } from './raft-context.js';
-import { raftTiming } from './raft-timing.js';
+import { updateGroupSize } from './update-group-size.js';
+import { proposeEntry } from '../replication/propose-entry.js';
+import type { RaftContext } from '../raft-context.js';
+import { raftTiming } from '../raft-timing.js';
 
 const pollIntervalMs = 50;
 
--- a/packages/control/src/raft/raft-context.ts
+++ b/packages/control/src/raft/raft-context.ts
@@ -1,11 +1,11 @@
 import type { CommandResult } from '@vanillarelay/core';
 import type { LogEntry } from '../log/log-entry.js';
-import type { Group } from './group.js';
-import type { GroupMember } from './group-member.js';
-import type { DiskWatermark } from './disk-watermark.js';
-import type { PeerProgress } from './peer-progress.js';
+import type { Group } from './membership/group.js';
+import type { GroupMember } from './membership/group-member.js';
+import type { DiskWatermark } from './disk/disk-watermark.js';
+import type { PeerProgress } from './replication/peer-progress.js';
 import type { RaftOptions } from './raft-options.js';
-import type { Sender } from './sender.js';
+import type { Sender } from './disk/sender.js';
 
 interface PendingProposal {
   term: number;
--- a/packages/control/src/raft/raft-peer.ts
+++ b/packages/control/src/raft/raft-peer.ts
@@ -1,9 +1,9 @@
-import type { AppendReply } from './append-reply.js';
-import type { AppendRequest } from './append-request.js';
-import type { Sender } from './sender.js';
-import type { SnapshotRequest } from './snapshot-request.js';
-import type { VoteReply } from './vote-reply.js';
-import type { VoteRequest } from './vote-request.js';
+import type { AppendReply } from './replication/append-reply.js';
+import type { AppendRequest } from './replication/append-request.js';
+import type { Sender } from './disk/sender.js';
+import type { SnapshotRequest } from './snapshot/snapshot-request.js';
+import type { VoteReply } from './election/vote-reply.js';
+import type { VoteRequest } from './election/vote-request.js';
 
 /** Calls that one control node offers to its peers. */
 export interface RaftPeer {
--- a/packages/control/src/raft/append-entry.ts
+++ b/packages/control/src/raft/replication/append-entry.ts
@@ -1,8 +1,8 @@
 import type { CommandResult } from '@vanillarelay/core';
-import type { LogEntry } from '../log/log-entry.js';
-import { computeGroupTime } from './compute-group-time.js';
-import type { Group } from './group.js';
-import type { RaftContext } from './raft-context.js';
+import type { LogEntry } from '../../log/log-entry.js';
+import { computeGroupTime } from '../age/compute-group-time.js';
+import type { Group } from '../membership/group.js';
+import type { RaftContext } from '../raft-context.js';
 import { updateCommitIndex } from './update-commit-index.js';
 import { updatePeers } from './update-peers.js';
 import { wakePeers } from './wake-peers.js';
--- a/packages/control/src/raft/append-request.ts
+++ b/packages/control/src/raft/replication/append-request.ts
@@ -1,7 +1,7 @@
-import type { LogEntry } from '../log/log-entry.js';
-import type { DiskWatermark } from './disk-watermark.js';
+import type { LogEntry } from '../../log/log-entry.js';
+import type { DiskWatermark } from '../disk/disk-watermark.js';
 import type { EntryPart } from './entry-part.js';
-import type { Sender } from './sender.js';
+import type { Sender } from '../disk/sender.js';
 
 /** Entries from the leader; a request without entries is a heartbeat. */
 export interface AppendRequest {
--- a/packages/control/src/raft/apply-committed.ts
+++ b/packages/control/src/raft/replication/apply-committed.ts
@@ -1,6 +1,6 @@
 import { RelayError, ResultCode } from '@vanillarelay/core';
-import type { RaftContext } from './raft-context.js';
-import { writeSnapshot } from './write-snapshot.js';
+import type { RaftContext } from '../raft-context.js';
+import { writeSnapshot } from '../snapshot/write-snapshot.js';
 
 /** Applies all committed entries and settles their proposals. @internal */
 export function applyCommitted(context: RaftContext): void {
--- a/packages/control/src/raft/build-reply.ts
+++ b/packages/control/src/raft/replication/build-reply.ts
@@ -1,6 +1,6 @@
-import { buildSender } from './build-sender.js';
+import { buildSender } from '../disk/build-sender.js';
 import type { PeerReply } from './peer-reply.js';
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 
 /** The fields that every reply carries. @internal */
 export function buildReply(context: RaftContext): PeerReply {
--- a/packages/control/src/raft/check-leader-message.ts
+++ b/packages/control/src/raft/replication/check-leader-message.ts
@@ -1,14 +1,14 @@
 import type { AppendReply } from './append-reply.js';
 import type { AppendRequest } from './append-request.js';
 import { buildReply } from './build-reply.js';
-import { buildSender } from './build-sender.js';
-import { checkRunning } from './check-running.js';
-import type { DiskWatermark } from './disk-watermark.js';
-import { isOlderDisk } from './is-older-disk.js';
-import type { RaftContext } from './raft-context.js';
-import { recordSender } from './record-sender.js';
-import { stopStaleNode } from './stop-stale-node.js';
-import { updateTerm } from './update-term.js';
+import { buildSender } from '../disk/build-sender.js';
+import { checkRunning } from '../check-running.js';
+import type { DiskWatermark } from '../disk/disk-watermark.js';
+import { isOlderDisk } from '../disk/is-older-disk.js';
+import type { RaftContext } from '../raft-context.js';
+import { recordSender } from '../disk/record-sender.js';
+import { stopStaleNode } from '../disk/stop-stale-node.js';
+import { updateTerm } from '../election/update-term.js';
 
 type LeaderMessage = Pick<AppendRequest, 'from' | 'toDisk' | 'term'> &
   Partial<Pick<AppendRequest, 'marks'>>;
--- a/packages/control/src/raft/entry-part.ts
+++ b/packages/control/src/raft/replication/entry-part.ts
@@ -1,4 +1,4 @@
-import type { LogEntry } from '../log/log-entry.js';
+import type { LogEntry } from '../../log/log-entry.js';
 
 /** A part of an entry that is too large for one message. */
 export interface EntryPart extends Omit<LogEntry, 'data'> {
--- a/packages/control/src/raft/handle-append.ts
+++ b/packages/control/src/raft/replication/handle-append.ts
@@ -1,12 +1,12 @@
-import type { LogEntry } from '../log/log-entry.js';
-import type { Group } from './group.js';
+import type { LogEntry } from '../../log/log-entry.js';
+import type { Group } from '../membership/group.js';
 import type { AppendReply } from './append-reply.js';
 import type { AppendRequest } from './append-request.js';
 import { applyCommitted } from './apply-committed.js';
 import { checkLeaderMessage } from './check-leader-message.js';
 import { buildReply } from './build-reply.js';
-import { findGroup } from './find-group.js';
-import type { RaftContext } from './raft-context.js';
+import { findGroup } from '../membership/find-group.js';
+import type { RaftContext } from '../raft-context.js';
 import { receiveEntryPart } from './receive-entry-part.js';
 
 /** Handles entries or a heartbeat from the leader. @internal */
--- a/packages/control/src/raft/peer-progress.ts
+++ b/packages/control/src/raft/replication/peer-progress.ts
@@ -1,4 +1,4 @@
-import type { GroupMember } from './group-member.js';
+import type { GroupMember } from '../membership/group-member.js';
 
 /** Replication progress of one member, as known to the leader. */
 export interface PeerProgress {
--- a/packages/control/src/raft/peer-reply.ts
+++ b/packages/control/src/raft/replication/peer-reply.ts
@@ -1,4 +1,4 @@
-import type { Sender } from './sender.js';
+import type { Sender } from '../disk/sender.js';
 
 /** Fields of every reply between control nodes. */
 export interface PeerReply {
--- a/packages/control/src/raft/propose-entry.ts
+++ b/packages/control/src/raft/replication/propose-entry.ts
@@ -1,8 +1,8 @@
 import { RelayError, ResultCode, withTimeout, type CommandResult } from '@vanillarelay/core';
 import { appendEntry } from './append-entry.js';
-import { computeQuorumAge } from './compute-quorum-age.js';
-import type { RaftContext } from './raft-context.js';
-import { raftTiming } from './raft-timing.js';
+import { computeQuorumAge } from '../age/compute-quorum-age.js';
+import type { RaftContext } from '../raft-context.js';
+import { raftTiming } from '../raft-timing.js';
 
 /**
  * Proposes data for the log; resolves once it is applied. A rejection without `notRun` means that
--- a/packages/control/src/raft/receive-entry-part.ts
+++ b/packages/control/src/raft/replication/receive-entry-part.ts
@@ -1,6 +1,6 @@
-import type { LogEntry } from '../log/log-entry.js';
+import type { LogEntry } from '../../log/log-entry.js';
 import type { EntryPart } from './entry-part.js';
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 
 /** Stores a part of a large entry; returns the entry once it is complete. @internal */
 export function receiveEntryPart(context: RaftContext, part: EntryPart): LogEntry | undefined {
--- a/packages/control/src/raft/run-replication.ts
+++ b/packages/control/src/raft/replication/run-replication.ts
@@ -1,15 +1,15 @@
 import type { AppendReply } from './append-reply.js';
 import { batchLength } from './batch-length.js';
 import type { PeerProgress } from './peer-progress.js';
-import type { RaftContext } from './raft-context.js';
-import type { RaftPeer } from './raft-peer.js';
-import { raftTiming } from './raft-timing.js';
-import { recordSender } from './record-sender.js';
+import type { RaftContext } from '../raft-context.js';
+import type { RaftPeer } from '../raft-peer.js';
+import { raftTiming } from '../raft-timing.js';
+import { recordSender } from '../disk/record-sender.js';
 import { sendEntries } from './send-entries.js';
-import { sendSnapshot } from './send-snapshot.js';
-import { stopStaleNode } from './stop-stale-node.js';
+import { sendSnapshot } from '../snapshot/send-snapshot.js';
+import { stopStaleNode } from '../disk/stop-stale-node.js';
 import { updateCommitIndex } from './update-commit-index.js';
-import { updateTerm } from './update-term.js';
+import { updateTerm } from '../election/update-term.js';
 
 /** The leader's task for one member: sends one message at a time until aborted. @internal */
 export async function runReplication(context: RaftContext, peer: PeerProgress): Promise<void> {
--- a/packages/control/src/raft/send-entries.ts
+++ b/packages/control/src/raft/replication/send-entries.ts
@@ -1,13 +1,13 @@
 import { withTimeout } from '@vanillarelay/core';
-import type { LogEntry } from '../log/log-entry.js';
+import type { LogEntry } from '../../log/log-entry.js';
 import type { AppendReply } from './append-reply.js';
 import type { AppendRequest } from './append-request.js';
-import { buildSender } from './build-sender.js';
-import { computeStateAge } from './compute-state-age.js';
+import { buildSender } from '../disk/build-sender.js';
+import { computeStateAge } from '../age/compute-state-age.js';
 import type { PeerProgress } from './peer-progress.js';
-import type { RaftContext } from './raft-context.js';
-import type { RaftPeer } from './raft-peer.js';
-import { raftTiming } from './raft-timing.js';
+import type { RaftContext } from '../raft-context.js';
+import type { RaftPeer } from '../raft-peer.js';
+import { raftTiming } from '../raft-timing.js';
 
 /** Sends the next entries to a member, or a heartbeat. @internal */
 export function sendEntries(
--- a/packages/control/src/raft/update-commit-index.ts
+++ b/packages/control/src/raft/replication/update-commit-index.ts
@@ -1,8 +1,8 @@
 import { applyCommitted } from './apply-committed.js';
 import { computeMajorityValue } from './compute-majority-value.js';
-import { listVoters } from './list-voters.js';
-import type { RaftContext } from './raft-context.js';
-import { releaseLeadership } from './release-leadership.js';
+import { listVoters } from '../membership/list-voters.js';
+import type { RaftContext } from '../raft-context.js';
+import { releaseLeadership } from '../election/release-leadership.js';
 import { wakePeers } from './wake-peers.js';
 
 /** Commits the entries that a quorum has synced, if the last is of the leader's term. @internal */
--- a/packages/control/src/raft/update-peers.ts
+++ b/packages/control/src/raft/replication/update-peers.ts
@@ -1,5 +1,5 @@
 import { batchLength } from './batch-length.js';
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 import { runReplication } from './run-replication.js';
 
 /** Starts the replication to each new member and ends that to removed members. @internal */
--- a/packages/control/src/raft/wake-peers.ts
+++ b/packages/control/src/raft/replication/wake-peers.ts
@@ -1,4 +1,4 @@
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 
 /** Makes the leader send to every member before the next heartbeat. @internal */
 export function wakePeers({ progress }: RaftContext): void {
--- a/packages/control/src/raft/handle-snapshot.ts
+++ b/packages/control/src/raft/snapshot/handle-snapshot.ts
@@ -1,10 +1,10 @@
-import { decodeSnapshot } from '../log/decode-snapshot.js';
-import type { AppendReply } from './append-reply.js';
-import { applyCommitted } from './apply-committed.js';
-import { buildReply } from './build-reply.js';
-import { checkLeaderMessage } from './check-leader-message.js';
-import { findGroup } from './find-group.js';
-import type { RaftContext } from './raft-context.js';
+import { decodeSnapshot } from '../../log/decode-snapshot.js';
+import type { AppendReply } from '../replication/append-reply.js';
+import { applyCommitted } from '../replication/apply-committed.js';
+import { buildReply } from '../replication/build-reply.js';
+import { checkLeaderMessage } from '../replication/check-leader-message.js';
+import { findGroup } from '../membership/find-group.js';
+import type { RaftContext } from '../raft-context.js';
 import type { SnapshotRequest } from './snapshot-request.js';
 
 /** Receives a part of the leader's snapshot; the last part installs it. @internal */
--- a/packages/control/src/raft/send-snapshot.ts
+++ b/packages/control/src/raft/snapshot/send-snapshot.ts
@@ -1,10 +1,10 @@
 import { withTimeout } from '@vanillarelay/core';
-import type { AppendReply } from './append-reply.js';
-import { buildSender } from './build-sender.js';
-import type { PeerProgress } from './peer-progress.js';
-import type { RaftContext } from './raft-context.js';
-import type { RaftPeer } from './raft-peer.js';
-import { raftTiming } from './raft-timing.js';
+import type { AppendReply } from '../replication/append-reply.js';
+import { buildSender } from '../disk/build-sender.js';
+import type { PeerProgress } from '../replication/peer-progress.js';
+import type { RaftContext } from '../raft-context.js';
+import type { RaftPeer } from '../raft-peer.js';
+import { raftTiming } from '../raft-timing.js';
 
 const partBytes = 16 * 1024;
 
--- a/packages/control/src/raft/snapshot-request.ts
+++ b/packages/control/src/raft/snapshot/snapshot-request.ts
@@ -1,4 +1,4 @@
-import type { Sender } from './sender.js';
+import type { Sender } from '../disk/sender.js';
 
 /** A part of the leader's snapshot file. */
 export interface SnapshotRequest {
--- a/packages/control/src/raft/write-snapshot.ts
+++ b/packages/control/src/raft/snapshot/write-snapshot.ts
@@ -1,4 +1,4 @@
-import type { RaftContext } from './raft-context.js';
+import type { RaftContext } from '../raft-context.js';
 
 /** Log size above which a snapshot is taken. */
 const defaultSnapshotBytes = 4 * 1024 * 1024;
--- a/packages/control/src/raft/stop-node.ts
+++ b/packages/control/src/raft/stop-node.ts
@@ -1,5 +1,5 @@
 import { RelayError, ResultCode } from '@vanillarelay/core';
-import { releaseLeadership } from './release-leadership.js';
+import { releaseLeadership } from './election/release-leadership.js';
 import type { RaftContext } from './raft-context.js';
 
 /** Stops a node permanently: it no longer votes, leads or acknowledges. @internal */
