--- a/packages/control/src/raft/membership/has-remaining-quorum.ts
+++ b/packages/control/src/raft/membership/has-remaining-quorum.ts
@@ -1,15 +1,15 @@
 import type { GroupMember } from './group-member.js';
+import { listVoters } from './list-voters.js';
 import type { RaftContext } from '../raft-context.js';
 import { raftTiming } from '../raft-timing.js';
 
 /** Whether more than half of the voters that remain after a removal are alive. @internal */
 export function hasRemainingQuorum(
-  { log, progress, clock, group }: RaftContext,
+  context: RaftContext,
   isRemoved: (member: GroupMember) => boolean,
 ): boolean {
-  const remaining = (group?.members ?? []).filter(
-    (member) => member.role === 'voter' && !isRemoved(member),
-  );
+  const { log, progress, clock } = context;
+  const remaining = listVoters(context).filter((member) => !isRemoved(member));
   const since = clock.monotonic() - raftTiming.electionTimeoutMinMs;
   const live = remaining.filter(
     ({ diskId }) =>
--- a/packages/control/src/raft/membership/remove-leaving-member.ts
+++ b/packages/control/src/raft/membership/remove-leaving-member.ts
@@ -3,6 +3,7 @@
 import type { RaftContext } from '../raft-context.js';
 import { updateGroup } from './update-group.js';
 import { hasRemainingQuorum } from './has-remaining-quorum.js';
+import { listVoters } from './list-voters.js';
 import { readGroupSize } from './read-group-size.js';
 
 /**
@@ -16,7 +17,7 @@
   if (isGroupSettled(context) && !context.group?.members.some(isLeaving)) return;
   await updateGroup(context, (members) => {
     const { group } = context;
-    const voters = members.filter(({ role }) => role === 'voter');
+    const voters = listVoters(context);
     const isSurplus = group !== undefined && voters.length > readGroupSize(group);
     const isVoter = voters.some(isLeaving);
     if (isVoter && !(isSurplus && hasRemainingQuorum(context, isLeaving))) {
--- a/packages/control/src/raft/membership/update-group-size.ts
+++ b/packages/control/src/raft/membership/update-group-size.ts
@@ -1,6 +1,7 @@
 import type { Group } from './group.js';
 import type { GroupMember } from './group-member.js';
 import { chooseGroupSize } from './choose-group-size.js';
+import { listVoters } from './list-voters.js';
 import { readGroupSize } from './read-group-size.js';
 
 /**
@@ -9,6 +10,6 @@
  */
 export function updateGroupSize(group: Group, changed: GroupMember[]): number {
   const size = readGroupSize(group);
-  const voters = changed.filter(({ role }) => role === 'voter').length;
+  const voters = listVoters({ group: { members: changed } }).length;
   return size === 1 && voters >= 3 ? chooseGroupSize(voters) : size;
 }
--- a/packages/fleet/src/messages/check-daemon-info.ts
+++ b/packages/fleet/src/messages/check-daemon-info.ts
@@ -1,8 +1,7 @@
 import { RelayError, ResultCode } from '@vanillarelay/core';
 import { checkAddresses } from './check-addresses.js';
 import type { DaemonInfo } from './daemon-info.js';
-
-const maxNameLength = 256;
+import { isName } from './is-name.js';
 
 /** Checks a daemon's identity that it or a hub sent; throws `malformedMessage`. */
 export function checkDaemonInfo(received: unknown): void {
@@ -13,7 +12,3 @@
   }
   checkAddresses([info.address]);
 }
-
-function isName(value: unknown): boolean {
-  return typeof value === 'string' && value.length > 0 && value.length <= maxNameLength;
-}
