--- a/review/lib-3/start-fleet.mjs
+++ b/review/lib-3/start-fleet.mjs
@@ -157,6 +157,17 @@
     record(`${machine.name} has lost its disk`);
   };
 
+  /** Name of the daemon that was elected last, by the logs of the daemons. */
+  const findLeader = () => {
+    const elected = machines.flatMap(({ name }) =>
+      readFileSync(join(folder, name, 'log'), 'utf8')
+        .split('\n')
+        .filter((line) => line.includes('"event":"raft.elected"'))
+        .map((line) => ({ name, time: JSON.parse(line).time })),
+    );
+    return elected.sort((a, b) => a.time - b.time).at(-1)?.name;
+  };
+
   /** Starts a replica as a process of its own. */
   const startReplica = (options) => {
     const child = watch(
@@ -176,7 +187,7 @@
   };
 
   return {
-    ...{ machines, record, start, kill, wipe, startReplica, folder, net },
+    ...{ machines, record, start, kill, wipe, findLeader, startReplica, folder, net },
     ports: { control, peers },
     addresses: {
       front: ({ ip }) => `${ip}:${front}`,
