fix(control): one new disk of an even group counts in the seat of the lost one

Beside a successor the control group has four voters, and a majority is three. One VM that goes for good without SIGTERM and one lost disk leave two. The VM with the lost disk is back, but under its new disk it is a stranger, and only a majority could give it its seat.

A shorter silence before a voter is removed: it moves the window and leaves it open at 0 ms.

In a membership with an even number of voters, any two majorities share two of them, so one new disk may count in the seat of the disk that it replaces: in an election, where it votes before the others, and in commits, from the entry on that gives it the seat. A quorum is now one in every membership that may be in force (compute-quorum-value.ts is the only definition; elections, commits, age, removals use it), and which membership is committed is stored.

Works because the seat is the node's own and its lost disk answers no more; the shared second voter carries what was accepted.

--- a/packages/control/src/log/hard-state.ts
+++ b/packages/control/src/log/hard-state.ts
@@ -5,6 +5,8 @@
   vote?: string;
   /** Highest incarnation seen of each disk; a lower one comes from an older copy of that disk. */
   incarnations: Record<string, number>;
+  /** Index of a membership that is known to be committed. */
+  committedGroupIndex?: number;
   /** Set when peers proved that this disk is an older copy; the next start begins empty. */
   isStale?: boolean;
 }
--- a/packages/control/src/raft/create-raft-context.ts
+++ b/packages/control/src/raft/create-raft-context.ts
@@ -1,7 +1,7 @@
-import { addLearner } from './membership/add-learner.js';
 import { findGroup } from './membership/find-group.js';
 import type { RaftContext } from './raft-context.js';
 import type { RaftOptions } from './raft-options.js';
+import { replaceLostDisk } from './membership/replace-lost-disk.js';
 
 /** Creates the shared state of a node from its log. @internal */
 export function createRaftContext(options: RaftOptions): RaftContext {
@@ -12,7 +12,7 @@
   const { incarnations } = log.readHardState();
   const context: RaftContext = {
     ...options,
-    ...findGroup(log),
+    ...findGroup(log, snapshot?.index ?? 0),
     role: 'follower',
     leader: undefined,
     leaderDiskId: undefined,
@@ -39,7 +39,7 @@
     isWritingSnapshot: false,
     isInstallingSnapshot: false,
     office: new AbortController(),
-    notifyOtherDisk: (member, sender) => addLearner(context, member, sender),
+    notifyOtherDisk: (member, sender) => replaceLostDisk(context, member, sender),
     failure: undefined,
   };
   return context;
--- a/packages/control/src/raft/election/run-elections.ts
+++ b/packages/control/src/raft/election/run-elections.ts
@@ -1,6 +1,7 @@
-import { computeVoteQuorum } from './compute-vote-quorum.js';
+import { findElectorate } from './find-electorate.js';
 import type { RaftContext } from '../raft-context.js';
 import { raftTiming } from '../raft-timing.js';
+import { requestPreVotes } from './request-pre-votes.js';
 import { requestVotes } from './request-votes.js';
 import { startLeading } from './start-leading.js';
 
@@ -13,7 +14,7 @@
     context.leaderContactAt === Number.NEGATIVE_INFINITY &&
     context.clock.monotonic() - startedAt < startMs;
   while (context.role !== 'stopped') {
-    const isSingleVoter = computeVoteQuorum(context).needed === 1;
+    const isSingleVoter = findElectorate(context)?.voters.length === 1;
     const laterStage = isStarting() ? 'start' : 'election';
     const stage = isFirst ? 'first' : laterStage;
     await waitForElectionTimeout(context, isSingleVoter ? 0 : chooseTimeout(context, stage));
@@ -22,7 +23,7 @@
       await context.clock.wait(electionTimeoutMinMs);
       continue;
     }
-    if (computeVoteQuorum(context).needed > 0) await runElection(context);
+    if (findElectorate(context)) await runElection(context);
     context.electionTimerStartedAt = Math.max(
       context.electionTimerStartedAt,
       context.clock.monotonic(),
@@ -51,19 +52,21 @@
   const startedAt = clock.monotonic();
   const nextTerm = log.readHardState().term + 1;
   const { electionTimerStartedAt } = context;
-  if (!(await requestVotes(context, { term: nextTerm, isPreVote: true }))) return;
+  const candidacy = await requestPreVotes(context, nextTerm);
+  if (!candidacy) return;
   const isSuperseded = () => context.role === 'stopped' || log.readHardState().term >= nextTerm;
   if (isSuperseded() || context.electionTimerStartedAt !== electionTimerStartedAt) return;
   context.role = 'candidate';
   context.leader = undefined;
-  const { incarnations } = log.readHardState();
-  await log.saveHardState({ term: nextTerm, vote: log.identity.diskId, incarnations });
-  const votes = await requestVotes(context, { term: nextTerm, isPreVote: false });
+  const { diskId } = log.identity;
+  await log.saveHardState({ ...log.readHardState(), term: nextTerm, vote: diskId });
+  const votes = await requestVotes(context, nextTerm, candidacy);
   if (context.role !== 'candidate' || log.readHardState().term !== nextTerm) return;
   if (!votes) {
     context.role = 'follower';
     return;
   }
   timeline.record('raft.elected', { term: nextTerm });
-  startLeading(context, votes, startedAt);
+  if (candidacy.newDisk) timeline.record('raft.diskReplaced', { node: candidacy.newDisk.id });
+  startLeading(context, { votes, startedAt, replacement: candidacy.replacement });
 }
--- a/packages/control/src/raft/election/start-leading.ts
+++ b/packages/control/src/raft/election/start-leading.ts
@@ -8,11 +8,19 @@
 import { updatePeers } from '../replication/update-peers.js';
 import type { Voter } from './voter.js';
 
-/** Makes this node leader after it won an election that began at `startedAt`. @internal */
+interface Victory {
+  /** The voters that granted their votes, by disk id. */
+  votes: Map<string, Voter>;
+  /** Monotonic time at which the election began. */
+  startedAt: number;
+  /** The membership with which this node was elected, if it is not in the log yet. */
+  replacement: Group | undefined;
+}
+
+/** Makes this node leader after it won an election. @internal */
 export function startLeading(
   context: RaftContext,
-  votes: Map<string, Voter>,
-  startedAt: number,
+  { votes, startedAt, replacement }: Victory,
 ): void {
   const { log } = context;
   context.role = 'leader';
@@ -20,9 +28,10 @@
   context.office = new AbortController();
   context.termStartIndex = log.memory.readLast().index + 1;
   updatePeers(context);
-  const first = context.group
-    ? ({ kind: 'empty', data: '' } as const)
-    : ({ kind: 'group', data: buildInitialGroup(votes) } as const);
+  const group = context.group ? replacement : buildInitialGroup(votes);
+  const first = group
+    ? ({ kind: 'group', data: JSON.stringify(group) } as const)
+    : ({ kind: 'empty', data: '' } as const);
   // Rejected when this node soon stops leading; no proposer waits for this entry.
   appendEntry(context, first).catch(() => {});
   context.progress.forEach((peer, diskId) => {
@@ -33,13 +42,12 @@
 }
 
 /** Builds the initial membership, which binds every node to the disk that voted. */
-function buildInitialGroup(votes: Map<string, Voter>): string {
+function buildInitialGroup(votes: Map<string, Voter>): Group {
   const members = [...votes].map(([diskId, { id, address }]) => ({
     ...{ id, address, diskId },
     role: 'voter' as const,
   }));
-  const group: Group = { members, size: chooseGroupSize(members.length) };
-  return JSON.stringify(group);
+  return { members, size: chooseGroupSize(members.length) };
 }
 
 /** Steps down when no quorum has replied for an election timeout. */
--- a/packages/control/src/raft/membership/group.ts
+++ b/packages/control/src/raft/membership/group.ts
@@ -8,4 +8,9 @@
    * versions have none.
    */
   size?: number;
+  /**
+   * Index of the earliest membership that may be in force beside this one, if this one was appended
+   * before the one before it was known to be committed.
+   */
+  earliestIndex?: number;
 }
--- a/packages/control/src/raft/membership/has-remaining-quorum.ts
+++ b/packages/control/src/raft/membership/has-remaining-quorum.ts
@@ -1,19 +1,21 @@
+import { computeQuorumValue } from './compute-quorum-value.js';
 import type { GroupMember } from './group-member.js';
-import { listVoters } from './list-voters.js';
+import { listPossibleGroups } from './list-possible-groups.js';
 import type { RaftContext } from '../raft-context.js';
 import { raftTiming } from '../raft-timing.js';
 
-/** Whether more than half of the voters that remain after a removal are alive. @internal */
+/** Whether a quorum with and without the removed members is alive. @internal */
 export function hasRemainingQuorum(
   context: RaftContext,
   isRemoved: (member: GroupMember) => boolean,
 ): boolean {
-  const { log, progress, clock } = context;
-  const remaining = listVoters(context).filter((member) => !isRemoved(member));
-  const since = clock.monotonic() - raftTiming.electionTimeoutMinMs;
-  const live = remaining.filter(
-    ({ diskId }) =>
-      diskId === log.identity.diskId || (progress.get(diskId)?.answeredAt ?? -Infinity) >= since,
+  const { log, progress, clock, group } = context;
+  if (!group) return false;
+  const remaining = { members: group.members.filter((member) => !isRemoved(member)) };
+  const seenAt = computeQuorumValue([...listPossibleGroups(context), remaining], (diskId) =>
+    diskId === log.identity.diskId
+      ? clock.monotonic()
+      : (progress.get(diskId)?.answeredAt ?? Number.NEGATIVE_INFINITY),
   );
-  return live.length > remaining.length / 2;
+  return clock.monotonic() - seenAt <= raftTiming.electionTimeoutMinMs;
 }
--- a/packages/control/src/raft/raft-context.ts
+++ b/packages/control/src/raft/raft-context.ts
@@ -1,6 +1,7 @@
 import type { CommandResult } from '@vanillarelay/core';
 import type { LogEntry } from '../log/log-entry.js';
 import type { Group } from './membership/group.js';
+import type { GroupEntry } from './membership/group-entry.js';
 import type { GroupMember } from './membership/group-member.js';
 import type { DiskWatermark } from './disk/disk-watermark.js';
 import type { PeerProgress } from './replication/peer-progress.js';
@@ -23,6 +24,11 @@
   group: Group | undefined;
   /** Index of the entry that holds `group`. */
   groupIndex: number;
+  /**
+   * Memberships that may be in force, oldest first: the last one known to be committed and all later
+   * ones in the log; the newest is `group`. A quorum is one in each of them.
+   */
+  possibleGroups: GroupEntry[];
   commitIndex: number;
   appliedIndex: number;
   /** Time stamp of the last entry in the log. */
--- a/packages/control/src/raft/replication/append-entry.ts
+++ b/packages/control/src/raft/replication/append-entry.ts
@@ -1,6 +1,7 @@
 import type { CommandResult } from '@vanillarelay/core';
 import type { LogEntry } from '../../log/log-entry.js';
 import { computeGroupTime } from '../age/compute-group-time.js';
+import { addGroup } from '../membership/add-group.js';
 import type { Group } from '../membership/group.js';
 import type { RaftContext } from '../raft-context.js';
 import { updateCommitIndex } from './update-commit-index.js';
@@ -30,8 +31,7 @@
     () => {},
   );
   if (kind === 'group') {
-    context.group = JSON.parse(data) as Group;
-    context.groupIndex = index;
+    addGroup(context, { index, group: JSON.parse(data) as Group });
     updatePeers(context);
   }
   wakePeers(context);
--- a/packages/control/src/raft/replication/handle-append.ts
+++ b/packages/control/src/raft/replication/handle-append.ts
@@ -1,4 +1,5 @@
 import type { LogEntry } from '../../log/log-entry.js';
+import { addGroup } from '../membership/add-group.js';
 import type { Group } from '../membership/group.js';
 import type { AppendReply } from './append-reply.js';
 import type { AppendRequest } from './append-request.js';
@@ -8,6 +9,7 @@
 import { findGroup } from '../membership/find-group.js';
 import type { RaftContext } from '../raft-context.js';
 import { receiveEntryPart } from './receive-entry-part.js';
+import { removeSettledGroups } from '../membership/remove-settled-groups.js';
 
 /** Handles entries or a heartbeat from the leader. @internal */
 export async function handleAppend(
@@ -29,6 +31,7 @@
       context.durableIndex = Math.max(context.durableIndex, matched);
     }
     context.commitIndex = Math.max(context.commitIndex, Math.min(request.commitIndex, matched));
+    removeSettledGroups(context);
     applyCommitted(context);
     updateQuorumSeenAt(context, request);
   }
@@ -79,11 +82,10 @@
     context.lastTimestamp = entry.at;
     log.append(entry).catch(() => {});
     if (entry.kind === 'group') {
-      context.group = JSON.parse(entry.data) as Group;
-      context.groupIndex = entry.index;
+      addGroup(context, { index: entry.index, group: JSON.parse(entry.data) as Group });
     }
   });
-  if (isTruncated) Object.assign(context, findGroup(log));
+  if (isTruncated) Object.assign(context, findGroup(log, context.commitIndex));
 }
 
 /** Only a node that has applied what was committed has a state as new as its quorum contact. */
--- a/packages/control/src/raft/replication/update-peers.ts
+++ b/packages/control/src/raft/replication/update-peers.ts
@@ -1,11 +1,14 @@
 import { batchLength } from './batch-length.js';
+import type { GroupMember } from '../membership/group-member.js';
+import { listPossibleGroups } from '../membership/list-possible-groups.js';
+import { listPossibleVoters } from '../membership/list-possible-voters.js';
 import type { RaftContext } from '../raft-context.js';
 import { runReplication } from './run-replication.js';
 
-/** Starts the replication to each new member and ends that to removed members. @internal */
+/** Starts the replication to each new member and ends that to removed ones. @internal */
 export function updatePeers(context: RaftContext): void {
-  const { group, progress, log, office, clock } = context;
-  const members = group?.members.filter(({ diskId }) => diskId !== log.identity.diskId) ?? [];
+  const { progress, log, office, clock } = context;
+  const members = listReceivers(context).filter(({ diskId }) => diskId !== log.identity.diskId);
   progress.forEach((peer, diskId) => {
     if (members.some((member) => member.diskId === diskId)) return;
     peer.controller.abort();
@@ -36,3 +39,13 @@
     void runReplication(context, peer);
   });
 }
+
+/** The members, and the voters that are being removed: these count until their removal is committed. */
+function listReceivers(context: RaftContext): GroupMember[] {
+  const members = context.group?.members ?? [];
+  const isMember = ({ diskId }: GroupMember) => members.some((member) => member.diskId === diskId);
+  const removed = listPossibleVoters(listPossibleGroups(context)).filter(
+    (voter) => !isMember(voter),
+  );
+  return [...members, ...removed];
+}
--- a/packages/control/src/raft/snapshot/handle-snapshot.ts
+++ b/packages/control/src/raft/snapshot/handle-snapshot.ts
@@ -55,8 +55,8 @@
     context.isWritingSnapshot = false;
     context.isInstallingSnapshot = false;
   }
-  Object.assign(context, findGroup(log));
   context.commitIndex = snapshot.index;
+  Object.assign(context, findGroup(log, context.commitIndex));
   context.appliedIndex = snapshot.index;
   context.durableIndex = log.memory.readLast().index;
   context.lastTimestamp = log.memory.list().at(-1)?.at ?? snapshot.at;
--- a/packages/fleet/__tests__/random-replacements.test.ts
+++ b/packages/fleet/__tests__/random-replacements.test.ts
@@ -31,6 +31,14 @@
   const replace = (id: string, successor: string) =>
     running.splice(running.indexOf(id), 1, successor);
 
+  const loseDisk = async (id: string): Promise<void> => {
+    fleet.kill(id);
+    fleet.wipe(id);
+    await virtual.run(restartMs);
+    fleet.restart(id);
+    await virtual.run(catchUpMs);
+  };
+
   const steps: Record<string, () => Promise<void>> = {
     replacePlanned: async () => {
       const [id, successor] = [choose(running), await startSuccessor()];
@@ -48,14 +56,15 @@
       fleet.kill(id);
       replace(id, await startSuccessor());
     },
-    loseDisk: async () => {
-      const id = choose(running);
+    // A VM beside its successor is gone, and no longer counts, when another one loses its disk.
+    replaceGoneAndLoseDisk: async () => {
+      const [id, successor] = [choose(running), await startSuccessor()];
       fleet.kill(id);
-      fleet.wipe(id);
-      await virtual.run(restartMs);
-      fleet.restart(id);
-      await virtual.run(catchUpMs);
+      replace(id, successor);
+      await virtual.run(random() < 0.3 ? 0 : random() * 2_500);
+      await loseDisk(choose(running));
     },
+    loseDisk: () => loseDisk(choose(running)),
     restartPlanned: async () => {
       const id = choose(running);
       await fleet.stop(id);
