--- a/packages/router/src/log/log-events.ts
+++ b/packages/router/src/log/log-events.ts
@@ -98,6 +98,7 @@
   'raft.elected': 'this node became the leader of the group',
   'raft.steppedDown': 'this node is no longer the leader',
   'raft.stopped': 'this node does not participate in the group until its log is opened again',
+  'raft.diskReplaced': 'a voter that lost its disk keeps its seat with the new one',
   'raft.learner': 'a node with a different disk receives the log as a learner, without a vote',
   'raft.installed': 'the leader’s snapshot replaced this node’s log',
   'raft.snapshot': 'a snapshot replaced older entries of the log',
