fix(routing): one function decides which hosts are the same

Cause. check-routing-config.ts compared hosts as they are written, create-route-table.ts in lower case.

A table that tells the spellings apart: hosts in HTTP have no case.

Change. toHostName is the one meaning of a host; a route's host has the branded type HostName from the decoder on. A configuration in force that would be refused now, accepted by an earlier version, goes on being served and is acknowledged again when it is sent again.

Tests of routing, router, the decoder and odd messages pass.

Nothing can compare a route's host in another form.

--- a/packages/router/__tests__/create-router-fixture.ts
+++ b/packages/router/__tests__/create-router-fixture.ts
@@ -12,6 +12,7 @@
 } from '@vanillarelay/router';
 import {
   createEndpointTable,
+  toHostName,
   type EndpointRecord,
   type RolloutBounds,
   type Route,
@@ -79,7 +80,7 @@
 
 const plainRoute: Route = {
   name: 'lookup',
-  host: '127.0.0.1',
+  host: toHostName('127.0.0.1'),
   pathPrefix: '/lookup/',
   repeat: 'idempotent',
   isStream: false,
--- a/packages/router/src/daemon/create-control-calls.ts
+++ b/packages/router/src/daemon/create-control-calls.ts
@@ -61,6 +61,12 @@
     log.write('dataCentre.changed', { dataCentre: id, change: type });
   };
 
+  /** Whether this configuration is in force at this daemon, which may be behind. */
+  const isInForce = (version: number, source: string): boolean => {
+    const { state } = node.view;
+    return state.version === version && state.source === source;
+  };
+
   /** Throws unless the configuration in force has a service; this daemon may be behind it. */
   const checkService = async (service: ServiceId): Promise<void> => {
     if (options.hasService(service)) return;
@@ -84,8 +90,9 @@
     startAge: options.inputAge.startAge,
     putConfig: async (source) => {
       const config = decodeConfig(source);
-      checkRoutingConfig(config);
       const { version } = config;
+      // An earlier version of this program may have accepted what is refused now.
+      if (!isInForce(version, source)) checkRoutingConfig(config);
       try {
         await propose({ type: 'putConfig', version, source });
       } catch (error) {
--- a/packages/routing/src/config/route.ts
+++ b/packages/routing/src/config/route.ts
@@ -1,10 +1,11 @@
+import type { HostName } from './host-name.js';
 import type { RetryPolicy } from './retry-policy.js';
 import type { RouteTarget } from './route-target.js';
 
 /** Maps requests to services and sets how these requests are handled. */
 export interface Route {
   name: string;
-  host: string;
+  host: HostName;
   /** Begins and ends with a slash. */
   pathPrefix: string;
   repeat: RetryPolicy;
