--- a/packages/control/src/raft/membership/compute-quorum-value.ts
+++ b/packages/control/src/raft/membership/compute-quorum-value.ts
@@ -1,6 +1,6 @@
 import type { Group } from './group.js';
 import type { GroupMember } from './group-member.js';
-import { computeMajorityValue } from '../replication/compute-majority-value.js';
+import { computeMajorityValue } from './compute-majority-value.js';
 import { findSeatDisk } from './find-seat-disk.js';
 import { listVoters } from './list-voters.js';
 
--- a/packages/control/src/raft/membership/has-remaining-quorum.ts
+++ b/packages/control/src/raft/membership/has-remaining-quorum.ts
@@ -1,3 +1,4 @@
+import { readAnsweredAt } from '../age/read-answered-at.js';
 import { computeQuorumValue } from './compute-quorum-value.js';
 import type { GroupMember } from './group-member.js';
 import { listPossibleGroups } from './list-possible-groups.js';
@@ -9,13 +10,11 @@
   context: RaftContext,
   isRemoved: (member: GroupMember) => boolean,
 ): boolean {
-  const { log, progress, clock, group } = context;
+  const { clock, group } = context;
   if (!group) return false;
   const remaining = { members: group.members.filter((member) => !isRemoved(member)) };
   const seenAt = computeQuorumValue([...listPossibleGroups(context), remaining], (diskId) =>
-    diskId === log.identity.diskId
-      ? clock.monotonic()
-      : (progress.get(diskId)?.answeredAt ?? Number.NEGATIVE_INFINITY),
+    readAnsweredAt(context, diskId),
   );
   return clock.monotonic() - seenAt <= raftTiming.electionTimeoutMinMs;
 }
--- a/packages/fleet/__tests__/create-test-fleet.ts
+++ b/packages/fleet/__tests__/create-test-fleet.ts
@@ -206,6 +206,13 @@
       seeds = ids.map((id) => find(id).address);
     },
     wipe: (id: string) => find(id).disk?.wipe(),
+    /** Kills a daemon, which starts again with an empty disk. */
+    loseDisk: async (id: string, downMs: number): Promise<void> => {
+      kill(id);
+      find(id).disk?.wipe();
+      await virtual.run(downMs);
+      start(Number(id.split('-')[1]));
+    },
     setFull: (id: string, isFull: boolean) => find(id).disk?.setFull(isFull),
     cut: (a: string, b: string) => network.cut(a, b),
     heal: (a: string, b: string) => network.clearCut(a, b),
--- a/packages/fleet/__tests__/lost-disk-after-replacement.test.ts
+++ b/packages/fleet/__tests__/lost-disk-after-replacement.test.ts
@@ -31,13 +31,6 @@
 
 type Fleet = Awaited<ReturnType<typeof startFleet>>;
 
-async function loseDisk(fleet: Fleet, id: string): Promise<void> {
-  fleet.kill(id);
-  fleet.wipe(id);
-  await fleet.virtual.run(restartMs);
-  fleet.restart(id);
-}
-
 /** Reads through daemons in turn until one of them answers. */
 async function readAtAny(fleet: Fleet, ids: readonly string[]): Promise<number | undefined> {
   for (const id of [...ids, ...ids, ...ids]) {
@@ -77,7 +70,7 @@
       const lost = fleet.choose(lostRole, gone);
       fleet.kill(gone);
       await fleet.virtual.run(delayMs);
-      await loseDisk(fleet, lost);
+      await fleet.loseDisk(lost, restartMs);
       await expectWholeGroup(fleet, gone);
     },
   );
@@ -125,9 +118,9 @@
       const gone = fleet.choose('leader', '');
       const lost = fleet.choose('follower', gone);
       fleet.kill(gone);
-      await loseDisk(fleet, lost);
+      await fleet.loseDisk(lost, restartMs);
       await fleet.virtual.run(delayMs);
-      await loseDisk(fleet, lost);
+      await fleet.loseDisk(lost, restartMs);
       await expectWholeGroup(fleet, gone);
     },
   );
--- a/packages/fleet/__tests__/random-replacements.test.ts
+++ b/packages/fleet/__tests__/random-replacements.test.ts
@@ -32,10 +32,7 @@
     running.splice(running.indexOf(id), 1, successor);
 
   const loseDisk = async (id: string): Promise<void> => {
-    fleet.kill(id);
-    fleet.wipe(id);
-    await virtual.run(restartMs);
-    fleet.restart(id);
+    await fleet.loseDisk(id, restartMs);
     await virtual.run(catchUpMs);
   };
 
--- a/packages/fleet/__tests__/replaced-voters.test.ts
+++ b/packages/fleet/__tests__/replaced-voters.test.ts
@@ -28,10 +28,7 @@
 
 /** Loses the disk of a daemon, which starts again without it. */
 async function loseDisk(fleet: Fleet, id: string): Promise<void> {
-  fleet.kill(id);
-  fleet.wipe(id);
-  await fleet.virtual.run(900);
-  fleet.restart(id);
+  await fleet.loseDisk(id, 900);
   await fleet.virtual.run(catchUpMs);
 }
 
--- a/packages/fleet/__tests__/split-removal.test.ts
+++ b/packages/fleet/__tests__/split-removal.test.ts
@@ -36,10 +36,7 @@
       .then(() => true)
       .catch(() => false);
     const isAccepted = await virtual.runUntil(put);
-    fleet.kill(lost);
-    fleet.wipe(lost);
-    await virtual.run(500);
-    fleet.restart(lost);
+    await fleet.loseDisk(lost, 500);
     all.filter((id) => id !== lost).forEach((id) => fleet.heal(lost, id));
     fleet.cut(lost, leader);
     await virtual.run(settleMs);
