--- a/packages/control/src/raft/election/start-leading.ts
+++ b/packages/control/src/raft/election/start-leading.ts
@@ -8,7 +8,7 @@
 import { updatePeers } from '../replication/update-peers.js';
 import type { Voter } from './voter.js';
 
-interface Victory {
+interface ElectionResult {
   /** The voters that granted their votes, by disk id. */
   votes: Map<string, Voter>;
   /** Monotonic time at which the election began. */
@@ -20,7 +20,7 @@
 /** Makes this node leader after it won an election. @internal */
 export function startLeading(
   context: RaftContext,
-  { votes, startedAt, replacement }: Victory,
+  { votes, startedAt, replacement }: ElectionResult,
 ): void {
   const { log } = context;
   context.role = 'leader';
