fix(router): an answer is checked to be HTTP before Node's parser reads it

What callers saw: answers of a replica in trouble whose head has a field name with a blank or a control byte came as answers, with the odd line in their head, or with the rest of the head as their body.

Cause: the router looked at no byte of a head itself. It relayed what Node's HTTP parser made of it, and how strictly that parser reads depends on its release and flags; `engines` allows many releases. A lenient one folds an odd line into the value above, relays it as a field, or ends the head at a bare CR or LF and hands the rest on as the body.

Ruled out: the parser of this machine (Node 20.20.2, parser 9.3.1) lets none of the 39 odd lines through, in eight places, on three kinds of routes, also as the second answer on a connection. That the machines of the report have a lenient parser is suspected, not shown: no other release was run, the flag `--insecure-http-parser` stands for one. A pinned parser (undici for the calls to endpoints) was weighed: it replaces the connection pool and its timing as well. Narrower `engines` take the product off machines that run it.

Change: `framing/` checks status lines, fields, chunk sizes, ends of chunks and trailers to the letter of RFC 9112, on the bytes as they come and before the parser gets them, also in informational heads. An answer at fault ends as bytes that are no answer did before: `spoilt`, the connection is closed, and it is no crash. The parser may also see no end of a head or answer before the check does. The limit of 64 KiB for a head moved there from call-endpoint.ts; it now holds for trailers and chunk sizes too.

Newly refused with this parser: a bare LF before the status line and a control byte in the reason.

--- a/packages/router/src/dispatch/call-endpoint.ts
+++ b/packages/router/src/dispatch/call-endpoint.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { observeFraming } from '../framing/observe-framing.js';
 import { CallFailure } from './call-failure.js';
 import type { EndpointAnswer } from './endpoint-answer.js';
 import type { EndpointCall } from './endpoint-call.js';
@@ -12,11 +13,6 @@
  * a lost SYN is resent only after seconds.
  */
 const connectTimeoutMs = 350;
-/**
- * Bytes that an endpoint may send until the head of its answer is complete. The HTTP parser limits
- * one head, but not the blank lines and informational heads before it.
- */
-const maxHeadBytes = 64 * 1024;
 
 /**
  * Sends a request to an endpoint; resolves with the answer once its head has been received. A reset
@@ -29,7 +25,6 @@
     let isSent = false;
     let failure: CallFailure | undefined;
     let answered: IncomingMessage | undefined;
-    let headBytes = 0;
     let connectTimer: NodeJS.Timeout | undefined;
     let cancelHeadTimer = () => {};
     const outgoing = openRequest(call);
@@ -62,19 +57,9 @@
       });
     };
 
-    const countHeadBytes = (bytes: Buffer): void => {
-      headBytes += bytes.length;
-      if (!answered && headBytes > maxHeadBytes) fail('spoilt', 'the head has no end');
-    };
-
     outgoing.once('socket', (socket) => {
       socket.prependListener('end', checkEnd);
-      socket.on('data', countHeadBytes);
-      outgoing.once('response', () => socket.removeListener('data', countHeadBytes));
-      outgoing.once('close', () => {
-        socket.removeListener('end', checkEnd);
-        socket.removeListener('data', countHeadBytes);
-      });
+      outgoing.once('close', () => socket.removeListener('end', checkEnd));
       if (!socket.connecting) {
         send();
         return;
@@ -85,7 +70,12 @@
         void waitForTurn().then(send);
       });
     });
+    observeFraming(outgoing, (fault) => {
+      failure ??= new CallFailure(isSent ? 'spoilt' : 'refused', isSent, fault);
+      return failure;
+    });
     outgoing.once('response', (answer) => {
+      if (failure) return;
       settle();
       answered = answer;
       settleUnframedEnd(answer, body.length);
--- /dev/null
+++ b/packages/router/src/framing/field-line.ts
@@ -0,0 +1,7 @@
+/** One field of a head. */
+export interface FieldLine {
+  /** In lower case. */
+  name: string;
+  /** Without the white space around it. */
+  value: string;
+}
