fix(router): an answer in a transfer coding other than chunked is refused

What callers saw: an answer whose Transfer-Encoding names another coding than chunked (gzip, identity, none) came with its coded bytes, or with the lines of its chunks, as its body.

Cause: Transfer-Encoding is a field of one connection, so the router takes it out of the head, but the parser undoes chunked alone. The caller is not told of the coding that is left. With several such fields the check of chunks and the parser also disagreed on whether the body is chunked.

Ruled out: a coding that a caller asked for. TE is a field of one connection too and is never forwarded, so an endpoint may use no other coding (RFC 9112, section 7.4).

Change: one field with the value chunked, in any case, or none; anything else is a fault of the framing.

--- a/packages/router/__tests__/framing-check.test.ts
+++ b/packages/router/__tests__/framing-check.test.ts
@@ -67,6 +67,9 @@
   ...[`${head}Content-Length: 2, 2\r\n\r\nok`, `${head}Content-Length: 0x2\r\n\r\nok`],
   `${head}Content-Length: 2\r\ncontent-length: 2\r\n\r\nok`,
   `${head}Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`,
+  ...['gzip', '', 'gzip, chunked', 'chunked, chunked', 'chunked\r\nTransfer-Encoding:'].map(
+    (coding) => `${head}Transfer-Encoding: ${coding}\r\n\r\n`,
+  ),
   ...[
     `${chunked}x\r\n`,
     `${chunked}\r\n`,
--- a/packages/router/src/framing/choose-body-framing.ts
+++ b/packages/router/src/framing/choose-body-framing.ts
@@ -2,8 +2,12 @@
 import type { FieldLine } from './field-line.js';
 
 const lengthPattern = /^\d+$/;
+const chunkedCoding = 'chunked';
 
-/** Chooses how the body of an answer is framed (RFC 9112, section 6.3). */
+/**
+ * Chooses how the body of an answer is framed (RFC 9112, section 6.3). The only transfer coding that
+ * an answer may have is `chunked`, as no request names another in a TE header.
+ */
 export function chooseBodyFraming(fields: readonly FieldLine[]): BodyFraming {
   const listValues = (wanted: string): string[] =>
     fields.filter(({ name }) => name === wanted).map(({ value }) => value);
@@ -14,5 +18,7 @@
     return { type: 'invalid', fault: 'a length that is no number' };
   if (codings.length === 0) return { type: 'unchunked' };
   if (lengths.length > 0) return { type: 'invalid', fault: 'a length beside a transfer coding' };
-  return /(^|,)[ \t]*chunked$/i.test(codings.join()) ? { type: 'chunked' } : { type: 'unchunked' };
+  if (codings.length > 1 || codings[0]?.toLowerCase() !== chunkedCoding)
+    return { type: 'invalid', fault: 'a transfer coding other than chunked' };
+  return { type: 'chunked' };
 }
