fix(router): an answer of another daemon is checked to be HTTP before Node's parser reads it

What callers saw: nothing yet; this is the second place that leaves heads to the parser of the Node at hand. With a lenient one, a daemon believed a message whose head is no HTTP: of a process that is in trouble, or that is no daemon at all and has the address of one that is gone.

Ruled out: a special case for the calls between daemons; both use `observeFraming`. The body has a length, so nothing behind the head is looked at.

Change: callJson checks the framing; a fault rejects the call with `connectionFailed`, its outcome unknown, as an error of the parser did. A head without an end is cut off at 64 KiB here too.

Before and after: odd-peer-answers.test.ts, this parser and a lenient one: 7 of 26 failed, all of them with the lenient one, now 26 pass, proper lines among them. vitest packages/router packages/fleet: 934 passed.

Cost: that of a head, 5 us a message.

--- a/packages/router/src/transport/call-json.ts
+++ b/packages/router/src/transport/call-json.ts
@@ -1,6 +1,7 @@
 import { Agent, request, type IncomingMessage } from 'node:http';
 import { RelayError, ResultCode, type Refusal } from '@vanillarelay/core';
 import { readBody, splitAddress } from '@vanillarelay/daemon';
+import { observeFraming } from '../framing/observe-framing.js';
 import { decodeMessage } from './decode-message.js';
 import { encodeMessage } from './encode-message.js';
 import { maxMessageBytes } from './max-message-bytes.js';
@@ -46,6 +47,10 @@
         );
       },
     );
+    observeFraming(call, (fault) => {
+      const text = `${address}${path} answered with ${fault}`;
+      return new RelayError(ResultCode.connectionFailed, text);
+    });
     call.on('error', reject);
     call.end(payload);
   });
