--- a/packages/daemon/__tests__/odd-endpoint-answers.test.ts
+++ b/packages/daemon/__tests__/odd-endpoint-answers.test.ts
@@ -88,3 +88,21 @@
     expect(await run(address)).toBe(`${status} ok`);
   });
 });
+
+describe('an answer in a transfer coding', () => {
+  const answer = (coding: string): string =>
+    `${head}Transfer-Encoding: ${coding}\r\n\r\n2\r\nok\r\n0\r\n\r\n`;
+
+  // Guards against a body in a coding that nobody asked for and that the caller is not told of.
+  it.each([
+    ...['gzip', 'identity', '', 'gzip, chunked', 'chunked, gzip', 'chunked, chunked'],
+    ...['chunked\r\nTransfer-Encoding: gzip', 'chunked\r\nTransfer-Encoding:'],
+  ])('is no answer unless it is chunked: %j', async (coding) => {
+    expect(await run(await listenWith(answer(coding)))).toBe('no answer');
+  });
+
+  // Guards against refusing an answer in chunks.
+  it.each(['chunked', 'Chunked', ' chunked '])('is relayed: %j', async (coding) => {
+    expect(await run(await listenWith(answer(coding)))).toBe('200 ok');
+  });
+});
