fix(daemon): an answer without a length that ends in a reset is not whole on the older path either

Cause: undici takes a reset for the end of an answer that ends with its connection. Besides, the system shows a reset that closely follows other bytes as an ordinary end, and an endpoint whose process ends during an upload ends its side first: the reset comes with the next bytes of the upload.

Calling endpoints through the router's client: it keeps connections by another rule, and the tests of the older path show none of its timing.

Change: `createConnector` opens undici's connections so that a reset keeps its error and an end is passed on only after an empty write has shown none. `settleEnd`, which holds an end back until the request is written and no reset has come for 100 ms, moved from the router to daemon/http and serves both. On the older path it is used for request bodies above 8 KiB, as in the router; they get a connection of their own, since a kept one would look open to the next request during these 100 ms.

Open: as in the router, a reset over 100 ms behind the end, of a request that lies in the system's buffers.

--- a/packages/daemon/__tests__/odd-endpoint-answers.test.ts
+++ b/packages/daemon/__tests__/odd-endpoint-answers.test.ts
@@ -106,3 +106,57 @@
     expect(await run(await listenWith(answer(coding)))).toBe('200 ok');
   });
 });
+
+describe.each([
+  ['a small request', 1],
+  ['a long upload', 240_000],
+])('an answer without a length to %s', (_, bodyBytes) => {
+  const part = `${head}X-Id: r1\r\n\r\npart`;
+  const after = (ms: number, end: (socket: Socket) => void) => (socket: Socket) =>
+    setTimeout(() => end(socket), ms);
+  const reset = (socket: Socket) => socket.resetAndDestroy();
+  const endAndReset = (socket: Socket) => {
+    socket.end();
+    setTimeout(() => reset(socket), 20);
+  };
+  const isUpload = bodyBytes > 1;
+
+  // Guards against a part of an answer that looks complete, since the endpoint ended in the middle.
+  it.each([
+    ['a reset', reset],
+    ['a reset 5 ms later', after(5, reset)],
+    ['a reset 150 ms later', after(150, reset)],
+    // Of a small request nothing is unread, so nothing shows that this is no ordinary end.
+    ...(isUpload ? ([['its end and a reset 20 ms later', endAndReset]] as const) : []),
+  ] as const)('is cut off after %s', async (__, end) => {
+    const address = await listen((socket) => {
+      if (isUpload) socket.pause();
+      socket.write(part, () => end(socket));
+    });
+    expect(await run(address, bodyBytes)).toMatch(/^(cut off|no answer)$/);
+  });
+
+  // Guards against refusing the answer of an endpoint that ends its connection behind it.
+  it('is whole at the end of its connection', async () => {
+    expect(await run(await listenWith(part), bodyBytes)).toBe('200 part');
+  });
+});
+
+// Guards against a connection that ends between two requests and fails the second one.
+it('opens another connection after one that its endpoint has ended', async () => {
+  const address = await listen((socket) => {
+    socket.write(`${head}Content-Length: 2\r\n\r\nok`);
+    setTimeout(() => socket.end(), 10);
+  });
+  const endpoint = openEndpoint(address);
+  const request = { method: 'POST', path: '/orders', headers: {}, body: Buffer.from('x') };
+  const bodies: string[] = [];
+  for (let count = 0; count < 5; count += 1) {
+    const answer = await endpoint.run(request, createSignal());
+    for await (const chunk of answer.body) bodies.push(Buffer.from(chunk).toString());
+    await new Promise((resolve) => {
+      setTimeout(resolve, 40);
+    });
+  }
+  expect(bodies).toEqual(['ok', 'ok', 'ok', 'ok', 'ok']);
+});
--- a/packages/daemon/src/agent/open-endpoint.ts
+++ b/packages/daemon/src/agent/open-endpoint.ts
@@ -2,7 +2,9 @@
 import { Pool } from 'undici';
 import { z } from 'zod';
 import { readShortText } from '../http/read-short-text.js';
+import { createConnector } from '../http/create-connector.js';
 import { requestAnswer } from '../http/request-answer.js';
+import { resetLimits } from '../http/reset-limits.js';
 import { toPlainHeaders } from '../http/to-plain-headers.js';
 import { wrapBody } from '../http/wrap-body.js';
 
@@ -14,6 +16,10 @@
 });
 
 const maxHealthBytes = 64 * 1024;
+/** The value 0 disables undici's limits on the time of an answer, which may be long. */
+const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 };
+/** undici closes a connection behind each answer when it may send no request before the answer. */
+const noKeepAlive = { pipelining: 0 };
 const conflictStatus = 409;
 const notFoundStatus = 404;
 const minErrorStatus = 400;
@@ -21,17 +27,20 @@
 /** Opens an HTTP client for an endpoint. */
 export function openEndpoint(address: string): EndpointClient {
   // No limit on connections: admission control limits requests, and health checks must not wait.
-  // The value 0 disables undici's limits on the time of an answer, which may be long.
-  const pool = new Pool(`http://${address}`, {
-    headersTimeout: 0,
-    bodyTimeout: 0,
+  const origin = `http://${address}`;
+  const pool = new Pool(origin, { ...noTimeouts, connect: createConnector(0) });
+  // A kept connection would look open to the next request while a reset is awaited behind its end.
+  const uploadPool = new Pool(origin, {
+    ...{ ...noTimeouts, ...noKeepAlive },
+    connect: createConnector(resetLimits.waitMs),
   });
 
   const request = (options: Parameters<typeof requestAnswer>[1]) => requestAnswer(pool, options);
 
   return {
     run: async ({ method, path, headers, body }, signal) => {
-      const answer = await request({
+      const isSmall = body.length <= resetLimits.maxSmallBodyBytes;
+      const answer = await requestAnswer(isSmall ? pool : uploadPool, {
         method,
         path,
         headers,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -21,6 +21,8 @@
 export { runEntry } from './entry/run-entry.js';
 export { createByteCollector } from './http/create-byte-collector.js';
 export { readBody } from './http/read-body.js';
+export { resetLimits } from './http/reset-limits.js';
+export { settleEnd } from './http/settle-end.js';
 export { waitForInput } from './http/wait-for-input.js';
 export { listenOn } from './http/listen-on.js';
 export { splitAddress } from './http/split-address.js';
