--- a/packages/cli/__tests__/call-control.test.ts
+++ b/packages/cli/__tests__/call-control.test.ts
@@ -45,3 +45,19 @@
   const closed = callControl(address, { method: 'GET', path: '/rollouts/desk' });
   await expect(closed).rejects.toMatchObject({ code: ResultCode.connectionFailed });
 });
+
+// Guards against an answer that is no HTTP and is printed as the state of the fleet.
+it.each([
+  ...['X Odd: 1', ' X-Odd: 1', 'X-Odd: 1\r\n folded', 'X-Odd : 1', 'X\u0001Odd: 1', ': 1'],
+  ...['\nX-Odd: 1', 'X-Odd: a\0b', 'Content Length: 1'],
+])('fails with connectionFailed when the answer has the line %j', async (line) => {
+  const answer = `HTTP/1.1 200 OK\r\nX-Id: r1\r\n${line}\r\nContent-Length: 2\r\n\r\n{}`;
+  server = createServer((_, response) => {
+    response.socket?.end(Buffer.from(answer, 'latin1'));
+  }).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  await expect(callControl(address, { method: 'GET', path: '/' })).rejects.toMatchObject({
+    code: ResultCode.connectionFailed,
+  });
+});
