fix(router, daemon): only blanks and tabs are white space around a transfer coding and a length

An answer with `Transfer-Encoding: chunked` and a byte 0xa0 beside the word passed the new check as chunked, while both parsers took it for another coding: the lines of the chunks reached the caller as the body.

Cause: `trim` of the language takes 0xa0 as white space too; HTTP has blanks and tabs alone.

Ruled out: other places; the check trims no other value.

Change: the patterns of the length and of the coding name the white space; `isChunked` in daemon/http serves the router's check and the older path.

--- a/packages/daemon/__tests__/odd-endpoint-answers.test.ts
+++ b/packages/daemon/__tests__/odd-endpoint-answers.test.ts
@@ -96,7 +96,7 @@
   // Guards against a body in a coding that nobody asked for and that the caller is not told of.
   it.each([
     ...['gzip', 'identity', '', 'gzip, chunked', 'chunked, gzip', 'chunked, chunked'],
-    ...['chunked\r\nTransfer-Encoding: gzip', 'chunked\r\nTransfer-Encoding:'],
+    ...['chunked\r\nTransfer-Encoding: gzip', 'chunked\r\nTransfer-Encoding:', 'chunked\u00a0'],
   ])('is no answer unless it is chunked: %j', async (coding) => {
     expect(await run(await listenWith(answer(coding)))).toBe('no answer');
   });
--- a/packages/daemon/src/agent/open-endpoint.ts
+++ b/packages/daemon/src/agent/open-endpoint.ts
@@ -1,8 +1,8 @@
 import { RelayError, ResultCode, type EndpointClient } from '@vanillarelay/core';
 import { Pool } from 'undici';
 import { z } from 'zod';
-import { readShortText } from '../http/read-short-text.js';
 import { createConnector } from '../http/create-connector.js';
+import { readShortText } from '../http/read-short-text.js';
 import { requestAnswer } from '../http/request-answer.js';
 import { resetLimits } from '../http/reset-limits.js';
 import { toPlainHeaders } from '../http/to-plain-headers.js';
@@ -18,7 +18,7 @@
 const maxHealthBytes = 64 * 1024;
 /** The value 0 disables undici's limits on the time of an answer, which may be long. */
 const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 };
-/** undici closes a connection behind each answer when it may send no request before the answer. */
+/** With the value 0, undici closes a connection after its answer. */
 const noKeepAlive = { pipelining: 0 };
 const conflictStatus = 409;
 const notFoundStatus = 404;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -20,6 +20,7 @@
 export { createEntryServer } from './entry/create-entry-server.js';
 export { runEntry } from './entry/run-entry.js';
 export { createByteCollector } from './http/create-byte-collector.js';
+export { isChunked } from './http/is-chunked.js';
 export { readBody } from './http/read-body.js';
 export { resetLimits } from './http/reset-limits.js';
 export { settleEnd } from './http/settle-end.js';
--- a/packages/router/__tests__/framing-check.test.ts
+++ b/packages/router/__tests__/framing-check.test.ts
@@ -64,12 +64,21 @@
   ...['http/1.1 200 OK\r\n\r\n', 'HTTP/1.1 200 OK\n\n', 'ok\r\n\r\n', 'id: 1\r\n'],
   `HTTP/1.1 103 Early\r\nX Odd: 1\r\n\r\n${head}\r\n`,
   ...[`${head}Content-Length: +2\r\n\r\nok`, `${head}Content-Length:\r\n\r\nok`],
-  ...[`${head}Content-Length: 2, 2\r\n\r\nok`, `${head}Content-Length: 0x2\r\n\r\nok`],
+  ...[
+    `${head}Content-Length: 2, 2\r\n\r\nok`,
+    `${head}Content-Length: 0x2\r\n\r\nok`,
+    `${head}Content-Length: 2\u00a0\r\n\r\nok`,
+  ],
   `${head}Content-Length: 2\r\ncontent-length: 2\r\n\r\nok`,
   `${head}Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`,
-  ...['gzip', '', 'gzip, chunked', 'chunked, chunked', 'chunked\r\nTransfer-Encoding:'].map(
-    (coding) => `${head}Transfer-Encoding: ${coding}\r\n\r\n`,
-  ),
+  ...[
+    'gzip',
+    '',
+    'gzip, chunked',
+    'chunked, chunked',
+    'chunked\r\nTransfer-Encoding:',
+    'chunked\u00a0',
+  ].map((coding) => `${head}Transfer-Encoding: ${coding}\r\n\r\n`),
   ...[
     `${chunked}x\r\n`,
     `${chunked}\r\n`,
--- a/packages/router/src/framing/choose-body-framing.ts
+++ b/packages/router/src/framing/choose-body-framing.ts
@@ -1,13 +1,10 @@
+import { isChunked } from '@vanillarelay/daemon';
 import type { BodyFraming } from './body-framing.js';
 import type { FieldLine } from './field-line.js';
 
-const lengthPattern = /^\d+$/;
-const chunkedCoding = 'chunked';
+const lengthPattern = /^[\t ]*\d+[\t ]*$/;
 
-/**
- * Chooses how the body of an answer is framed (RFC 9112, section 6.3). The only transfer coding that
- * an answer may have is `chunked`, as no request names another in a TE header.
- */
+/** Chooses how the body of an answer is framed (RFC 9112, section 6.3). */
 export function chooseBodyFraming(fields: readonly FieldLine[]): BodyFraming {
   const listValues = (wanted: string): string[] =>
     fields.filter(({ name }) => name === wanted).map(({ value }) => value);
@@ -16,9 +13,10 @@
   if (lengths.length > 1) return { type: 'invalid', fault: 'two lengths' };
   if (lengths.some((length) => !lengthPattern.test(length)))
     return { type: 'invalid', fault: 'a length that is no number' };
-  if (codings.length === 0) return { type: 'unchunked' };
+  const [coding] = codings;
+  if (coding === undefined) return { type: 'unchunked' };
   if (lengths.length > 0) return { type: 'invalid', fault: 'a length beside a transfer coding' };
-  if (codings.length > 1 || codings[0]?.toLowerCase() !== chunkedCoding)
+  if (codings.length > 1 || !isChunked(coding))
     return { type: 'invalid', fault: 'a transfer coding other than chunked' };
   return { type: 'chunked' };
 }
--- a/packages/router/src/framing/field-line.ts
+++ b/packages/router/src/framing/field-line.ts
@@ -2,6 +2,6 @@
 export interface FieldLine {
   /** In lower case. */
   name: string;
-  /** Without the white space around it. */
+  /** With the white space around it. */
   value: string;
 }
--- a/packages/router/src/framing/parse-field-line.ts
+++ b/packages/router/src/framing/parse-field-line.ts
@@ -11,5 +11,5 @@
 export function parseFieldLine(line: string): FieldLine | undefined {
   const [, name, value] = fieldLinePattern.exec(line) ?? [];
   if (name === undefined || value === undefined) return undefined;
-  return { name: name.toLowerCase(), value: value.trim() };
+  return { name: name.toLowerCase(), value };
 }
